--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+GO ?= go
+BIN := bin/jayridge
+
+.PHONY: build demo test bench fuzz fmt
+
+build:
+	$(GO) build -o $(BIN) ./cmd/jayridge
+
+demo: build
+	bash scripts/demo.sh $(BIN)
+
+test:
+	bash scripts/test.sh
+
+bench:
+	$(GO) run ./cmd/jayridge-bench -out bench-out
+
+fuzz:
+	bash scripts/fuzz.sh
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
--- /dev/null
+++ b/connection/wire/message.go
@@ -0,0 +1,268 @@
+// Package wire defines the messages between the processes of jayridge and their encoding.
+//
+// A frame is a 4-byte big-endian length of what follows, a 1-byte type, a 4-byte big-endian stream number, and a msgpack map.
+// Decoders skip unknown map fields, so processes of different minor versions can talk to each other.
+package wire
+
+// Protocol version of this build. Peers with another major version are refused.
+const (
+	MajorVersion = 1
+	MinorVersion = 0
+)
+
+// MaxFrameBytes bounds the length field of a frame.
+const MaxFrameBytes = 1 << 20
+
+// ControlStream is the stream number of frames that belong to no request.
+const ControlStream = 0
+
+// Type numbers a frame type.
+type Type uint8
+
+// Frame types. The numbers are part of the protocol.
+const (
+	TypeHello      Type = 1
+	TypeOpen       Type = 2
+	TypeAccepted   Type = 3
+	TypeChunk      Type = 4
+	TypeEnd        Type = 5
+	TypeCancel     Type = 6
+	TypeWindow     Type = 7
+	TypePing       Type = 8
+	TypePong       Type = 9
+	TypeGossip     Type = 10
+	TypeConfigPull Type = 11
+	TypeConfigPush Type = 12
+	TypeLeaving    Type = 13
+)
+
+// Message is the content of one frame.
+type Message interface {
+	// Type returns the frame type that carries the message.
+	Type() Type
+}
+
+// RequestID identifies a caller's request across attempts.
+type RequestID [16]byte
+
+// Identity names one attempt of one request. Every frame of a request carries it.
+type Identity struct {
+	Request RequestID `msgpack:"r"`
+	Attempt uint8     `msgpack:"a"`
+}
+
+// Hello is the first frame in each direction.
+type Hello struct {
+	Major         uint16 `msgpack:"maj"`
+	Minor         uint16 `msgpack:"min"`
+	Instance      string `msgpack:"i"`
+	Role          string `msgpack:"ro"`
+	DataCentre    string `msgpack:"dc"`
+	Service       string `msgpack:"s,omitempty"`
+	Version       string `msgpack:"v,omitempty"`
+	Address       string `msgpack:"ad,omitempty"`
+	ConfigVersion uint64 `msgpack:"cv"`
+}
+
+// Open starts one attempt of a request.
+type Open struct {
+	Identity
+	Service string `msgpack:"s"`
+	Route   string `msgpack:"ro"`
+	Team    string `msgpack:"t"`
+	// Chat is the hash of team and chat id; zero for calls outside a chat.
+	Chat     uint64 `msgpack:"c,omitempty"`
+	Priority int8   `msgpack:"p,omitempty"`
+	// DeadlineMS is the time left, in milliseconds, when the entry sent the frame.
+	DeadlineMS uint32 `msgpack:"d"`
+	// IdempotencyKey is empty when the caller gave none.
+	IdempotencyKey string `msgpack:"k,omitempty"`
+	// Stream asks for the answer in chunks as the upstream produces them.
+	Stream bool `msgpack:"st,omitempty"`
+	// WorkUnits estimates the request's load in tokens.
+	WorkUnits uint32 `msgpack:"w"`
+	// Method and Path are those of the caller's HTTP request.
+	Method string `msgpack:"m"`
+	Path   string `msgpack:"pa"`
+	Body   []byte `msgpack:"b"`
+	// ResumeOffset is the number of chunks that the entry already passed on; the upstream continues after them.
+	ResumeOffset uint32 `msgpack:"of,omitempty"`
+	// MeanLoad is the sender's estimate of the mean load of the service's upstreams, in work units; zero means no estimate.
+	MeanLoad      uint32 `msgpack:"ml,omitempty"`
+	ConfigVersion uint64 `msgpack:"cv"`
+}
+
+// Accepted says that the sidecar is about to hand the request to its upstream. After it, the request is never "not run".
+type Accepted struct {
+	Identity
+}
+
+// Chunk is one part of an answer. Sequence counts from zero.
+type Chunk struct {
+	Identity
+	Sequence uint32 `msgpack:"n"`
+	Data     []byte `msgpack:"b"`
+}
+
+// LoadReport is what a sidecar tells about its upstream.
+type LoadReport struct {
+	// WorkUnits is the admitted work in tokens.
+	WorkUnits uint32 `msgpack:"w"`
+	InFlight  uint32 `msgpack:"f"`
+	Cold      bool   `msgpack:"c,omitempty"`
+}
+
+// End closes one attempt of a request.
+type End struct {
+	Identity
+	Result uint8 `msgpack:"rc"`
+	// Status is the upstream's HTTP status, zero if the request was not run.
+	Status uint16 `msgpack:"st,omitempty"`
+	// Chunks and Checksum (xxhash64 over all data) let the receiver detect an incomplete answer.
+	Chunks       uint32 `msgpack:"n"`
+	Checksum     uint64 `msgpack:"x"`
+	RetryAfterMS uint32 `msgpack:"ra,omitempty"`
+	// Reason is a short text for operators; callers see only the code's own text.
+	Reason        string      `msgpack:"re,omitempty"`
+	Load          *LoadReport `msgpack:"l,omitempty"`
+	ConfigVersion uint64      `msgpack:"cv"`
+}
+
+// Cancel says that the caller no longer waits.
+type Cancel struct {
+	Identity
+}
+
+// Window grants the sender of a stream more flow-control credit.
+type Window struct {
+	Identity
+	Bytes uint32 `msgpack:"b"`
+}
+
+// Ping is a keepalive probe; Pong answers it.
+type Ping struct {
+	ConfigVersion uint64 `msgpack:"cv"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	ConfigVersion uint64 `msgpack:"cv"`
+}
+
+// LoadSummary is the load of one service in one data centre.
+type LoadSummary struct {
+	DataCentre string `msgpack:"dc"`
+	Service    string `msgpack:"s"`
+	WorkUnits  uint64 `msgpack:"w"`
+	Upstreams  uint32 `msgpack:"n"`
+	// AgeMS is the age of the figures when they were sent.
+	AgeMS uint32 `msgpack:"ag"`
+}
+
+// RolloutStop says that a rollout was stopped for good.
+type RolloutStop struct {
+	Rollout string `msgpack:"r"`
+	Reason  string `msgpack:"re"`
+}
+
+// QuarantineEntry is the fingerprint of a request that crashed upstreams.
+type QuarantineEntry struct {
+	Fingerprint uint64 `msgpack:"f"`
+	// LeftMS is how long the entry stays in force.
+	LeftMS uint32 `msgpack:"l"`
+}
+
+// Gossip carries digests that spread from peer to peer.
+type Gossip struct {
+	ConfigVersion uint64            `msgpack:"cv"`
+	Stops         []RolloutStop     `msgpack:"st,omitempty"`
+	Quarantine    []QuarantineEntry `msgpack:"q,omitempty"`
+	Loads         []LoadSummary     `msgpack:"l,omitempty"`
+}
+
+// ConfigPull asks for the configuration after version Since.
+type ConfigPull struct {
+	Since uint64 `msgpack:"s"`
+}
+
+// ConfigChange is one accepted change as a line diff. Lines are numbered from zero in the text before the change.
+type ConfigChange struct {
+	Version  uint64 `msgpack:"v"`
+	ChangeID string `msgpack:"id"`
+	Author   string `msgpack:"au"`
+	UnixMS   int64  `msgpack:"ts"`
+	// Edits are in ascending order of line and do not overlap.
+	Edits []LineEdit `msgpack:"e"`
+	// TextHash is the xxhash64 of the text after the change.
+	TextHash uint64 `msgpack:"h"`
+}
+
+// LineEdit replaces Removed lines at Line by Added.
+type LineEdit struct {
+	Line    uint32   `msgpack:"l"`
+	Removed uint32   `msgpack:"r"`
+	Added   []string `msgpack:"a,omitempty"`
+}
+
+// ConfigPush answers a ConfigPull: either the changes since the asked version, or one part of a whole snapshot.
+type ConfigPush struct {
+	Changes []ConfigChange `msgpack:"c,omitempty"`
+	// Snapshot is set when the changes do not reach back to the asked version.
+	Snapshot *ConfigSnapshotPart `msgpack:"s,omitempty"`
+}
+
+// ConfigSnapshotPart is one part of the whole configuration text; a receiver concatenates Parts parts in order of Part.
+type ConfigSnapshotPart struct {
+	Version  uint64 `msgpack:"v"`
+	ChangeID string `msgpack:"id"`
+	Author   string `msgpack:"au"`
+	UnixMS   int64  `msgpack:"ts"`
+	Part     uint32 `msgpack:"p"`
+	Parts    uint32 `msgpack:"n"`
+	Data     []byte `msgpack:"b"`
+	TextHash uint64 `msgpack:"h"`
+}
+
+// Leaving says that an instance takes no new work.
+type Leaving struct {
+	Instance string `msgpack:"i"`
+}
+
+// Type implements Message.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type implements Message.
+func (*Open) Type() Type { return TypeOpen }
+
+// Type implements Message.
+func (*Accepted) Type() Type { return TypeAccepted }
+
+// Type implements Message.
+func (*Chunk) Type() Type { return TypeChunk }
+
+// Type implements Message.
+func (*End) Type() Type { return TypeEnd }
+
+// Type implements Message.
+func (*Cancel) Type() Type { return TypeCancel }
+
+// Type implements Message.
+func (*Window) Type() Type { return TypeWindow }
+
+// Type implements Message.
+func (*Ping) Type() Type { return TypePing }
+
+// Type implements Message.
+func (*Pong) Type() Type { return TypePong }
+
+// Type implements Message.
+func (*Gossip) Type() Type { return TypeGossip }
+
+// Type implements Message.
+func (*ConfigPull) Type() Type { return TypeConfigPull }
+
+// Type implements Message.
+func (*ConfigPush) Type() Type { return TypeConfigPush }
+
+// Type implements Message.
+func (*Leaving) Type() Type { return TypeLeaving }
--- /dev/null
+++ b/process/event/event.go
@@ -0,0 +1,150 @@
+// Package event defines the numbered log events of jayridge and writes them through klog.
+//
+// Operators search logs by event number. docs/events.md lists every event, and a test compares it with this package.
+package event
+
+import (
+	"k8s.io/klog/v2"
+)
+
+// ID numbers a log event. Numbers never change their meaning.
+type ID uint16
+
+// Log events by concern: 1xx process, 2xx configuration, 3xx membership and connections, 4xx requests and admission,
+// 5xx claims, 6xx rollouts, 7xx platform.
+const (
+	ProcessStarted  ID = 100
+	ProcessLeaving  ID = 101
+	ProcessStopped  ID = 102
+	ListenerFailed  ID = 103
+	ShutdownExpired ID = 104
+
+	ConfigAdopted     ID = 200
+	ConfigIgnored     ID = 201
+	ConfigInvalid     ID = 202
+	ConfigPullFailed  ID = 203
+	ConfigWatchFailed ID = 204
+
+	PeerConnected    ID = 300
+	PeerLost         ID = 301
+	PeerRefused      ID = 302
+	BadFrame         ID = 303
+	InstanceJoined   ID = 304
+	InstanceLeft     ID = 305
+	InstanceListFail ID = 306
+
+	RequestFailed    ID = 400
+	UpstreamCold     ID = 401
+	UpstreamWarm     ID = 402
+	DrainStarted     ID = 403
+	DrainEnded       ID = 404
+	UpstreamCrashed  ID = 405
+	RequestQuarantin ID = 406
+	LoadReportFailed ID = 407
+
+	ClaimWriteLost   ID = 500
+	ClaimConflict    ID = 501
+	ClaimUnavailable ID = 502
+
+	RolloutStarted  ID = 600
+	RolloutAdvanced ID = 601
+	RolloutStopped  ID = 602
+	RolloutDone     ID = 603
+	LeaseAcquired   ID = 604
+	LeaseLost       ID = 605
+
+	PlatformThrottled ID = 700
+	PlatformFailed    ID = 701
+	PlatformRecovered ID = 702
+)
+
+// Level is the severity at which an event is logged.
+type Level uint8
+
+// Severities, as klog has them.
+const (
+	Info Level = iota
+	Warning
+	Error
+)
+
+// Description is one row of the catalogue.
+type Description struct {
+	ID    ID
+	Name  string
+	Level Level
+	// Action says what an operator does about the event; empty means nothing.
+	Action string
+}
+
+var catalogue = []Description{
+	{ProcessStarted, "process started", Info, ""},
+	{ProcessLeaving, "process leaving", Info, ""},
+	{ProcessStopped, "process stopped", Info, ""},
+	{ListenerFailed, "listener failed", Error, "check the addresses in the settings"},
+	{ShutdownExpired, "shutdown deadline passed with requests in progress", Warning, "raise shutdown_timeout_ms"},
+
+	{ConfigAdopted, "configuration version adopted", Info, ""},
+	{ConfigIgnored, "older configuration version ignored", Info, ""},
+	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
+	{ConfigPullFailed, "configuration pull from a peer failed", Warning, ""},
+	{ConfigWatchFailed, "configuration watch failed", Warning, "check the platform's key-value service"},
+
+	{PeerConnected, "peer connected", Info, ""},
+	{PeerLost, "peer connection lost", Info, ""},
+	{PeerRefused, "peer refused in the handshake", Warning, "replace the instance whose protocol major version differs"},
+	{BadFrame, "bad frame, connection closed", Warning, "look for a faulty or foreign sender on the peer address"},
+	{InstanceJoined, "instance joined", Info, ""},
+	{InstanceLeft, "instance left", Info, ""},
+	{InstanceListFail, "instance list unavailable", Warning, "check the platform's instance list"},
+
+	{RequestFailed, "request failed after it was handed over", Warning, "look at the upstream's own log"},
+	{UpstreamCold, "upstream in cold start", Info, ""},
+	{UpstreamWarm, "upstream warm", Info, ""},
+	{DrainStarted, "drain in force", Info, ""},
+	{DrainEnded, "drain ended", Info, ""},
+	{UpstreamCrashed, "upstream crashed with requests in flight", Error, "look at the upstream's own log"},
+	{RequestQuarantin, "request fingerprint quarantined", Error, "send the request's fingerprint to the owner of the model engine"},
+	{LoadReportFailed, "load report of the upstream unavailable", Warning, "check that the upstream runs"},
+
+	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
+	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
+	{ClaimUnavailable, "claims unavailable, calls with idempotency keys are refused", Error, "check the platform's key-value service"},
+
+	{RolloutStarted, "rollout started", Info, ""},
+	{RolloutAdvanced, "rollout advanced", Info, ""},
+	{RolloutStopped, "rollout stopped and taken back", Error, "run jayridge moves for the reason"},
+	{RolloutDone, "rollout done", Info, ""},
+	{LeaseAcquired, "lease acquired", Info, ""},
+	{LeaseLost, "lease lost", Info, ""},
+
+	{PlatformThrottled, "platform calls delayed by the call budget", Warning, "raise kv_calls_per_second or find the caller"},
+	{PlatformFailed, "platform unavailable", Error, "check the platform's key-value service"},
+	{PlatformRecovered, "platform available again", Info, ""},
+}
+
+var byID = func() map[ID]Description {
+	index := make(map[ID]Description, len(catalogue))
+	for _, d := range catalogue {
+		index[d.ID] = d
+	}
+	return index
+}()
+
+// All returns the catalogue in the order of docs/events.md.
+func All() []Description { return append([]Description(nil), catalogue...) }
+
+// Log writes event id with structured fields, given as alternating names and values. It may be called from any goroutine and
+// does not block on the network.
+func Log(id ID, keysAndValues ...any) {
+	d := byID[id]
+	fields := append([]any{"event", int(id)}, keysAndValues...)
+	switch d.Level {
+	case Error:
+		klog.ErrorSDepth(1, nil, d.Name, fields...)
+	case Warning:
+		klog.InfoSDepth(1, d.Name, append(fields, "severity", "warning")...)
+	default:
+		klog.InfoSDepth(1, d.Name, fields...)
+	}
+}
