--- /dev/null
+++ b/internal/standin/instances/instances.go
@@ -0,0 +1,142 @@
+// Package instances is a small stand-in for the platform's instance list.
+//
+// GET /v1/instances?after=REVISION returns {"revision": N, "instances": [...]}, without instances when nothing changed since.
+// PUT /v1/instances/{id} sets a row, DELETE /v1/instances/{id} removes one. POST /faults {"down": bool, "lag_ms": N} makes the list
+// unavailable or lets changes show only after a delay.
+package instances
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Faults are switched on by a test.
+type Faults struct {
+	Down bool `json:"down"`
+	// LagMS is the delay until a change shows, in milliseconds.
+	LagMS int `json:"lag_ms"`
+}
+
+// Reply is the body of GET /v1/instances.
+type Reply struct {
+	Revision  uint64              `json:"revision"`
+	Instances []platform.Instance `json:"instances,omitempty"`
+}
+
+// change is one edit of the list and the time from which it shows.
+type change struct {
+	shows    time.Time
+	id       string
+	instance *platform.Instance
+}
+
+// Server is an instance list. It is an http.Handler.
+type Server struct {
+	http.Handler
+
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Instance
+	pending  []change
+	faults   Faults
+}
+
+// New returns a list with the given rows.
+func New(rows []platform.Instance) *Server {
+	s := &Server{rows: map[string]platform.Instance{}, revision: 1}
+	for _, row := range rows {
+		s.rows[row.ID] = row
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/instances", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/v1/instances/{id}", s.put).Methods(http.MethodPut)
+	r.HandleFunc("/v1/instances/{id}", s.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	s.Handler = r
+	return s
+}
+
+// Put sets a row.
+func (s *Server) Put(row platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submit(change{id: row.ID, instance: &row})
+}
+
+// Remove deletes a row.
+func (s *Server) Remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submit(change{id: id})
+}
+
+func (s *Server) submit(c change) {
+	c.shows = time.Now().Add(time.Duration(s.faults.LagMS) * time.Millisecond)
+	s.pending = append(s.pending, c)
+}
+
+// settle applies the changes whose delay has passed.
+func (s *Server) settle() {
+	now := time.Now()
+	for len(s.pending) > 0 && !s.pending[0].shows.After(now) {
+		c := s.pending[0]
+		s.pending = s.pending[1:]
+		if c.instance == nil {
+			delete(s.rows, c.id)
+		} else {
+			s.rows[c.id] = *c.instance
+		}
+		s.revision++
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	s.settle()
+	reply := Reply{Revision: s.revision}
+	if after != s.revision {
+		for _, row := range s.rows {
+			reply.Instances = append(reply.Instances, row)
+		}
+		sort.Slice(reply.Instances, func(i, j int) bool { return reply.Instances[i].ID < reply.Instances[j].ID })
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var row platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&row); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	row.ID = mux.Vars(r)["id"]
+	s.Put(row)
+}
+
+func (s *Server) remove(_ http.ResponseWriter, r *http.Request) { s.Remove(mux.Vars(r)["id"]) }
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
--- /dev/null
+++ b/process/membership/membership.go
@@ -0,0 +1,200 @@
+// Package membership decides which instances exist and which may get new work.
+//
+// Three sources disagree for seconds at a time: the platform's instance list, which lags; the connections to instances; and the
+// instances' own announcements that they leave. A Table merges them. It is a pure state machine owned by one goroutine.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Config configures a Table.
+type Config struct {
+	// DownAfter is how long an instance that cannot be reached stays a candidate, so that a short interruption does not move
+	// its chats. Default 5 s; zero removes it at once.
+	DownAfter time.Duration
+	// LeavingFor is how long an announcement that an instance leaves outweighs a list that still has it as live. A new
+	// connection to the instance ends it sooner. Default 60 s; zero believes the list at once.
+	LeavingFor time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config { return Config{DownAfter: 5 * time.Second, LeavingFor: time.Minute} }
+
+// Validate returns an error that names the faulty field.
+func (c Config) Validate() error {
+	if c.DownAfter < 0 {
+		return trace.BadParameter("DownAfter is %v, must not be negative", c.DownAfter)
+	}
+	if c.LeavingFor < 0 {
+		return trace.BadParameter("LeavingFor is %v, must not be negative", c.LeavingFor)
+	}
+	return nil
+}
+
+// member is what is known of one instance.
+type member struct {
+	platform.Instance
+	listed    bool
+	connected bool
+	// announced is when the instance said that it leaves; zero if it did not.
+	announced time.Time
+	// downSince is when it could first not be reached; zero while it is connected or was not tried.
+	downSince time.Time
+}
+
+// Table merges the sources.
+type Table struct {
+	cfg     Config
+	members map[string]*member
+	dirty   bool
+	checked time.Time
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table { return &Table{cfg: cfg, members: map[string]*member{}} }
+
+// ApplyList takes a new instance list. A listed instance that is leaving is believed at once. One that is missing goes only
+// when it is not connected either. An empty list is ignored while instances are known: it is more likely a fault of the list.
+func (t *Table) ApplyList(rows []platform.Instance) {
+	if len(rows) == 0 {
+		return
+	}
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		seen[row.ID] = true
+		t.list(row)
+	}
+	for id, m := range t.members {
+		if m.listed && !seen[id] {
+			m.listed = false
+			t.dirty = true
+		}
+		t.dropIfGone(id, m)
+	}
+}
+
+func (t *Table) list(row platform.Instance) {
+	m := t.members[row.ID]
+	if m == nil {
+		m = &member{}
+		t.members[row.ID] = m
+	}
+	if !m.listed || m.Instance != row {
+		t.dirty = true
+	}
+	if m.Address != row.Address {
+		m.downSince = time.Time{}
+	}
+	m.Instance = row
+	m.listed = true
+}
+
+func (t *Table) dropIfGone(id string, m *member) {
+	if !m.listed && !m.connected {
+		delete(t.members, id)
+		t.dirty = true
+	}
+}
+
+// Connected notes a connection to an instance, with what the instance says of itself. It ends an earlier announcement: an
+// instance that leaves accepts no new connections.
+func (t *Table) Connected(self platform.Instance) {
+	m := t.members[self.ID]
+	if m == nil {
+		m = &member{Instance: self}
+		m.State = platform.InstanceLive
+		t.members[self.ID] = m
+	}
+	if self.Version != "" && m.Version != self.Version {
+		m.Version = self.Version
+	}
+	m.connected = true
+	m.announced = time.Time{}
+	m.downSince = time.Time{}
+	t.dirty = true
+}
+
+// Disconnected notes that a connection ended or that one could not be made.
+func (t *Table) Disconnected(now time.Time, id string) {
+	m := t.members[id]
+	if m == nil {
+		return
+	}
+	m.connected = false
+	if m.downSince.IsZero() {
+		m.downSince = now
+	}
+	t.dirty = true
+	t.dropIfGone(id, m)
+}
+
+// Leaving notes an instance's own announcement.
+func (t *Table) Leaving(now time.Time, id string) {
+	if m := t.members[id]; m != nil {
+		m.announced = now
+		t.dirty = true
+	}
+}
+
+// Changed reports whether Eligible may return something else than at the last call of Changed.
+func (t *Table) Changed(now time.Time) bool {
+	changed := t.dirty
+	t.dirty = false
+	for _, m := range t.members {
+		// Passing time alone removes an unreachable instance and ends an announcement.
+		if t.expiredSinceCheck(now, m.downSince, t.cfg.DownAfter) || t.expiredSinceCheck(now, m.announced, t.cfg.LeavingFor) {
+			changed = true
+		}
+	}
+	t.checked = now
+	return changed
+}
+
+func (t *Table) expiredSinceCheck(now, start time.Time, d time.Duration) bool {
+	return expired(now, start, d) && !expired(t.checked, start, d)
+}
+
+// expired reports whether d has passed since start; never if start is zero.
+func expired(now, start time.Time, d time.Duration) bool {
+	return !start.IsZero() && now.Sub(start) >= d
+}
+
+// Eligible returns the instances of a role that may get new work, ordered by id.
+func (t *Table) Eligible(now time.Time, role string) []platform.Instance {
+	var eligible []platform.Instance
+	for _, m := range t.members {
+		if m.Role == role && t.eligible(now, m) {
+			eligible = append(eligible, m.Instance)
+		}
+	}
+	sort.Slice(eligible, func(i, j int) bool { return eligible[i].ID < eligible[j].ID })
+	return eligible
+}
+
+func (t *Table) eligible(now time.Time, m *member) bool {
+	if m.State == platform.InstanceLeaving {
+		return false
+	}
+	if !m.announced.IsZero() && !expired(now, m.announced, t.cfg.LeavingFor) {
+		return false
+	}
+	return m.connected || !expired(now, m.downSince, t.cfg.DownAfter)
+}
+
+// Known returns all instances of a role, ordered by id, whether or not they may get new work.
+func (t *Table) Known(role string) []platform.Instance {
+	var known []platform.Instance
+	for _, m := range t.members {
+		if m.Role == role {
+			known = append(known, m.Instance)
+		}
+	}
+	sort.Slice(known, func(i, j int) bool { return known[i].ID < known[j].ID })
+	return known
+}
--- /dev/null
+++ b/process/membership/membership_test.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func row(id string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{ID: id, Role: "sidecar", Address: "127.0.0.1:1", State: state}
+}
+
+func ids(instances []platform.Instance) []string {
+	names := []string{}
+	for _, i := range instances {
+		names = append(names, i.ID)
+	}
+	return names
+}
+
+// Each case guards against one way in which a lagging source gives or takes work wrongly.
+func TestTable_MergesSources(t *testing.T) {
+	live := []platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive)}
+	onlyA := live[:1]
+	cases := []struct {
+		name  string
+		steps func(*Table)
+		after time.Duration
+		want  []string
+	}{
+		{"listed instances are eligible", func(*Table) {}, 0, []string{"a", "b"}},
+		{"leaving in the list is believed at once", func(m *Table) {
+			m.Connected(row("b", platform.InstanceLive))
+			m.ApplyList([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLeaving)})
+		}, 0, []string{"a"}},
+		{"missing from the list but connected stays", func(m *Table) {
+			m.Connected(row("b", platform.InstanceLive))
+			m.ApplyList(onlyA)
+		}, time.Hour, []string{"a", "b"}},
+		{"missing from the list and disconnected goes", func(m *Table) {
+			m.Connected(row("b", platform.InstanceLive))
+			m.ApplyList(onlyA)
+			m.Disconnected(start, "b")
+		}, 0, []string{"a"}},
+		{"a short interruption moves nothing", func(m *Table) { m.Disconnected(start, "b") }, 4 * time.Second, []string{"a", "b"}},
+		{"a long interruption does", func(m *Table) { m.Disconnected(start, "b") }, 5 * time.Second, []string{"a"}},
+		{"repeated failures do not extend the grace", func(m *Table) {
+			m.Disconnected(start, "b")
+			m.Disconnected(start.Add(4*time.Second), "b")
+		}, 5 * time.Second, []string{"a"}},
+		{"an announcement outweighs a lagging list", func(m *Table) {
+			m.Leaving(start, "b")
+			m.ApplyList(live)
+		}, 30 * time.Second, []string{"a"}},
+		{"a replacement of the same name is taken at once", func(m *Table) {
+			m.Leaving(start, "b")
+			m.Connected(row("b", platform.InstanceLive))
+		}, 0, []string{"a", "b"}},
+		{"an empty list is a fault of the list", func(m *Table) { m.ApplyList(nil) }, 0, []string{"a", "b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := New(DefaultConfig())
+			table.ApplyList(live)
+			c.steps(table)
+			must.Eq(t, c.want, ids(table.Eligible(start.Add(c.after), "sidecar")))
+		})
+	}
+}
+
+// Guards against an expiry that nobody notices because no message comes with it.
+func TestChanged_SeesExpiry(t *testing.T) {
+	table := New(DefaultConfig())
+	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive)})
+	table.Disconnected(start, "a")
+	must.True(t, table.Changed(start))
+	must.False(t, table.Changed(start.Add(time.Second)))
+	must.True(t, table.Changed(start.Add(5*time.Second)))
+	must.False(t, table.Changed(start.Add(6*time.Second)))
+}
--- /dev/null
+++ b/process/settings/settings_test.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const entryText = `{
+  "instance": "entry-1", "role": "entry", "data_centre": "suva",
+  "peer_address": "127.0.0.1:7000", "admin_address": "127.0.0.1:7001", "http_address": "127.0.0.1:7002",
+  "kv": {"url": "http://127.0.0.1:8000", "token": "hush"}
+}`
+
+// Guards against defaults that get lost when a section is given in part.
+func TestParse_FillsDefaults(t *testing.T) {
+	s, err := Parse("entry.json", []byte(entryText))
+	must.NoError(t, err)
+	must.Eq(t, 1000, s.KV.TimeoutMS)
+	must.Eq(t, 60_000, s.ShutdownTimeoutMS)
+}
+
+// Guards against a secret in a log line or on a status page.
+func TestSecret_NeverPrinted(t *testing.T) {
+	s, err := Parse("entry.json", []byte(entryText))
+	must.NoError(t, err)
+	must.Eq(t, "hush", string(s.KV.Token))
+	must.StrNotContains(t, fmt.Sprintf("%v %+v", s.KV, s.KV), "hush")
+}
+
+// Guards against a check that stops at the first fault or does not say where it is.
+func TestParse_ReportsEveryFault(t *testing.T) {
+	text := `{
+  "instance": "s-1", "role": "sidecar", "data_centre": 7,
+  "peer_address": "localhost", "admin_address": "127.0.0.1:7001",
+  "shutdown": 5,
+  "kv": {"timeout_ms": "1s", "extra": {"a": [1]}},
+  "gossip_interval_ms": 1,
+  "seeds": ["127.0.0.1:1", "nowhere"]
+}`
+	_, err := Parse("s.json", []byte(text))
+	var faults Faults
+	must.True(t, errors.As(err, &faults))
+	var found []string
+	for _, f := range faults {
+		found = append(found, fmt.Sprintf("%d %s", f.Line, f.Path))
+	}
+	must.SliceContainsAll(t, found, []string{
+		"2 data_centre", "3 peer_address", "4 shutdown", "5 kv.timeout_ms", "5 kv.extra", "6 gossip_interval_ms", "7 seeds[1]",
+		"0 upstream.kind", "0 upstream.url", "0 service",
+	})
+}
+
+// Guards against ranges and addresses that are checked only when the process uses them.
+func TestParse_ChecksValues(t *testing.T) {
+	for change, path := range map[string]string{
+		`"gossip_interval_ms": 1`:         "gossip_interval_ms",
+		`"seeds": ["nowhere"]`:            "seeds[0]",
+		`"kv": {"url": "not a url"}`:      "kv.url",
+		`"upstream": {"weight": -1}`:      "upstream.weight",
+		`"max_body_bytes": 99999999`:      "max_body_bytes",
+		`"instances": {"url": "ftp://x"}`: "instances.url",
+	} {
+		text := strings.Replace(entryText, `"kv": {"url": "http://127.0.0.1:8000", "token": "hush"}`, change, 1)
+		_, err := Parse("e.json", []byte(text))
+		var faults Faults
+		must.True(t, errors.As(err, &faults), must.Sprint(change))
+		must.Eq(t, path, faults[0].Path)
+		must.Positive(t, faults[0].Line)
+	}
+}
+
+// Guards against a page of settings that misses a field.
+func TestDocs_ListEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	must.NoError(t, err)
+	var walk func(reflect.Type, string)
+	walk = func(typ reflect.Type, path string) {
+		for _, name := range fieldNames(typ) {
+			field, _ := fieldByName(typ, name)
+			if field.Type.Kind() == reflect.Struct {
+				walk(field.Type, join(path, name))
+				continue
+			}
+			must.StrContains(t, string(page), "`"+join(path, name)+"`")
+		}
+	}
+	walk(reflect.TypeOf(Settings{}), "")
+}
