Add the multiplexed connection and the assembly of responses

Cause: entries and sidecars need one connection for many requests and the control frames, and an entry must never pass on a mixed or truncated response.

Change: connection/link has Dial, Server, Conn, Stream and Responder with credit flow control, keepalive, orderly leaving and counters; request/assembly checks order, identity, count and checksum. connection/wire gets Append and a reusing Reader, and checks the structure of a body before msgpack decodes it: the library allocates what a length field announces and skips unknown fields recursively. Ruled out: an initial credit fixed by the protocol, because the receiver's memory should follow its own setting.

--- /dev/null
+++ b/connection/link/stream.go
@@ -0,0 +1,224 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/wire"
+)
+
+// Stream is the dialing side of one attempt of a request. Recv is for one goroutine; the other methods may be called from any.
+type Stream struct {
+	c      *Conn
+	id     wire.Identity
+	number uint32
+	sent   atomic.Bool
+
+	// notify wakes Recv. It has a capacity of one.
+	notify chan struct{}
+
+	mu       sync.Mutex
+	queue    []wire.Message
+	window   receiveWindow
+	accepted bool
+	// err is set when no more frames will be queued: io.EOF after End, otherwise why the response is not complete.
+	err error
+}
+
+// Open sends a request. It waits while the connection's queue is full, until ctx ends; afterwards ctx has no effect on the
+// stream. If it fails, nothing was sent: with ErrPeerLeaving, ErrTooManyStreams, ErrConnectionLost, wire.ErrFrame for a request
+// that exceeds a frame, or the error of ctx. The caller must call Recv until it fails, or Cancel.
+func (c *Conn) Open(ctx context.Context, open *wire.Open) (*Stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	frame, err := wire.Encode(0, open)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	window, err := wire.Encode(0, &wire.Window{Identity: open.Identity, Bytes: c.cfg.WindowBytes})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := c.out.waitSpace(ctx, ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &Stream{c: c, id: open.Identity, notify: make(chan struct{}, 1), window: newReceiveWindow(c.cfg.WindowBytes)}
+	if err := c.register(s, frame, window); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return s, nil
+}
+
+// register gives the stream its number and queues its first frames, in the order of the numbers.
+func (c *Conn) register(s *Stream, frames ...[]byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.cause != nil:
+		return lost(c.cause)
+	case c.server != nil:
+		return trace.BadParameter("only the dialing side opens streams")
+	case c.peerLeaving:
+		return ErrPeerLeaving
+	case len(c.streams) >= c.cfg.MaxStreams || c.lastStream == math.MaxUint32:
+		return ErrTooManyStreams
+	}
+	s.number = c.lastStream + 1
+	if err := c.out.pushOpen(s, frames...); err != nil {
+		return err
+	}
+	c.lastStream = s.number
+	if c.streams == nil {
+		c.streams = make(map[uint32]*Stream)
+	}
+	c.streams[s.number] = s
+	return nil
+}
+
+// remove forgets a stream that ended.
+func (c *Conn) remove(s *Stream) {
+	c.mu.Lock()
+	delete(c.streams, s.number)
+	idle := c.peerLeaving && len(c.streams) == 0
+	c.mu.Unlock()
+	if idle {
+		c.closeOrderly(ErrPeerLeaving)
+	}
+}
+
+// peerLeaves stops new streams and closes the connection once it has none.
+func (c *Conn) peerLeaves() {
+	c.mu.Lock()
+	c.peerLeaving = true
+	idle := len(c.streams) == 0
+	c.mu.Unlock()
+	if idle {
+		c.closeOrderly(ErrPeerLeaving)
+	}
+}
+
+// Recv returns the next frame of the response: *wire.Accepted, *wire.Chunk or *wire.End, in the order in which the peer sent
+// them. After End it returns io.EOF. The error wraps ErrConnectionLost if the connection ended before End, ErrCanceled after
+// Cancel, or the error of ctx, after which Recv may be called again. Recv does not check order and completeness of the
+// response; that is for package assembly.
+func (s *Stream) Recv(ctx context.Context) (wire.Message, error) {
+	for {
+		m, grant, err := s.next()
+		if grant > 0 {
+			// The error is that of the connection, which the next Recv returns.
+			_ = s.c.out.pushTraffic(s.number, &wire.Window{Identity: s.id, Bytes: grant})
+		}
+		if m != nil || err != nil {
+			return m, err
+		}
+		select {
+		case <-s.notify:
+		case <-ctx.Done():
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// next takes the first queued frame. It also returns the credit to grant for it.
+func (s *Stream) next() (m wire.Message, grant uint32, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 {
+		return nil, 0, s.err
+	}
+	m = s.queue[0]
+	s.queue[0] = nil
+	s.queue = s.queue[1:]
+	if chunk, ok := m.(*wire.Chunk); ok && s.err == nil {
+		grant = s.window.consume(len(chunk.Data))
+	}
+	return m, grant, nil
+}
+
+// Sent reports whether the Open frame may have reached the peer. It is false only if not one byte of it was written. The
+// value is final once Recv has returned an error that wraps ErrConnectionLost, or Cancel has returned: before that, false may
+// become true, and true may become false when the write fails.
+func (s *Stream) Sent() bool { return s.sent.Load() }
+
+// Cancel gives up the response. It tells the peer unless the Open was not sent yet, in which case it is withdrawn and never
+// will be. Cancel may be called more than once and after the end, when it has no effect. It does not wait.
+func (s *Stream) Cancel() {
+	if !s.stop(trace.Wrap(ErrCanceled)) {
+		return
+	}
+	if !s.c.out.withdraw(s) {
+		// The error is that of the connection, which ends the request at the peer too.
+		_ = s.c.out.pushTraffic(s.number, &wire.Cancel{Identity: s.id})
+	}
+	s.mu.Lock()
+	s.queue = nil
+	s.mu.Unlock()
+	s.c.remove(s)
+}
+
+// stop ends the stream with err; frames that are queued remain. It reports false if the stream had ended already.
+func (s *Stream) stop(err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return false
+	}
+	s.err = err
+	s.wake()
+	return true
+}
+
+func (s *Stream) accept(m *wire.Accepted) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.accepted || s.err != nil {
+		droppedRepeated.Add(1)
+		return
+	}
+	s.accepted = true
+	s.push(m)
+}
+
+func (s *Stream) chunk(m *wire.Chunk) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		droppedUnknownStream.Add(1)
+		return nil
+	}
+	if !s.window.receive(len(m.Data)) {
+		return fmt.Errorf("%w: chunk of %d bytes exceeds the credit of stream %d", errProtocol, len(m.Data), s.number)
+	}
+	s.push(m)
+	return nil
+}
+
+func (s *Stream) end(m *wire.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		droppedUnknownStream.Add(1)
+		return
+	}
+	s.err = io.EOF
+	s.push(m)
+}
+
+func (s *Stream) push(m wire.Message) {
+	s.queue = append(s.queue, m)
+	s.wake()
+}
+
+func (s *Stream) wake() {
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -12,83 +12,188 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// headerBytes is the length field, the type and the stream number.
-const headerBytes = 4 + 1 + 4
+// Layout of a frame: the length field, the type and the stream number, then the body.
+const (
+	lengthBytes  = 4
+	headerBytes  = lengthBytes + 1 + 4
+	typeOffset   = lengthBytes
+	streamOffset = lengthBytes + 1
+)
 
 // minBodyLength is the smallest value of the length field: type, stream number and an empty map.
-const minBodyLength = 1 + 4 + 1
+const minBodyLength = headerBytes - lengthBytes + 1
 
 // ErrFrame is wrapped by every error that is due to the bytes of a frame rather than to the connection.
 var ErrFrame = errors.New("bad frame")
 
 // Frame is one decoded frame.
 type Frame struct {
-	Stream  uint32
+	Stream uint32
+	// Message is nil if this version does not know the frame's type.
 	Message Message
 	// Bytes is the encoded size, including the header.
 	Bytes int
 }
 
-var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+// encoder appends to a buffer; it is pooled because a msgpack.Encoder is larger than most messages.
+type encoder struct {
+	buf []byte
+	enc *msgpack.Encoder
+}
+
+// Write implements io.Writer for the msgpack encoder.
+func (e *encoder) Write(p []byte) (int, error) {
+	e.buf = append(e.buf, p...)
+	return len(p), nil
+}
+
+// WriteByte implements io.ByteWriter for the msgpack encoder.
+func (e *encoder) WriteByte(b byte) error {
+	e.buf = append(e.buf, b)
+	return nil
+}
+
+var encoders = sync.Pool{New: func() any {
+	e := new(encoder)
+	e.enc = msgpack.NewEncoder(e)
+	e.enc.UseCompactInts(true)
+	return e
+}}
+
+// decoder reads from a byte slice; it is pooled for the same reason as encoder.
+type decoder struct {
+	r   bytes.Reader
+	dec *msgpack.Decoder
+}
+
+var decoders = sync.Pool{New: func() any {
+	d := new(decoder)
+	d.dec = msgpack.NewDecoder(&d.r)
+	return d
+}}
 
-// Encode returns the frame of a message. It fails with ErrFrame if the frame would exceed MaxFrameBytes.
+// Encode returns the frame of a message. It fails with ErrFrame if a receiver would refuse the frame for its size.
 func Encode(stream uint32, m Message) ([]byte, error) {
-	buf := bufferPool.Get().(*bytes.Buffer)
-	defer bufferPool.Put(buf)
-	buf.Reset()
-	var header [headerBytes]byte
-	buf.Write(header[:])
-	enc := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(enc)
-	enc.Reset(buf)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(m); err != nil {
-		return nil, trace.Wrap(err)
+	return Append(make([]byte, 0, sizeHint(m)), stream, m)
+}
+
+// sizeHint returns a capacity that holds the frame of most messages without growth.
+func sizeHint(m Message) int {
+	const fields = 160
+	switch m := m.(type) {
+	case *Open:
+		return fields + len(m.Body)
+	case *Chunk:
+		return fields + len(m.Data)
+	case *ConfigPush:
+		if m.Snapshot != nil {
+			return fields + len(m.Snapshot.Data)
+		}
 	}
-	length := buf.Len() - 4
+	return fields
+}
+
+// Append appends the frame of a message to dst and returns the extended buffer. It fails with ErrFrame, and returns dst
+// unchanged, if a receiver would refuse the frame for its size.
+func Append(dst []byte, stream uint32, m Message) ([]byte, error) {
+	e := encoders.Get().(*encoder)
+	defer encoders.Put(e)
+	defer func() { e.buf = nil }()
+	start := len(dst)
+	e.buf = append(dst, 0, 0, 0, 0, byte(m.Type()), 0, 0, 0, 0)
+	if err := e.enc.Encode(m); err != nil {
+		return dst, trace.Wrap(err)
+	}
+	frame := e.buf[start:]
+	length := len(frame) - lengthBytes
 	if length > MaxFrameBytes {
-		return nil, trace.Wrap(fmt.Errorf("%w: %T of %d bytes exceeds %d", ErrFrame, m, length, MaxFrameBytes))
+		return dst, trace.Wrap(fmt.Errorf("%w: %T of %d bytes exceeds %d", ErrFrame, m, length, MaxFrameBytes))
+	}
+	if err := checkBody(frame[headerBytes:]); err != nil {
+		return dst, trace.Wrap(fmt.Errorf("%T: %w", m, err))
 	}
-	frame := bytes.Clone(buf.Bytes())
 	binary.BigEndian.PutUint32(frame, uint32(length))
-	frame[4] = byte(m.Type())
-	binary.BigEndian.PutUint32(frame[5:], stream)
-	return frame, nil
+	SetStream(frame, stream)
+	return e.buf, nil
 }
 
-// Read reads one frame. Errors that are due to the frame's content wrap ErrFrame; others are those of r, io.EOF at the end
-// of the stream between two frames.
-func Read(r io.Reader) (Frame, error) {
-	var length [4]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
+// SetStream overwrites the stream number of an encoded frame, for callers that learn the number after they encoded.
+func SetStream(frame []byte, stream uint32) {
+	binary.BigEndian.PutUint32(frame[streamOffset:], stream)
+}
+
+// retainedBytes bounds the buffer that a Reader keeps between frames. A process holds thousands of idle connections, and a
+// buffer of MaxFrameBytes on each would exceed its memory.
+const retainedBytes = 16 << 10
+
+// Reader reads frames and reuses its buffer. It is not safe for concurrent use.
+type Reader struct {
+	r    io.Reader
+	head [lengthBytes]byte
+	body []byte
+}
+
+// NewReader returns a Reader on r, which should be buffered.
+func NewReader(r io.Reader) *Reader { return &Reader{r: r} }
+
+// Read reads one frame from r. Use a Reader to read more than one.
+func Read(r io.Reader) (Frame, error) { return NewReader(r).Next() }
+
+// Next reads one frame. Errors that are due to the frame's content wrap ErrFrame; others are those of the underlying reader,
+// io.EOF at the end of the stream between two frames, io.ErrUnexpectedEOF within a frame. The message shares no memory with
+// the Reader.
+func (r *Reader) Next() (Frame, error) {
+	if _, err := io.ReadFull(r.r, r.head[:]); err != nil {
 		return Frame{}, err
 	}
-	n := binary.BigEndian.Uint32(length[:])
+	n := int(binary.BigEndian.Uint32(r.head[:]))
 	if n < minBodyLength || n > MaxFrameBytes {
 		return Frame{}, fmt.Errorf("%w: length %d is outside %d to %d", ErrFrame, n, minBodyLength, MaxFrameBytes)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		if errors.Is(err, io.EOF) {
-			return Frame{}, io.ErrUnexpectedEOF
-		}
+	body, err := r.readBody(n)
+	if err != nil {
 		return Frame{}, err
 	}
-	m, err := Decode(Type(body[0]), body[5:])
+	m, err := Decode(Type(body[typeOffset-lengthBytes]), body[headerBytes-lengthBytes:])
 	if err != nil {
 		return Frame{}, err
 	}
-	return Frame{Stream: binary.BigEndian.Uint32(body[1:]), Message: m, Bytes: int(n) + 4}, nil
+	return Frame{Stream: binary.BigEndian.Uint32(body[streamOffset-lengthBytes:]), Message: m, Bytes: n + lengthBytes}, nil
+}
+
+func (r *Reader) readBody(n int) ([]byte, error) {
+	body := r.body
+	if n > cap(body) {
+		body = make([]byte, n)
+	}
+	body = body[:n]
+	if n <= retainedBytes {
+		r.body = body
+	}
+	if _, err := io.ReadFull(r.r, body); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return body, nil
 }
 
 // Decode decodes the msgpack body of a frame. A type that this version does not know gives a nil message and no error, so
-// that a newer peer's frames are skipped.
+// that a newer peer's frames are skipped. The message does not refer to body.
 func Decode(t Type, body []byte) (Message, error) {
+	if err := checkBody(body); err != nil {
+		return nil, fmt.Errorf("type %d: %w", t, err)
+	}
 	m := newMessage(t)
 	if m == nil {
 		return nil, nil
 	}
-	if err := msgpack.Unmarshal(body, m); err != nil {
+	d := decoders.Get().(*decoder)
+	defer decoders.Put(d)
+	defer d.r.Reset(nil)
+	d.r.Reset(body)
+	if err := d.dec.Decode(m); err != nil {
 		return nil, fmt.Errorf("%w: type %d: %v", ErrFrame, t, err)
 	}
 	return m, nil
