Add version/config: accepted versions, diffs, distribution and audit

Cause: processes need one accepted configuration that never reverts, and operators need conflicting edits and lost answers to be settled truly.

Change: Propose writes the audit record of the replaced version and then the head by compare-and-swap, and settles lost answers by the change id of the version after its base. Ruled out: listing audit keys, because the list is ascending and the newest records are wanted; the records are read by version from the head downwards.

Conclusion: a property test with three proposers, three readers and injected faults passes.

--- /dev/null
+++ b/version/config/adopt.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/wire"
+)
+
+// AdoptHead moves to the head's version if that is higher, and says whether it did. An older or equal head, as a stale read
+// returns, is ignored and counted. With an error the state stays as it was.
+func (s *State) AdoptHead(h Head) (bool, error) {
+	before := s.Version()
+	if h.Version <= before {
+		s.stats.Ignored++
+		return false, nil
+	}
+	changed, err := s.result(before, s.adoptHead(&h))
+	return changed, trace.Wrap(err)
+}
+
+func (s *State) adoptHead(h *Head) error {
+	if !h.Loaded {
+		return s.adoptHeadChanges(h)
+	}
+	return s.adopt(candidate{
+		Accepted: Accepted{
+			Version: h.Version, ChangeID: h.ChangeID, Author: h.Author, Comment: h.Comment,
+			Time: time.UnixMilli(h.UnixMS).UTC(), Text: h.Text, TextHash: h.TextHash,
+		},
+		lines:   Lines(h.Text),
+		changes: h.Changes,
+	})
+}
+
+func (s *State) adoptHeadChanges(h *Head) error {
+	if s.current == nil || !h.connects(s.current.Version) {
+		return fmt.Errorf("%w: version %d, current %d", ErrNeedText, h.Version, s.Version())
+	}
+	c, err := s.follow(h.Changes)
+	if err != nil {
+		return err
+	}
+	if c.Version != h.Version || c.TextHash != h.TextHash {
+		return fmt.Errorf("%w: the changes end at version %d, the head is version %d", ErrHash, c.Version, h.Version)
+	}
+	c.Comment = h.Comment
+	return s.adopt(c)
+}
+
+// ApplyPush moves to the version of a peer's push if that is higher and the push completes it, and says whether it did. What is
+// not newer is ignored and counted. With an error the state stays as it was.
+func (s *State) ApplyPush(push wire.ConfigPush) (bool, error) {
+	before := s.Version()
+	changed, err := s.result(before, s.applyPush(push))
+	return changed, trace.Wrap(err)
+}
+
+func (s *State) applyPush(push wire.ConfigPush) error {
+	if push.Snapshot != nil {
+		if err := s.receive(push.Snapshot); err != nil {
+			return err
+		}
+	}
+	changes := s.newer(push.Changes)
+	if len(changes) == 0 {
+		return nil
+	}
+	c, err := s.follow(changes)
+	if err != nil {
+		return err
+	}
+	return s.adopt(c)
+}
+
+// newer returns the changes above the current version in ascending order, each version once.
+func (s *State) newer(changes []wire.ConfigChange) []wire.ConfigChange {
+	var list []wire.ConfigChange
+	for _, c := range changes {
+		if c.Version > s.Version() {
+			list = append(list, c)
+		}
+	}
+	s.stats.Ignored += uint64(len(changes) - len(list))
+	slices.SortStableFunc(list, func(a, b wire.ConfigChange) int { return cmp.Compare(a.Version, b.Version) })
+	return slices.CompactFunc(list, func(a, b wire.ConfigChange) bool { return a.Version == b.Version })
+}
+
+// follow applies consecutive changes to the current text; those that are not newer are skipped. Before there is a version, the
+// changes start from an empty text.
+func (s *State) follow(changes []wire.ConfigChange) (candidate, error) {
+	lines := s.lines
+	if s.current == nil {
+		lines = Lines("")
+	}
+	version := s.Version()
+	var last wire.ConfigChange
+	for _, c := range changes {
+		if c.Version <= version {
+			continue
+		}
+		if c.Version != version+1 {
+			return candidate{}, fmt.Errorf("%w: version %d follows %d", ErrGap, c.Version, version)
+		}
+		patched, err := Patch(lines, c.Edits)
+		if err != nil {
+			return candidate{}, fmt.Errorf("version %d: %w", c.Version, err)
+		}
+		lines, version, last = patched, c.Version, c
+	}
+	return s.candidate(last, lines, changes)
+}
+
+func (s *State) candidate(last wire.ConfigChange, lines []string, changes []wire.ConfigChange) (candidate, error) {
+	bytes := len(lines)
+	for _, line := range lines {
+		bytes += len(line)
+	}
+	if bytes > MaxTextBytes+1 {
+		return candidate{}, fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, last.Version, bytes)
+	}
+	text := Join(lines)
+	return candidate{
+		Accepted: Accepted{
+			Version: last.Version, ChangeID: last.ChangeID, Author: last.Author, Time: time.UnixMilli(last.UnixMS).UTC(),
+			Text: text, TextHash: last.TextHash,
+		},
+		// The lines refer to the one text that is kept, not to the messages that brought them.
+		lines:   Lines(text),
+		changes: changes,
+	}, nil
+}
--- /dev/null
+++ b/version/config/head.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+)
+
+// HeadKey is the key of the accepted configuration.
+const HeadKey = "config/head"
+
+// headFormat numbers the encoding of heads and records. A process refuses a format that it does not know.
+const headFormat = 1
+
+// ErrFormat is wrapped by errors about stored values that cannot be decoded.
+var ErrFormat = errors.New("bad stored configuration")
+
+// Head is the value of HeadKey: the accepted configuration and the changes that led to it.
+type Head struct {
+	Version                   uint64
+	ChangeID, Author, Comment string
+	UnixMS                    int64
+	// Text is the whole text if Loaded; a large text is stored in parts and loaded by Complete.
+	Text     string
+	Loaded   bool
+	TextHash uint64
+	// Changes are the most recent changes, of consecutive versions; the last one, if any, is Version.
+	Changes []wire.ConfigChange
+
+	parts []partID
+	// record is the encoded audit record of Version. It is written as it is when the version is replaced, so that every
+	// writer writes the same bytes.
+	record []byte
+}
+
+// storedHead is the encoding of a Head.
+type storedHead struct {
+	Format   uint8               `msgpack:"f"`
+	Version  uint64              `msgpack:"v"`
+	ChangeID string              `msgpack:"id"`
+	Author   string              `msgpack:"au"`
+	Comment  string              `msgpack:"co,omitempty"`
+	UnixMS   int64               `msgpack:"ts"`
+	TextHash uint64              `msgpack:"h"`
+	Text     []byte              `msgpack:"t,omitempty"`
+	Parts    []partID            `msgpack:"p,omitempty"`
+	Changes  []wire.ConfigChange `msgpack:"c,omitempty"`
+	Record   []byte              `msgpack:"r"`
+}
+
+// DecodeHead decodes the value of HeadKey. Errors wrap ErrFormat.
+func DecodeHead(value []byte) (Head, error) {
+	var s storedHead
+	if err := msgpack.Unmarshal(value, &s); err != nil {
+		return Head{}, fmt.Errorf("%w: head: %v", ErrFormat, err)
+	}
+	if s.Format != headFormat {
+		return Head{}, fmt.Errorf("%w: head has format %d, this program reads %d", ErrFormat, s.Format, headFormat)
+	}
+	h := Head{
+		Version: s.Version, ChangeID: s.ChangeID, Author: s.Author, Comment: s.Comment, UnixMS: s.UnixMS,
+		TextHash: s.TextHash, Changes: s.Changes, parts: s.Parts, record: s.Record,
+	}
+	if len(s.Parts) > 0 {
+		return h, nil
+	}
+	text, err := decompress(s.Text, MaxTextBytes)
+	if err != nil {
+		return Head{}, err
+	}
+	err = h.setText(string(text))
+	return h, err
+}
+
+func (h *Head) setText(text string) error {
+	if Hash(text) != h.TextHash {
+		return fmt.Errorf("%w: the text of version %d does not match its hash", ErrFormat, h.Version)
+	}
+	h.Text, h.Loaded = text, true
+	return nil
+}
+
+// connects says whether the changes lead from a version to the head.
+func (h *Head) connects(version uint64) bool {
+	return version < h.Version && len(h.Changes) > 0 && h.Changes[0].Version <= version+1
+}
+
+// encode returns the value of a head whose text is stored inline or in parts.
+func (h *Head) encode(l layout) ([]byte, []part, error) {
+	text, parts := l.store([]byte(h.Text), l.cut(h.Text))
+	s := storedHead{
+		Format: headFormat, Version: h.Version, ChangeID: h.ChangeID, Author: h.Author, Comment: h.Comment,
+		UnixMS: h.UnixMS, TextHash: h.TextHash, Text: text, Parts: ids(parts), Changes: h.Changes, Record: h.record,
+	}
+	value, err := msgpack.Marshal(&s)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(value) > platform.MaxValueBytes {
+		return nil, nil, fmt.Errorf("%w: head of %d bytes", platform.ErrTooLarge, len(value))
+	}
+	return value, parts, nil
+}
+
+// recent returns the newest changes of consecutive versions that fit the layout.
+func (l layout) recent(changes []wire.ConfigChange) []wire.ConfigChange {
+	bytes := 0
+	start := len(changes)
+	for start > 0 && len(changes)-start < l.recentChanges {
+		bytes += changeBytes(changes[start-1])
+		if bytes > l.recentBytes {
+			break
+		}
+		start--
+	}
+	return changes[start:]
+}
+
+// changeBytes estimates the encoded size of a change from above.
+func changeBytes(c wire.ConfigChange) int {
+	const fixed, perEdit, perLine = 80, 24, 5
+	bytes := fixed + len(c.ChangeID) + len(c.Author)
+	for _, e := range c.Edits {
+		bytes += perEdit
+		for _, line := range e.Added {
+			bytes += perLine + len(line)
+		}
+	}
+	return bytes
+}
--- /dev/null
+++ b/version/config/propose_test.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/version/rules"
+)
+
+const serviceLine = "service m kind=model versions=v1,v2  # ops: the model\n"
+
+// smallLayout stores texts of a few hundred bytes in parts.
+var smallLayout = layout{inlineBytes: 100, partLines: 4, minPartBytes: 60, maxPartBytes: 400, recentChanges: 3, recentBytes: 2000}
+
+// testStore never waits between attempts.
+func testStore(kv platform.KV, l layout) *store {
+	return &store{kv: kv, layout: l, wait: func(ctx context.Context, _ int) error { return ctx.Err() }}
+}
+
+func teamLine(name string, weight int) string {
+	return fmt.Sprintf("team %s weight=%d  # ops: share of %s\n", name, weight, name)
+}
+
+func proposal(base uint64, id, text string) Proposal {
+	return Proposal{File: "f", Text: text, Base: base, ChangeID: id, Author: "author of " + id, Time: time.UnixMilli(1000)}
+}
+
+// Guards against a proposal that is lost, accepted twice, written without change, or accepted over somebody else's change.
+func TestPropose(t *testing.T) {
+	kv := newFakeKV(1)
+	one := serviceLine + teamLine("a", 1)
+	two := serviceLine + teamLine("a", 2)
+
+	got, err := Propose(t.Context(), kv, proposal(0, "c1", one))
+	must.NoError(t, err)
+	must.Eq(t, Outcome{Version: 1, Head: 1}, got)
+
+	got, err = Propose(t.Context(), kv, proposal(1, "c2", one))
+	must.NoError(t, err)
+	must.Eq(t, Outcome{Version: 1, Unchanged: true, Head: 1}, got)
+
+	got, err = Propose(t.Context(), kv, proposal(1, "c3", two))
+	must.NoError(t, err)
+	must.Eq(t, Outcome{Version: 2, Head: 2}, got)
+
+	got, err = Propose(t.Context(), kv, proposal(1, "c3", two))
+	must.NoError(t, err, must.Sprint("repeated with the same change id"))
+	must.Eq(t, Outcome{Version: 2, Head: 2}, got)
+
+	_, err = Propose(t.Context(), kv, proposal(1, "c4", serviceLine+teamLine("a", 9)))
+	var conflict *ConflictError
+	must.True(t, errors.As(err, &conflict))
+	must.Eq(t, 2, conflict.Head)
+	must.StrContains(t, conflict.Diff, "-"+teamLine("a", 1)+"+"+teamLine("a", 2))
+
+	must.MapLen(t, 2, kv.values, must.Sprint("the head and one audit record"))
+	must.Len(t, 2, kv.values[HeadKey])
+}
+
+// Guards against proposals that would take every rule out of effect or that cannot be told apart later.
+func TestProposeRefuses(t *testing.T) {
+	kv := newFakeKV(1)
+	for _, p := range []Proposal{
+		proposal(0, "c", ""),
+		proposal(0, "c", "# only a comment\n"),
+		proposal(0, "", serviceLine),
+		{Text: serviceLine, ChangeID: "c"},
+		proposal(0, "c", serviceLine+strings.Repeat("#", MaxTextBytes)),
+	} {
+		_, err := Propose(t.Context(), kv, p)
+		must.ErrorIs(t, err, ErrProposal)
+	}
+	_, err := Propose(t.Context(), kv, proposal(0, "c", "team a\nteam b\n"))
+	var faults rules.Faults
+	must.True(t, errors.As(err, &faults))
+	must.Len(t, 2, faults)
+	must.MapEmpty(t, kv.values)
+}
+
+// Guards against calling a write that took effect, or may have, a failure, and one that was never sent unknown.
+func TestProposeFaults(t *testing.T) {
+	p := proposal(0, "c1", serviceLine)
+
+	kv := newFakeKV(1)
+	kv.lost = 1
+	got, err := testStore(kv, defaultLayout).propose(t.Context(), p)
+	must.NoError(t, err, must.Sprint("a lost answer is settled by the change id"))
+	must.Eq(t, Outcome{Version: 1, Head: 1}, got)
+
+	kv = newFakeKV(1)
+	kv.late = 1
+	_, err = testStore(kv, defaultLayout).propose(t.Context(), p)
+	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+
+	kv = newFakeKV(1)
+	kv.unavailable = 1
+	_, err = testStore(kv, defaultLayout).propose(t.Context(), p)
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.False(t, errors.Is(err, platform.ErrOutcomeUnknown))
+
+	kv = newFakeKV(1)
+	_, err = testStore(kv, defaultLayout).propose(t.Context(), proposal(3, "c1", serviceLine))
+	must.ErrorIs(t, err, ErrStale)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	kv = newFakeKV(1)
+	kv.before = func() {
+		if kv.reads[HeadKey] == 1 {
+			cancel()
+		}
+	}
+	_, err = testStore(kv, defaultLayout).propose(ctx, p)
+	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+}
+
+// Guards against audit records that miss a version, a removed or added line or its comment, and against texts that cannot be
+// restored.
+func TestAudit(t *testing.T) {
+	for _, l := range []layout{defaultLayout, smallLayout} {
+		kv := newFakeKV(1)
+		s := testStore(kv, l)
+		var texts []string
+		for i := range 12 {
+			var text strings.Builder
+			text.WriteString(serviceLine)
+			for j := range 20 + i {
+				text.WriteString(teamLine(fmt.Sprint("t", j), 1+(i*j)%7))
+			}
+			texts = append(texts, text.String())
+			_, err := s.propose(t.Context(), proposal(uint64(i), fmt.Sprint("c", i+1), text.String()))
+			must.NoError(t, err)
+		}
+		records, err := Audit(t.Context(), kv, 0)
+		must.NoError(t, err)
+		must.Len(t, 12, records)
+		for i, r := range records {
+			version := len(texts) - i
+			must.Eq(t, uint64(version), r.Version)
+			must.Eq(t, fmt.Sprint("c", version), r.ChangeID)
+			must.Eq(t, "author of "+r.ChangeID, r.Author)
+			must.Eq(t, time.UnixMilli(1000).UTC(), r.Time)
+			text, err := TextAt(t.Context(), kv, r.Version)
+			must.NoError(t, err)
+			must.EqOp(t, texts[version-1], text)
+		}
+		added := records[0].Added()
+		last := added[len(added)-1]
+		test.Eq(t, rules.Comment{Who: "ops", Why: "share of t30"}, last.Comment)
+		must.Len(t, len(added)-1, records[0].Removed())
+		records, err = Audit(t.Context(), kv, 3)
+		must.NoError(t, err)
+		must.Len(t, 3, records)
+	}
+}
--- /dev/null
+++ b/version/config/state_test.go
@@ -0,0 +1,266 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/version/rules"
+)
+
+// smallConfig keeps few changes and cuts texts of a few hundred bytes into several parts.
+var smallConfig = Config{HistoryChanges: 3, HistoryBytes: 1000, PushBytes: 400, PartBytes: 150, Assemblies: 2}
+
+// proposer is one operator's tool in the property test below.
+type proposer struct {
+	store  *store
+	number int
+	count  int
+}
+
+// written is a proposal whose outcome the test checks at the end.
+type written struct {
+	Proposal
+	outcome Outcome
+	err     error
+}
+
+// propose changes one line of the version that the proposer happens to see, or proposes it unchanged.
+func (p *proposer) propose(t *rapid.T, kv *fakeKV) written {
+	head, _, err := p.store.head(t.Context())
+	if err != nil || p.store.loadText(t.Context(), &head, "") != nil {
+		return written{err: errUnused}
+	}
+	p.count++
+	lines := Lines(head.Text)
+	if head.Version == 0 {
+		lines = Lines(serviceLine)
+	}
+	last := len(lines) - 1
+	at := rapid.IntRange(1, last).Draw(t, "line")
+	name := fmt.Sprintf("p%d-%d", p.number, p.count)
+	switch rapid.IntRange(0, 3).Draw(t, "edit") {
+	case 0:
+		lines = slices.Insert(slices.Clone(lines), at, strings.TrimSuffix(teamLine(name, 1), "\n"))
+	case 1:
+		lines = slices.Insert(slices.Clone(lines), at, "# "+name, "", "")
+	case 2:
+		lines = slices.Delete(slices.Clone(lines), at, min(at+2, last))
+	}
+	w := written{Proposal: proposal(head.Version, name, Join(lines))}
+	w.outcome, w.err = p.store.propose(t.Context(), w.Proposal)
+	return w
+}
+
+// Guards against accepted changes that get lost, texts that are not what their proposer wrote, outcomes that are not true, and
+// readers that go back, accept something else, or never catch up.
+func TestProposersAndReaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kv := newFakeKV(rapid.Uint64().Draw(t, "seed"))
+		kv.lost, kv.late, kv.arrive, kv.unavailable, kv.stale = 0.1, 0.1, 0.3, 0.05, 0.2
+		proposers := make([]*proposer, 3)
+		for i := range proposers {
+			proposers[i] = &proposer{store: testStore(kv, smallLayout), number: i}
+		}
+		readers := []*State{New(DefaultConfig()), New(smallConfig), New(smallConfig)}
+		var log []written
+		var nested bool
+		kv.before = func() {
+			// Another proposer acts between two calls of the first one.
+			if nested || kv.random.IntN(12) > 0 {
+				return
+			}
+			nested = true
+			log = append(log, proposers[kv.random.IntN(len(proposers))].propose(t, kv))
+			nested = false
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "propose") {
+				nested = false
+				log = append(log, proposers[rapid.IntRange(0, 2).Draw(t, "proposer")].propose(t, kv))
+				continue
+			}
+			read(t, kv, readers)
+		}
+		kv.settleAll()
+		texts := checkAccepted(t, kv, log)
+		for range 20 {
+			read(t, kv, readers)
+		}
+		for _, r := range readers {
+			must.EqOp(t, len(texts), int(r.Version()))
+			if len(texts) > 0 {
+				must.EqOp(t, texts[len(texts)-1], r.Current().Text)
+			}
+		}
+	})
+}
+
+// read lets each reader learn from the head or from another reader, through messages that arrive twice, reordered or not at all.
+func read(t *rapid.T, kv *fakeKV, readers []*State) {
+	for i, r := range readers {
+		before := r.Version()
+		if rapid.Bool().Draw(t, "head") {
+			if h, _, err := ReadHead(t.Context(), kv, r.Current()); err == nil && h.Version > 0 {
+				_, err := r.AdoptHead(h)
+				must.NoError(t, err)
+			}
+		} else {
+			receive(t, r, readers[(i+1)%len(readers)], readers[(i+2)%len(readers)])
+		}
+		must.True(t, r.Version() >= before, must.Sprint("a version never reverts"))
+		if r.Current() != nil {
+			must.EqOp(t, acceptedText(t, kv, r.Version()), r.Current().Text)
+		}
+	}
+}
+
+// receive mixes the answers of two peers.
+func receive(t *rapid.T, r *State, peers ...*State) {
+	var pushes []wire.ConfigPush
+	for _, p := range peers {
+		pushes = append(pushes, p.Answer(wire.ConfigPull{Since: r.Version()})...)
+	}
+	pushes = append(pushes, pushes...)
+	for _, push := range rapid.Permutation(pushes).Draw(t, "order") {
+		if _, err := r.ApplyPush(push); err != nil {
+			must.ErrorIs(t, err, ErrGap)
+		}
+	}
+}
+
+// acceptedText returns the text of a version from the head's own revisions.
+func acceptedText(t *rapid.T, kv *fakeKV, version uint64) string {
+	h, err := DecodeHead(kv.values[HeadKey][version-1].Value)
+	must.NoError(t, err)
+	must.EqOp(t, version, h.Version)
+	quiet := newFakeKV(0)
+	quiet.values = kv.values
+	must.NoError(t, testStore(quiet, smallLayout).loadText(t.Context(), &h, ""))
+	return h.Text
+}
+
+// checkAccepted compares the accepted versions with what the proposers wrote and were told, and returns the texts.
+func checkAccepted(t *rapid.T, kv *fakeKV, log []written) []string {
+	byID := map[string]written{}
+	for _, w := range log {
+		byID[w.ChangeID] = w
+	}
+	records, err := Audit(t.Context(), kv, 0)
+	must.NoError(t, err)
+	must.Len(t, len(kv.values[HeadKey]), records)
+	accepted := map[string]uint64{}
+	texts := make([]string, len(records))
+	for i, r := range records {
+		w, found := byID[r.ChangeID]
+		must.True(t, found)
+		must.EqOp(t, uint64(len(records)-i), r.Version)
+		must.EqOp(t, r.Version, w.Base+1)
+		texts[r.Version-1] = acceptedText(t, kv, r.Version)
+		must.EqOp(t, w.Text, texts[r.Version-1])
+		accepted[r.ChangeID] = r.Version
+	}
+	must.MapLen(t, len(records), accepted, must.Sprint("each change is accepted once"))
+	for _, w := range log {
+		checkOutcome(t, w, accepted[w.ChangeID], texts)
+	}
+	return texts
+}
+
+func checkOutcome(t *rapid.T, w written, version uint64, texts []string) {
+	switch {
+	case w.err == nil && w.outcome.Unchanged:
+		must.EqOp(t, w.Text, texts[w.outcome.Version-1])
+	case w.err == nil:
+		must.EqOp(t, w.outcome.Version, version)
+	case version > 0:
+		must.StrContains(t, w.err.Error(), "outcome unknown", must.Sprint("an accepted change is not reported as failed"))
+	}
+}
+
+// Guards against a snapshot from zero, changes, or a head that differ in what they bring, and against wrong counts.
+func TestStateSources(t *testing.T) {
+	kv := newFakeKV(1)
+	text := serviceLine
+	source := New(DefaultConfig())
+	must.SliceEmpty(t, source.Answer(wire.ConfigPull{}))
+	for i := range 6 {
+		text += teamLine(fmt.Sprint("t", i), 1)
+		_, err := Propose(t.Context(), kv, proposal(uint64(i), fmt.Sprint("c", i), text))
+		must.NoError(t, err)
+		h, _, err := ReadHead(t.Context(), kv, source.Current())
+		must.NoError(t, err)
+		changed, err := source.AdoptHead(h)
+		must.NoError(t, err)
+		must.True(t, changed)
+		changed, err = source.AdoptHead(h)
+		must.NoError(t, err)
+		must.False(t, changed)
+	}
+	must.Eq(t, Stats{Adopted: 6, Ignored: 6}, source.Stats())
+	follower := New(smallConfig)
+	for _, push := range source.Answer(wire.ConfigPull{}) {
+		must.NotNil(t, push.Snapshot)
+		_, err := follower.ApplyPush(push)
+		must.NoError(t, err)
+	}
+	must.Eq(t, source.Current().TextHash, follower.Current().TextHash)
+	must.Eq(t, source.Current().Time, follower.Current().Time)
+	must.SliceEmpty(t, source.Answer(wire.ConfigPull{Since: 6}))
+	pushes := source.Answer(wire.ConfigPull{Since: 2})
+	must.Len(t, 1, pushes)
+	must.Len(t, 4, pushes[0].Changes)
+}
+
+// Guards against a state that moves although a push is wrong.
+func TestStateRefuses(t *testing.T) {
+	s := New(DefaultConfig())
+	base := serviceLine + teamLine("a", 1)
+	head := Head{Version: 5, Text: base, Loaded: true, TextHash: Hash(base)}
+	_, err := s.AdoptHead(head)
+	must.NoError(t, err)
+	was := s.Current()
+	change := func(version uint64, line uint32, added string) wire.ConfigPush {
+		text := serviceLine + added + "\n"
+		edits := []wire.LineEdit{{Line: line, Removed: 1, Added: []string{added}}}
+		return wire.ConfigPush{Changes: []wire.ConfigChange{{Version: version, Edits: edits, TextHash: Hash(text)}}}
+	}
+	comment := "# nothing"
+	wrongHash := change(6, 1, comment)
+	wrongHash.Changes[0].TextHash++
+	snapshot := wire.ConfigSnapshotPart{Version: 6, Parts: 1, TextHash: 1, Data: compress([]byte(base))}
+	tooMany := snapshot
+	tooMany.Part = 1
+	var faults rules.Faults
+	for _, c := range []struct {
+		push wire.ConfigPush
+		want error
+	}{
+		{wrongHash, ErrHash},
+		{change(7, 1, comment), ErrGap},
+		{change(6, 9, comment), ErrPatch},
+		{wire.ConfigPush{Snapshot: &snapshot}, ErrHash},
+		{wire.ConfigPush{Snapshot: &tooMany}, ErrMessage},
+		{wire.ConfigPush{Snapshot: &wire.ConfigSnapshotPart{Version: 6, Parts: 1}}, ErrFormat},
+	} {
+		_, err := s.ApplyPush(c.push)
+		must.ErrorIs(t, err, c.want)
+	}
+	for range 2 {
+		_, err = s.ApplyPush(change(6, 1, "newrule x"))
+		must.True(t, errors.As(err, &faults))
+	}
+	_, err = s.AdoptHead(Head{Version: 9})
+	must.ErrorIs(t, err, ErrNeedText)
+	must.True(t, s.Current() == was)
+	must.Eq(t, Stats{Adopted: 1, Refused: 9}, s.Stats())
+	changed, err := s.ApplyPush(change(6, 1, comment))
+	must.NoError(t, err)
+	must.True(t, changed, must.Sprint("a right push is still accepted"))
+}
--- /dev/null
+++ b/version/config/store.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Bounds of repeated platform calls. Seven waits of 20 ms to 1 s add up to about 2.5 s, well below the 13 s in which a change is
+// to be in effect.
+const (
+	maxAttempts = 8
+	firstWait   = 20 * time.Millisecond
+	longestWait = time.Second
+)
+
+// store reads and writes the configuration's keys. Its methods block on the platform.
+type store struct {
+	kv     platform.KV
+	layout layout
+	// wait pauses before a call is repeated; it returns the context's error if that ends first.
+	wait func(ctx context.Context, attempt int) error
+}
+
+func newStore(kv platform.KV) *store { return &store{kv: kv, layout: defaultLayout, wait: backoff} }
+
+// backoff waits for a random time between half and all of a delay that doubles with each attempt.
+func backoff(ctx context.Context, attempt int) error {
+	delay := min(firstWait<<attempt, longestWait)
+	timer := time.NewTimer(delay/2 + rand.N(delay/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// head reads the head without loading its parts. Without a head it returns version zero with an empty text.
+func (s *store) head(ctx context.Context) (Head, platform.Revision, error) {
+	kv, err := s.kv.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{Loaded: true, TextHash: Hash("")}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	h, err := DecodeHead(kv.Value)
+	return h, kv.Revision, err
+}
+
+// get reads a key that was written before something that refers to it, so that "not found" is a stale answer.
+func (s *store) get(ctx context.Context, key string) ([]byte, error) {
+	for attempt := 0; ; attempt++ {
+		kv, err := s.kv.Get(ctx, key)
+		if err == nil {
+			return kv.Value, nil
+		}
+		if attempt+1 == maxAttempts || !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrUnavailable) {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+		if err := s.wait(ctx, attempt); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// create writes a key whose value is determined by its name. That it already exists is as good as having written it, so a lost
+// answer is settled by writing again.
+func (s *store) create(ctx context.Context, key string, value []byte) error {
+	for attempt := 0; ; attempt++ {
+		_, err := s.kv.CompareAndSwap(ctx, key, 0, value, 0)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, platform.ErrOutcomeUnknown) && !errors.Is(err, platform.ErrUnavailable) {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		if attempt+1 == maxAttempts {
+			// Nothing refers to the key yet, so for the caller a lost answer is no different from an unsent write.
+			return fmt.Errorf("%s: %w: %v", key, platform.ErrUnavailable, err)
+		}
+		if err := s.wait(ctx, attempt); err != nil {
+			return err
+		}
+	}
+}
+
+// createParts writes the parts that are not known to exist.
+func (s *store) createParts(ctx context.Context, parts []part, existing []partID) error {
+	known := make(map[partID]bool, len(existing))
+	for _, id := range existing {
+		known[id] = true
+	}
+	for _, p := range parts {
+		if known[p.id] {
+			continue
+		}
+		known[p.id] = true
+		if err := s.create(ctx, partPrefix+string(p.id), compress(p.content)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadParts concatenates parts; those of known are not read.
+func (s *store) loadParts(ctx context.Context, list []partID, known []part, limit int) ([]byte, error) {
+	contents := make(map[partID][]byte, len(known))
+	for _, p := range known {
+		contents[p.id] = p.content
+	}
+	var value []byte
+	for _, id := range list {
+		content, found := contents[id]
+		if !found {
+			var err error
+			if content, err = s.loadPart(ctx, id); err != nil {
+				return nil, err
+			}
+		}
+		value = append(value, content...)
+		if len(value) > limit {
+			return nil, fmt.Errorf("%w: parts of more than %d bytes", ErrFormat, limit)
+		}
+	}
+	return value, nil
+}
+
+func (s *store) loadPart(ctx context.Context, id partID) ([]byte, error) {
+	value, err := s.get(ctx, partPrefix+string(id))
+	if err != nil {
+		return nil, err
+	}
+	content, err := decompress(value, platform.MaxValueBytes)
+	if err != nil {
+		return nil, err
+	}
+	if newPart(content).id != id {
+		return nil, fmt.Errorf("%w: part %s does not match its hash", ErrFormat, id)
+	}
+	return content, nil
+}
+
+// loadText loads the text of a head; parts that a similar text has in common with it are not read.
+func (s *store) loadText(ctx context.Context, h *Head, similar string) error {
+	if h.Loaded {
+		return nil
+	}
+	var known []part
+	for _, piece := range s.layout.cut(similar) {
+		known = append(known, newPart(piece))
+	}
+	text, err := s.loadParts(ctx, h.parts, known, MaxTextBytes)
+	if err != nil {
+		return err
+	}
+	return h.setText(string(text))
+}
+
+// record decodes an audit record and loads its edits.
+func (s *store) record(ctx context.Context, value []byte) (Record, error) {
+	r, stored, err := decodeRecord(value)
+	if err != nil || len(stored.Parts) == 0 {
+		return r, err
+	}
+	raw, err := s.loadParts(ctx, stored.Parts, nil, maxEditsBytes)
+	if err != nil {
+		return Record{}, err
+	}
+	err = r.setEdits(raw)
+	return r, err
+}
+
+// ReadHead reads the head and completes it for a process that has accepted have, which may be nil. Without a head it returns
+// version zero and revision zero. Errors wrap those of the platform or ErrFormat.
+func ReadHead(ctx context.Context, kv platform.KV, have *Accepted) (Head, platform.Revision, error) {
+	h, revision, err := newStore(kv).head(ctx)
+	if err != nil {
+		return Head{}, 0, trace.Wrap(err)
+	}
+	h, err = Complete(ctx, kv, h, have)
+	return h, revision, trace.Wrap(err)
+}
+
+// Complete loads what State.AdoptHead needs of a head that a watch returned: nothing if the head is not newer than have or its
+// changes connect to have, else the text.
+func Complete(ctx context.Context, kv platform.KV, h Head, have *Accepted) (Head, error) {
+	if have != nil && (h.Version <= have.Version || h.connects(have.Version)) {
+		return h, nil
+	}
+	similar := ""
+	if have != nil {
+		similar = have.Text
+	}
+	if err := newStore(kv).loadText(ctx, &h, similar); err != nil {
+		return Head{}, trace.Wrap(err)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/version/config/unified.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// contextLines is the number of unchanged lines that a unified diff shows around a change.
+const contextLines = 3
+
+// Unified returns the differences between two texts for people to read, in the unified format of diff tools; it is empty if the
+// texts are equal. The names head the two sides.
+func Unified(oldName, newName, oldText, newText string) string {
+	if oldText == newText {
+		return ""
+	}
+	old, new := shownLines(oldText), shownLines(newText)
+	var b strings.Builder
+	fmt.Fprintf(&b, "--- %s\n+++ %s\n", oldName, newName)
+	changed := changedRanges(old, new)
+	if len(changed) == 0 {
+		b.WriteString("\\ only the newline at the end differs\n")
+	}
+	for _, hunk := range hunks(changed) {
+		writeHunk(&b, old, new, hunk)
+	}
+	return b.String()
+}
+
+// shownLines returns the lines of a text without the empty one behind the last newline.
+func shownLines(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return Lines(strings.TrimSuffix(text, "\n"))
+}
+
+// hunks groups changes whose context would overlap.
+func hunks(changed []lineRange) [][]lineRange {
+	var groups [][]lineRange
+	for _, r := range changed {
+		last := len(groups) - 1
+		if last >= 0 && r.oldStart-groups[last][len(groups[last])-1].oldEnd <= 2*contextLines {
+			groups[last] = append(groups[last], r)
+			continue
+		}
+		groups = append(groups, []lineRange{r})
+	}
+	return groups
+}
+
+func writeHunk(b *strings.Builder, old, new []string, hunk []lineRange) {
+	first, last := hunk[0], hunk[len(hunk)-1]
+	before := min(contextLines, first.oldStart)
+	after := min(contextLines, len(old)-last.oldEnd)
+	oldStart, newStart := first.oldStart-before, first.newStart-before
+	fmt.Fprintf(b, "@@ -%s +%s @@\n", span(oldStart, last.oldEnd+after), span(newStart, last.newEnd+after))
+	next := oldStart
+	for _, r := range hunk {
+		writeLines(b, ' ', old[next:r.oldStart])
+		writeLines(b, '-', old[r.oldStart:r.oldEnd])
+		writeLines(b, '+', new[r.newStart:r.newEnd])
+		next = r.oldEnd
+	}
+	writeLines(b, ' ', old[next:next+after])
+}
+
+// span formats a range of lines, numbered from one; an empty range has the number of the line before it.
+func span(start, end int) string {
+	if start < end {
+		return fmt.Sprintf("%d,%d", start+1, end-start)
+	}
+	return fmt.Sprintf("%d,0", start)
+}
+
+func writeLines(b *strings.Builder, mark byte, lines []string) {
+	for _, line := range lines {
+		b.WriteByte(mark)
+		b.WriteString(line)
+		b.WriteByte('\n')
+	}
+}
