--- /dev/null
+++ b/internal/standin/kv/store.go
@@ -0,0 +1,120 @@
+package kv
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// entry is one key with its current and its previous value; the previous one serves stale reads.
+type entry struct {
+	value    []byte
+	revision platform.Revision
+	lease    platform.LeaseID
+
+	oldValue    []byte
+	oldRevision platform.Revision
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// store holds keys and leases. The time is an argument; the caller serialises calls.
+type store struct {
+	keys      map[string]*entry
+	leases    map[platform.LeaseID]*lease
+	revision  platform.Revision
+	lastLease platform.LeaseID
+}
+
+func newStore() store {
+	return store{keys: map[string]*entry{}, leases: map[platform.LeaseID]*lease{}}
+}
+
+// get returns a key; stale asks for the revision before the current one, which for a new key is its absence.
+func (s *store) get(name string, stale bool) (platform.KeyValue, error) {
+	e := s.keys[name]
+	if e == nil || stale && e.oldRevision == 0 {
+		return platform.KeyValue{}, platform.ErrNotFound
+	}
+	if stale {
+		return platform.KeyValue{Key: name, Value: e.oldValue, Revision: e.oldRevision}, nil
+	}
+	return platform.KeyValue{Key: name, Value: e.value, Revision: e.revision}, nil
+}
+
+func (s *store) compareAndSwap(name string, prev platform.Revision, value []byte, id platform.LeaseID) (platform.Revision, error) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	if id != 0 && s.leases[id] == nil {
+		return 0, platform.ErrNotFound
+	}
+	e := s.keys[name]
+	if e == nil {
+		e = &entry{}
+	}
+	if e.revision != prev {
+		return 0, platform.ErrConflict
+	}
+	s.revision++
+	e.oldValue, e.oldRevision = e.value, e.revision
+	e.value, e.revision, e.lease = value, s.revision, id
+	s.keys[name] = e
+	return e.revision, nil
+}
+
+func (s *store) list(prefix string, limit int) []string {
+	names := []string{}
+	for name := range s.keys {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	if limit > 0 && len(names) > limit {
+		names = names[:limit]
+	}
+	return names
+}
+
+func (s *store) grant(now time.Time, ttl time.Duration) platform.LeaseID {
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, end: now.Add(ttl)}
+	return s.lastLease
+}
+
+func (s *store) renew(now time.Time, id platform.LeaseID) error {
+	l := s.leases[id]
+	if l == nil {
+		return platform.ErrNotFound
+	}
+	l.end = now.Add(l.ttl)
+	return nil
+}
+
+func (s *store) revoke(id platform.LeaseID) error {
+	if s.leases[id] == nil {
+		return platform.ErrNotFound
+	}
+	delete(s.leases, id)
+	for name, e := range s.keys {
+		if e.lease == id {
+			delete(s.keys, name)
+		}
+	}
+	return nil
+}
+
+// expire ends the leases whose time has passed and deletes their keys.
+func (s *store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if !now.Before(l.end) {
+			_ = s.revoke(id)
+		}
+	}
+}
--- /dev/null
+++ b/request/claim/config.go
@@ -0,0 +1,105 @@
+package claim
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Config describes the claims of one service.
+type Config struct {
+	// Service names the service; it is part of the keys in the key-value service. There is no default; empty or with a slash
+	// is invalid.
+	Service string
+	// Shards is the number of logs that keys are spread over. All stores of a service must agree; a store that finds another
+	// number recorded refuses all claims. Few shards mean long batches: with every shard busy, a claim waits up to
+	// Shards/WritesPerSecond for its write. Default 3; zero is invalid.
+	Shards int
+	// SegmentBytes is the size at which a segment is sealed and the next one begun. A write sends the whole active segment,
+	// half of this on average. Default 32 KiB; below 1 KiB or above a quarter of platform.MaxValueBytes is invalid.
+	SegmentBytes int
+	// Retention is how long a key is remembered; see the package comment for what happens after it. Default 1 h; below 1 s is
+	// invalid.
+	Retention time.Duration
+	// WritesPerSecond is the rate of writes that all shards together stay within while each shard has one writer. Default
+	// 300; zero is invalid.
+	WritesPerSecond float64
+	// FlushInterval is how long stored responses wait for a claim to share a write with. Default 50 ms; zero writes them as
+	// soon as the rate allows.
+	FlushInterval time.Duration
+	// BodyLimitBytes is the largest body kept with a response. Default 2 KiB; zero keeps none; above a quarter of
+	// SegmentBytes is invalid.
+	BodyLimitBytes int
+	// CachedBodies is the number of bodies per shard kept in memory; others are read again from their segment when a caller
+	// asks for them. Default 2048; zero is invalid.
+	CachedBodies int
+	// PlatformTimeout bounds one call to the key-value service. Default 1 s; zero is invalid.
+	PlatformTimeout time.Duration
+	// ClaimTimeout bounds a claim, even if the caller's context lasts longer. Default 3 s; zero is invalid.
+	ClaimTimeout time.Duration
+	// RetryBase is the longest wait before the first call after a failed one; it doubles with each failure. During the wait
+	// claims of new keys are refused at once. Default 20 ms; zero is invalid.
+	RetryBase time.Duration
+	// RetryMax is the longest wait before any call after a failed one. Default 1 s; below RetryBase is invalid.
+	RetryMax time.Duration
+}
+
+// DefaultConfig returns the defaults for a service.
+func DefaultConfig(service string) Config {
+	return Config{
+		Service:         service,
+		Shards:          3,
+		SegmentBytes:    32 << 10,
+		Retention:       time.Hour,
+		WritesPerSecond: 300,
+		FlushInterval:   50 * time.Millisecond,
+		BodyLimitBytes:  2 << 10,
+		CachedBodies:    2048,
+		PlatformTimeout: time.Second,
+		ClaimTimeout:    3 * time.Second,
+		RetryBase:       20 * time.Millisecond,
+		RetryMax:        time.Second,
+	}
+}
+
+// Limits of Config.
+const (
+	minSegmentBytes = 1 << 10
+	// maxSegmentBytes leaves room for a batch of SegmentBytes after an almost full segment.
+	maxSegmentBytes = platform.MaxValueBytes / 4
+	minRetention    = time.Second
+)
+
+// Validate names the first field that is out of range.
+func (c Config) Validate() error {
+	for _, field := range []struct {
+		name string
+		ok   bool
+	}{
+		{"Service", c.Service != "" && !strings.Contains(c.Service, "/")},
+		{"Shards", c.Shards > 0},
+		{"SegmentBytes", c.SegmentBytes >= minSegmentBytes && c.SegmentBytes <= maxSegmentBytes},
+		{"Retention", c.Retention >= minRetention},
+		{"WritesPerSecond", c.WritesPerSecond > 0},
+		{"FlushInterval", c.FlushInterval >= 0},
+		{"BodyLimitBytes", c.BodyLimitBytes >= 0 && c.BodyLimitBytes <= c.SegmentBytes/4},
+		{"CachedBodies", c.CachedBodies > 0},
+		{"PlatformTimeout", c.PlatformTimeout > 0},
+		{"ClaimTimeout", c.ClaimTimeout > 0},
+		{"RetryBase", c.RetryBase > 0},
+		{"RetryMax", c.RetryMax >= c.RetryBase},
+	} {
+		if !field.ok {
+			return trace.BadParameter("%s is out of range", field.name)
+		}
+	}
+	return nil
+}
+
+// writeInterval is the least time between the starts of two writes to one shard.
+func (c Config) writeInterval() time.Duration {
+	return time.Duration(float64(time.Second) * float64(c.Shards) / c.WritesPerSecond)
+}
