--- /dev/null
+++ b/process/load/table.go
@@ -0,0 +1,283 @@
+// Package load holds what a process knows of the load of upstreams.
+//
+// An entry keeps the latest report of each upstream in a Table, computes the mean load of each load group from it, and
+// decides which Open frames carry that mean as a hint. A sidecar merges the hints of many entries in a MeanEstimator. Both are
+// plain state machines: the current time is an argument, and neither is safe for concurrent use.
+package load
+
+import (
+	"container/list"
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/jayridge/jayridge/connection/wire"
+)
+
+// Upstream names an upstream and its place.
+type Upstream struct {
+	ID, DataCentre string
+	// Group names the upstreams that share a mean: a service, or a service version while a shift between versions is under
+	// way, since upstreams that receive a small share of the traffic would lower the mean of the others.
+	Group string
+}
+
+// record is the latest report of one upstream.
+type record struct {
+	Upstream
+	report wire.LoadReport
+	at     time.Time
+	// place is the record's place in its site's list.
+	place *list.Element
+	// hintMean and hintAt are the last hint to the upstream; hintMean is zero if there was none.
+	hintMean uint32
+	hintAt   time.Time
+}
+
+// counted says whether the report counts towards the mean. A cold upstream is kept at little work on purpose; counting it
+// would lower the bound of the warm upstreams when they have to carry its work.
+func (r *record) counted() bool { return !r.report.Cold }
+
+// site sums the reports of one group in one data centre. Its list holds *record, the oldest report first.
+type site struct {
+	records   *list.List
+	work      uint64
+	upstreams uint32
+}
+
+func (s *site) add(r *record) {
+	if r.counted() {
+		s.work += uint64(r.report.WorkUnits)
+		s.upstreams++
+	}
+}
+
+func (s *site) subtract(r *record) {
+	if r.counted() {
+		s.work -= uint64(r.report.WorkUnits)
+		s.upstreams--
+	}
+}
+
+// summary is what gossip said of one group in another data centre.
+type summary struct {
+	work      uint64
+	upstreams uint32
+	// at is when the figures were true, by this process's clock.
+	at time.Time
+}
+
+// group holds the data centres of one load group.
+type group struct {
+	sites     map[string]*site
+	summaries map[string]summary
+}
+
+// Table holds the latest load report of each upstream.
+type Table struct {
+	cfg     Config
+	own     string
+	records map[string]*record
+	groups  map[string]*group
+	hints   *rate.Limiter
+}
+
+// NewTable returns an empty table of an entry in the data centre own. cfg must be valid.
+func NewTable(own string, cfg Config) *Table {
+	return &Table{
+		cfg:     cfg,
+		own:     own,
+		records: make(map[string]*record),
+		groups:  make(map[string]*group),
+		hints:   rate.NewLimiter(rate.Limit(cfg.HintBytesPerSecond), cfg.HintBurstBytes),
+	}
+}
+
+func (t *Table) group(name string) *group {
+	g := t.groups[name]
+	if g == nil {
+		g = &group{sites: make(map[string]*site), summaries: make(map[string]summary)}
+		t.groups[name] = g
+	}
+	return g
+}
+
+func (t *Table) site(u Upstream) *site {
+	g := t.group(u.Group)
+	s := g.sites[u.DataCentre]
+	if s == nil {
+		s = &site{records: list.New()}
+		g.sites[u.DataCentre] = s
+	}
+	return s
+}
+
+// Report records the latest report of an upstream.
+func (t *Table) Report(now time.Time, u Upstream, report wire.LoadReport) {
+	r := t.records[u.ID]
+	if r != nil && r.Upstream != u {
+		t.Remove(u.ID)
+		r = nil
+	}
+	s := t.site(u)
+	if r == nil {
+		r = &record{Upstream: u}
+		t.records[u.ID] = r
+	}
+	if r.place == nil {
+		r.place = s.records.PushBack(r)
+	} else {
+		s.subtract(r)
+		s.records.MoveToBack(r.place)
+	}
+	r.report, r.at = report, now
+	s.add(r)
+}
+
+// Remove forgets an upstream that left, was drained, or takes no work for another lasting reason, so that it does not lower
+// the mean of the others.
+func (t *Table) Remove(id string) {
+	r := t.records[id]
+	if r == nil {
+		return
+	}
+	delete(t.records, id)
+	t.detach(r)
+}
+
+// detach takes a record's report out of its site.
+func (t *Table) detach(r *record) {
+	if r.place == nil {
+		return
+	}
+	s := t.site(r.Upstream)
+	s.subtract(r)
+	s.records.Remove(r.place)
+	r.place = nil
+}
+
+// expire drops the reports of a site that are too old. The records stay for their hints until Remove.
+func (t *Table) expire(now time.Time, s *site) {
+	for front := s.records.Front(); front != nil; front = s.records.Front() {
+		r := front.Value.(*record)
+		if now.Sub(r.at) <= t.cfg.ReportMaxAge {
+			return
+		}
+		t.detach(r)
+	}
+}
+
+// Latest returns an upstream's latest report and its age, and whether there is one that is not too old.
+func (t *Table) Latest(now time.Time, id string) (wire.LoadReport, time.Duration, bool) {
+	r := t.records[id]
+	if r == nil || r.place == nil {
+		return wire.LoadReport{}, 0, false
+	}
+	age := now.Sub(r.at)
+	if age > t.cfg.ReportMaxAge {
+		return wire.LoadReport{}, 0, false
+	}
+	return r.report, age, true
+}
+
+// Gossip records summaries of other data centres. A summary replaces one with older figures only, since gossip arrives by
+// several ways. Summaries of the table's own data centre are ignored.
+func (t *Table) Gossip(now time.Time, summaries []wire.LoadSummary) {
+	for _, s := range summaries {
+		if s.DataCentre == t.own {
+			continue
+		}
+		next := summary{work: s.WorkUnits, upstreams: s.Upstreams, at: now.Add(-time.Duration(s.AgeMS) * time.Millisecond)}
+		if now.Sub(next.at) > t.cfg.SummaryMaxAge {
+			continue
+		}
+		g := t.group(s.Service)
+		if prev, found := g.summaries[s.DataCentre]; !found || next.at.After(prev.at) {
+			g.summaries[s.DataCentre] = next
+		}
+	}
+}
+
+// Summaries returns the table's own figures of its data centre and the fresh ones of the others, to be gossiped on. The
+// service of a summary is the group's name. The order is not defined.
+func (t *Table) Summaries(now time.Time) []wire.LoadSummary {
+	var all []wire.LoadSummary
+	for name, g := range t.groups {
+		if s := g.sites[t.own]; s != nil {
+			t.expire(now, s)
+			if s.upstreams > 0 {
+				all = append(all, wire.LoadSummary{DataCentre: t.own, Service: name, WorkUnits: s.work, Upstreams: s.upstreams})
+			}
+		}
+		for dataCentre, s := range g.summaries {
+			age := now.Sub(s.at)
+			if age > t.cfg.SummaryMaxAge {
+				delete(g.summaries, dataCentre)
+				continue
+			}
+			all = append(all, wire.LoadSummary{
+				DataCentre: dataCentre, Service: name, WorkUnits: s.work, Upstreams: s.upstreams, AgeMS: uint32(age.Milliseconds()),
+			})
+		}
+	}
+	return all
+}
+
+// Mean returns the mean work of a group's upstreams in work units, rounded down but at least 1, and whether there is any figure.
+// It is the sum of the work over the number of upstreams: a data centre counts with its summary if that is fresh, else, as the own one does,
+// with the reports that this entry received.
+func (t *Table) Mean(now time.Time, groupName string) (uint32, bool) {
+	g := t.groups[groupName]
+	if g == nil {
+		return 0, false
+	}
+	var work, upstreams uint64
+	for dataCentre, s := range g.summaries {
+		if now.Sub(s.at) > t.cfg.SummaryMaxAge {
+			delete(g.summaries, dataCentre)
+			continue
+		}
+		work += s.work
+		upstreams += uint64(s.upstreams)
+	}
+	for dataCentre, s := range g.sites {
+		if _, found := g.summaries[dataCentre]; found {
+			continue
+		}
+		t.expire(now, s)
+		work += s.work
+		upstreams += uint64(s.upstreams)
+	}
+	if upstreams == 0 {
+		return 0, false
+	}
+	return uint32(min(max(work/upstreams, 1), math.MaxUint32)), true
+}
+
+// Hint returns the mean to attach to an Open to an upstream now, or zero for none. A hint is due if the mean changed or the
+// last hint to this upstream is old, and it is sent if the byte budget allows it.
+func (t *Table) Hint(now time.Time, u Upstream) uint32 {
+	mean, found := t.Mean(now, u.Group)
+	if !found {
+		return 0
+	}
+	r := t.records[u.ID]
+	if r == nil {
+		r = &record{Upstream: u}
+		t.records[u.ID] = r
+	}
+	if !t.due(now, r, mean) || !t.hints.AllowN(now, t.cfg.HintBytes) {
+		return 0
+	}
+	r.hintMean, r.hintAt = mean, now
+	return mean
+}
+
+func (t *Table) due(now time.Time, r *record, mean uint32) bool {
+	if r.hintMean == 0 || now.Sub(r.hintAt) >= t.cfg.HintMaxAge {
+		return true
+	}
+	changed := math.Abs(float64(mean) - float64(r.hintMean))
+	return changed > t.cfg.HintChange*float64(r.hintMean)
+}
--- /dev/null
+++ b/request/candidate/config.go
@@ -0,0 +1,46 @@
+package candidate
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Config tunes candidate lists and the quantisation of data-centre weights.
+type Config struct {
+	// FirstDataCentre is the number of upstreams taken from the chat's first data centre, 1 to SlotDepth. Default 4. Zero is
+	// invalid.
+	FirstDataCentre int
+	// OtherDataCentres is the number of upstreams taken from each further data centre, 0 to SlotDepth. Default 2. Zero keeps
+	// every chat within its first data centre.
+	OtherDataCentres int
+	// WeightStep is the width of a data-centre weight level as a share of its lowest count. Default 0.1, so that quantisation
+	// shifts a large data centre's load by at most about 5%. Zero makes every level WeightMinStep wide.
+	WeightStep float64
+	// WeightMinStep is the least width of a level of three or more upstreams, in upstreams. Default 3, so that one upstream more
+	// or less than 4 changes no weight. Zero is invalid; 1 turns quantisation of small data centres off.
+	WeightMinStep int
+}
+
+// DefaultConfig returns the default configuration.
+func DefaultConfig() Config {
+	return Config{FirstDataCentre: SlotDepth, OtherDataCentres: 2, WeightStep: 0.1, WeightMinStep: 3}
+}
+
+// Validate returns an error that names every invalid field.
+func (c Config) Validate() error {
+	var errs []error
+	if c.FirstDataCentre < 1 || c.FirstDataCentre > SlotDepth {
+		errs = append(errs, fmt.Errorf("FirstDataCentre: %d is outside 1 to %d", c.FirstDataCentre, SlotDepth))
+	}
+	if c.OtherDataCentres < 0 || c.OtherDataCentres > SlotDepth {
+		errs = append(errs, fmt.Errorf("OtherDataCentres: %d is outside 0 to %d", c.OtherDataCentres, SlotDepth))
+	}
+	if math.IsNaN(c.WeightStep) || c.WeightStep < 0 || c.WeightStep > 1 {
+		errs = append(errs, fmt.Errorf("WeightStep: %g is outside 0 to 1", c.WeightStep))
+	}
+	if c.WeightMinStep < 1 {
+		errs = append(errs, fmt.Errorf("WeightMinStep: %d is below 1", c.WeightMinStep))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/request/retry/policy.go
@@ -0,0 +1,248 @@
+// Package retry decides whether a request is tried again on its next candidate, resumed, or answered.
+//
+// A request is tried again only after an attempt that did not run, or if its route is idempotent. Once a part of the answer
+// went to the caller, it can only be resumed at that offset. The code that the caller is told covers all attempts: it is
+// "not run" only if no attempt may have run.
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// Action says what to do with a request after an attempt.
+type Action uint8
+
+// The actions.
+const (
+	// GiveUp answers the caller with Decision.Code.
+	GiveUp Action = iota
+	// Retry starts the request anew on its next candidate.
+	Retry
+	// Resume continues the answer at Decision.Offset on the next candidate.
+	Resume
+)
+
+// String returns the action's name.
+func (a Action) String() string {
+	switch a {
+	case Retry:
+		return "retry"
+	case Resume:
+		return "resume"
+	default:
+		return "give up"
+	}
+}
+
+// Attempt is one finished attempt.
+type Attempt struct {
+	// Code is the attempt's result, result.Unreachable if no frame of it was sent.
+	Code result.Code
+	// Accepted says that an Accepted frame of the attempt arrived.
+	Accepted bool
+	// DataCentre is that of the attempt's upstream.
+	DataCentre string
+}
+
+// mayHaveRun says whether the attempt was or may have been handed to an upstream.
+func (a Attempt) mayHaveRun() bool {
+	return a.Accepted || a.Code.Outcome() != result.NotRun
+}
+
+// verdict is the attempt's code, corrected when a sidecar reports "not run" after Accepted.
+func (a Attempt) verdict() result.Code {
+	if a.Accepted && a.Code.Outcome() == result.NotRun {
+		return result.UpstreamBroken
+	}
+	return a.Code
+}
+
+// Request is what the policy knows of a request after its latest attempt failed.
+type Request struct {
+	// Attempts are the finished attempts, the latest one last. None of them may have the code result.OK.
+	Attempts []Attempt
+	// Idempotent says that a rule declares the request's route safe to run more than once.
+	Idempotent bool
+	// Resumable says that the service's upstreams can continue an answer at an offset.
+	Resumable bool
+	// Delivered is the number of chunks that went to the caller.
+	Delivered uint32
+	// Left is the time to the request's deadline.
+	Left time.Duration
+	// CandidatesLeft is the number of candidates that were not tried yet.
+	CandidatesLeft int
+}
+
+// Decision is the policy's answer.
+type Decision struct {
+	Action Action
+	// Backoff is the time to wait before a retry or resume.
+	Backoff time.Duration
+	// Offset is the number of chunks that a resumed attempt skips.
+	Offset uint32
+	// SkipDataCentre says to pass over the remaining candidates of the latest attempt's data centre if others are left.
+	SkipDataCentre bool
+	// Code is what the caller is told on GiveUp.
+	Code result.Code
+}
+
+// Policy decides on retries. It is immutable and safe for concurrent use.
+type Policy struct {
+	cfg Config
+}
+
+// NewPolicy returns a policy. cfg must be valid.
+func NewPolicy(cfg Config) *Policy {
+	return &Policy{cfg: cfg}
+}
+
+// Decide returns what to do after the latest attempt. It takes the cost of a retry from budget. random jitters the backoff.
+// Neither is safe for concurrent use.
+func (p *Policy) Decide(now time.Time, r Request, budget *Budget, random *rand.Rand) Decision {
+	giveUp := Decision{Action: GiveUp, Code: finalCode(r)}
+	action := p.allowed(r)
+	if action == GiveUp {
+		return giveUp
+	}
+	backoff := p.backoff(r.Attempts, random)
+	if r.Left-backoff < p.cfg.MinTimeLeft {
+		return giveUp
+	}
+	if !budget.spend(now, p.price(r.Attempts)) {
+		return giveUp
+	}
+	d := Decision{Action: action, Backoff: backoff, SkipDataCentre: p.skipDataCentre(r.Attempts)}
+	if action == Resume {
+		d.Offset = r.Delivered
+	}
+	return d
+}
+
+// allowed returns the action that safety and the number of attempts permit, regardless of time and budget.
+func (p *Policy) allowed(r Request) Action {
+	if len(r.Attempts) == 0 || len(r.Attempts) >= p.cfg.MaxAttempts || r.CandidatesLeft <= 0 || r.Left <= 0 {
+		return GiveUp
+	}
+	ran := anyMayHaveRun(r.Attempts)
+	if ran && !r.Idempotent {
+		return GiveUp
+	}
+	if !mayHelp(r.Attempts[len(r.Attempts)-1]) {
+		return GiveUp
+	}
+	if r.Delivered == 0 {
+		return Retry
+	}
+	if r.Resumable && r.Idempotent {
+		return Resume
+	}
+	return GiveUp
+}
+
+func anyMayHaveRun(attempts []Attempt) bool {
+	for _, a := range attempts {
+		if a.mayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHelp says whether another upstream may give a better result than the attempt's. For attempts that may have run, that
+// holds for the failures of one upstream or connection only.
+func mayHelp(a Attempt) bool {
+	if !a.mayHaveRun() {
+		return a.Code.Info().Elsewhere
+	}
+	switch a.verdict() {
+	case result.UpstreamError, result.UpstreamBroken, result.ConnectionLost, result.BadAnswer:
+		return true
+	default:
+		return false
+	}
+}
+
+// finalCode is the code that the caller is told: that of the latest attempt that may have run, else the deadline's, else that
+// of the latest attempt.
+func finalCode(r Request) result.Code {
+	for i := len(r.Attempts) - 1; i >= 0; i-- {
+		if r.Attempts[i].mayHaveRun() {
+			return r.Attempts[i].verdict()
+		}
+	}
+	if r.Left <= 0 {
+		return result.DeadlineBeforeRun
+	}
+	if len(r.Attempts) == 0 {
+		return result.NoUpstream
+	}
+	return r.Attempts[len(r.Attempts)-1].Code
+}
+
+// price is what a retry after the latest attempt costs.
+func (p *Policy) price(attempts []Attempt) float64 {
+	if attempts[len(attempts)-1].mayHaveRun() {
+		return p.cfg.FailureCost
+	}
+	return p.cfg.RefusalCost
+}
+
+// backoff returns a random time up to an exponentially growing limit (full jitter). The first refusals do not count: moving on
+// to the next candidate is the way that overflow takes.
+func (p *Policy) backoff(attempts []Attempt, random *rand.Rand) time.Duration {
+	steps, refusals := 0, 0
+	for _, a := range attempts {
+		if !a.mayHaveRun() {
+			refusals++
+			if refusals <= p.cfg.ImmediateRefusals {
+				continue
+			}
+		}
+		steps++
+	}
+	limit := p.backoffLimit(steps)
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(random.Int64N(int64(limit) + 1))
+}
+
+func (p *Policy) backoffLimit(steps int) time.Duration {
+	if steps == 0 {
+		return 0
+	}
+	limit := p.cfg.BaseBackoff
+	for range steps - 1 {
+		if limit > p.cfg.MaxBackoff/2 {
+			return p.cfg.MaxBackoff
+		}
+		limit *= 2
+	}
+	return min(limit, p.cfg.MaxBackoff)
+}
+
+// skipDataCentre says whether the latest attempts all found their data centre out of service.
+func (p *Policy) skipDataCentre(attempts []Attempt) bool {
+	if p.cfg.LeaveDataCentreAfter == 0 || len(attempts) < p.cfg.LeaveDataCentreAfter {
+		return false
+	}
+	latest := attempts[len(attempts)-p.cfg.LeaveDataCentreAfter:]
+	for _, a := range latest {
+		if a.DataCentre != latest[0].DataCentre || !outOfService(a) {
+			return false
+		}
+	}
+	return true
+}
+
+func outOfService(a Attempt) bool {
+	switch a.Code {
+	case result.Unreachable, result.Draining, result.Leaving:
+		return !a.Accepted
+	default:
+		return false
+	}
+}
