Add rollout, lease and quarantine packages

version/rollout shifts traffic between two versions, process/lease holds a lease with a fencing token, process/quarantine rejects requests that crash upstreams. The decisions are pure state machines.

--- /dev/null
+++ b/process/lease/acquire.go
@@ -0,0 +1,109 @@
+package lease
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// errTaken means that another process holds the lease or won the race for it.
+var errTaken = errors.New("lease is held by another process")
+
+// leaseKey is the key that exists while the lease is held.
+func leaseKey(name string) string { return "lease/" + name }
+
+// fenceKey is the key that counts the fencing tokens.
+func fenceKey(name string) string { return "fence/" + name }
+
+// Value is the content of both keys.
+type Value struct {
+	// Holder is the id of the instance.
+	Holder string `msgpack:"h"`
+	// Fence is the fencing token. In the lease key it is valid only once the fence key has the same value.
+	Fence uint64 `msgpack:"f"`
+	// Nonce tells the attempts of one instance apart.
+	Nonce uint64 `msgpack:"n"`
+}
+
+// DecodeValue decodes the content of a key.
+func DecodeValue(data []byte) (Value, error) {
+	var v Value
+	err := msgpack.Unmarshal(data, &v)
+	return v, trace.Wrap(err)
+}
+
+// attempt is one try to acquire the lease.
+type attempt struct {
+	kv     platform.KV
+	name   string
+	holder string
+	nonce  uint64
+	lease  platform.LeaseID
+}
+
+// run creates the lease key with the next token, raises the counter to it, and reads the lease key back. A failure at any point
+// leaves at most a token that nobody uses and a lease that ends by itself.
+func (a *attempt) run(ctx context.Context) (uint64, error) {
+	last, revision, err := a.read(ctx, fenceKey(a.name))
+	if err != nil {
+		return 0, err
+	}
+	own := Value{Holder: a.holder, Fence: last.Fence + 1, Nonce: a.nonce}
+	if err := a.write(ctx, leaseKey(a.name), 0, own, a.lease); err != nil {
+		return 0, err
+	}
+	if err := a.write(ctx, fenceKey(a.name), revision, own, 0); err != nil {
+		return 0, err
+	}
+	current, _, err := a.read(ctx, leaseKey(a.name))
+	if err != nil {
+		return 0, err
+	}
+	if current != own {
+		return 0, trace.Wrap(errTaken)
+	}
+	return own.Fence, nil
+}
+
+// read returns the value of a key, zero if it does not exist.
+func (a *attempt) read(ctx context.Context, key string) (Value, platform.Revision, error) {
+	kv, err := a.kv.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Value{}, 0, nil
+	}
+	if err != nil {
+		return Value{}, 0, trace.Wrap(err)
+	}
+	v, err := DecodeValue(kv.Value)
+	return v, kv.Revision, err
+}
+
+// write replaces a revision of a key. If the answer is lost, it reads the key to learn whether the write took effect.
+func (a *attempt) write(ctx context.Context, key string, previous platform.Revision, v Value, lease platform.LeaseID) error {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = a.kv.CompareAndSwap(ctx, key, previous, data, lease)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return trace.Wrap(errTaken)
+	}
+	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		return trace.Wrap(err)
+	}
+	current, _, err := a.read(ctx, key)
+	if err != nil {
+		return err
+	}
+	if current != v {
+		return trace.Wrap(errTaken)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/lease/holder.go
@@ -0,0 +1,96 @@
+package lease
+
+import "time"
+
+// Step is what a Holder asks of its driver.
+type Step uint8
+
+// Steps. Wait means that nothing is due before the returned time.
+const (
+	Wait Step = iota
+	Acquire
+	Renew
+)
+
+// Holder decides when to acquire and to renew, and whether the lease is held. It is a pure state machine: times come from the
+// process's monotonic clock, and jitter values from the caller.
+type Holder struct {
+	config Config
+	fence  uint64
+	// until is the end of the time in which the lease is certainly still the process's own.
+	until time.Time
+	next  time.Time
+}
+
+// NewHolder returns a holder that does not hold the lease.
+func NewHolder(config Config) *Holder { return &Holder{config: config} }
+
+// Next returns the step that is due at time now, else Wait and the time of the next step.
+func (h *Holder) Next(now time.Time) (Step, time.Time) {
+	if now.Before(h.next) {
+		return Wait, h.next
+	}
+	if _, ok := h.Held(now); ok {
+		return Renew, now
+	}
+	return Acquire, now
+}
+
+// Acquired records an acquisition whose platform lease was requested at time sent. A token that is not above the last one is
+// rejected, because tokens only grow.
+func (h *Holder) Acquired(sent time.Time, fence uint64, jitter float64) {
+	if fence <= h.fence {
+		h.NotAcquired(sent, jitter)
+		return
+	}
+	h.fence = fence
+	h.extend(sent, jitter)
+}
+
+// NotAcquired records that an attempt made at time now failed or found another holder.
+func (h *Holder) NotAcquired(now time.Time, jitter float64) {
+	h.next = now.Add(h.interval(jitter))
+}
+
+// Renewed records a successful renewal that was sent at time sent. One that was sent after the lease may have ended does not
+// revive it.
+func (h *Holder) Renewed(sent time.Time, jitter float64) {
+	if !sent.Before(h.until) {
+		h.Lost()
+		return
+	}
+	h.extend(sent, jitter)
+}
+
+// RenewalFailed records a renewal without an answer. It is tried again sooner, while the lease is still held.
+func (h *Holder) RenewalFailed(now time.Time, jitter float64) {
+	h.next = now.Add(h.interval(jitter) / 4)
+}
+
+// Lost records that the platform said that the lease has ended.
+func (h *Holder) Lost() {
+	h.until = time.Time{}
+	h.next = time.Time{}
+}
+
+// Held returns the fencing token if the lease is held at time now.
+func (h *Holder) Held(now time.Time) (fence uint64, ok bool) {
+	if !now.Before(h.until) {
+		return 0, false
+	}
+	return h.fence, true
+}
+
+// Until returns the end of the time in which the lease is held without a further renewal.
+func (h *Holder) Until() time.Time { return h.until }
+
+func (h *Holder) extend(sent time.Time, jitter float64) {
+	h.until = sent.Add(h.config.TTL - h.config.Margin)
+	h.next = sent.Add(h.interval(jitter))
+}
+
+// interval returns a third of the ttl, less jitter, a number in [0, 1), times the configured part.
+func (h *Holder) interval(jitter float64) time.Duration {
+	third := float64(h.config.TTL) / 3
+	return time.Duration(third * (1 - h.config.Jitter*jitter))
+}
--- /dev/null
+++ b/process/lease/keeper.go
@@ -0,0 +1,176 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/event"
+)
+
+// Keeper acquires a lease and keeps it renewed. Run is its only goroutine; Held may be called from any.
+type Keeper struct {
+	config Config
+	kv     platform.KV
+	name   string
+	holder string
+	random *rand.Rand
+
+	state   *Holder
+	lease   platform.LeaseID
+	logged  uint64
+	current atomic.Pointer[grant]
+}
+
+// grant is an immutable snapshot of the lease.
+type grant struct {
+	fence uint64
+	until time.Time
+}
+
+// NewKeeper returns a keeper of the lease with the given name for the instance holder. The seed is for jitter and for nonces,
+// and must differ between instances and between starts. The config must be valid.
+func NewKeeper(config Config, kv platform.KV, name, holder string, seed uint64) *Keeper {
+	return &Keeper{
+		config: config,
+		kv:     kv,
+		name:   name,
+		holder: holder,
+		random: rand.New(rand.NewPCG(seed, 0)),
+		state:  NewHolder(config),
+	}
+}
+
+// Held returns the fencing token if the lease is held at time now, which carries a monotonic clock reading as time.Now returns.
+// Callers ask again before each use, because the process may have been paused since the last answer.
+func (k *Keeper) Held(now time.Time) (fence uint64, ok bool) {
+	g := k.current.Load()
+	if g == nil || !now.Before(g.until) {
+		return 0, false
+	}
+	return g.fence, true
+}
+
+// Run acquires and renews the lease until ctx ends, then releases it.
+func (k *Keeper) Run(ctx context.Context) {
+	defer k.release(ctx)
+	for ctx.Err() == nil {
+		k.step(ctx)
+		_, next := k.state.Next(time.Now())
+		wait(ctx, time.Until(next))
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	step, _ := k.state.Next(time.Now())
+	switch step {
+	case Acquire:
+		k.acquire(ctx)
+	case Renew:
+		k.renew(ctx)
+	}
+	k.publish()
+}
+
+func (k *Keeper) publish() {
+	fence, ok := k.state.Held(time.Now())
+	if ok {
+		k.current.Store(&grant{fence: fence, until: k.state.Until()})
+		k.logChange(fence)
+		return
+	}
+	k.current.Store(nil)
+	k.logChange(0)
+}
+
+func (k *Keeper) logChange(fence uint64) {
+	switch {
+	case fence == k.logged:
+	case fence == 0:
+		event.Log(event.LeaseLost, "lease", k.name, "fence", k.logged)
+	default:
+		event.Log(event.LeaseAcquired, "lease", k.name, "fence", fence)
+	}
+	k.logged = fence
+}
+
+func (k *Keeper) acquire(ctx context.Context) {
+	k.revoke(ctx)
+	sent := time.Now()
+	fence, err := k.attempt(ctx)
+	if err != nil {
+		k.revoke(ctx)
+		k.state.NotAcquired(time.Now(), k.random.Float64())
+		return
+	}
+	k.state.Acquired(sent, fence, k.random.Float64())
+}
+
+// attempt first looks for another holder, which costs one read instead of a platform lease.
+func (k *Keeper) attempt(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
+	defer cancel()
+	a := &attempt{kv: k.kv, name: k.name, holder: k.holder, nonce: k.random.Uint64()}
+	current, _, err := a.read(ctx, leaseKey(k.name))
+	if err != nil {
+		return 0, err
+	}
+	if current != (Value{}) {
+		return 0, errTaken
+	}
+	k.lease, err = k.kv.Grant(ctx, k.config.TTL)
+	if err != nil {
+		return 0, err
+	}
+	a.lease = k.lease
+	return a.run(ctx)
+}
+
+func (k *Keeper) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	err := k.kv.Renew(ctx, k.lease)
+	switch {
+	case err == nil:
+		k.state.Renewed(sent, k.random.Float64())
+	case errors.Is(err, platform.ErrNotFound):
+		k.state.Lost()
+	default:
+		k.state.RenewalFailed(time.Now(), k.random.Float64())
+	}
+}
+
+// revoke ends the platform lease of an earlier attempt. If it fails, the lease ends after its ttl.
+func (k *Keeper) revoke(ctx context.Context) {
+	if k.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
+	defer cancel()
+	if err := k.kv.Revoke(ctx, k.lease); err == nil || errors.Is(err, platform.ErrNotFound) {
+		k.lease = 0
+	}
+}
+
+// release gives the lease up, so that another process need not wait for its end.
+func (k *Keeper) release(ctx context.Context) {
+	k.current.Store(nil)
+	k.logChange(0)
+	k.revoke(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/process/quarantine/list.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/wire"
+)
+
+// List is the quarantined fingerprints as one process knows them.
+type List struct {
+	config  Config
+	entries map[Fingerprint]*entry
+	cursor  Fingerprint
+}
+
+type entry struct {
+	until time.Time
+	// sent is the number of digests that carried the entry.
+	sent int
+}
+
+// NewList returns an empty list.
+func NewList(config Config) *List {
+	return &List{config: config, entries: make(map[Fingerprint]*entry)}
+}
+
+// Add quarantines a fingerprint from now on.
+func (l *List) Add(now time.Time, f Fingerprint) {
+	l.put(now, f, now.Add(l.config.QuarantineFor))
+}
+
+// Merge takes the entries of a peer's gossip. Times beyond QuarantineFor are cut.
+func (l *List) Merge(now time.Time, entries []wire.QuarantineEntry) {
+	for _, e := range entries {
+		left := min(time.Duration(e.LeftMS)*time.Millisecond, l.config.QuarantineFor)
+		if left > 0 {
+			l.put(now, Fingerprint(e.Fingerprint), now.Add(left))
+		}
+	}
+}
+
+// put adds an entry or prolongs it. A difference within the margin is a copy of the same entry that took longer, not news.
+func (l *List) put(now time.Time, f Fingerprint, until time.Time) {
+	known := l.entries[f]
+	if known != nil && !until.After(known.until.Add(l.config.GossipMargin)) {
+		return
+	}
+	if known == nil && len(l.entries) >= l.config.MaxEntries && !l.makeRoom(now, until) {
+		return
+	}
+	l.entries[f] = &entry{until: until}
+}
+
+// makeRoom drops what has ended, or else the entry that ends first, if it ends before until.
+func (l *List) makeRoom(now time.Time, until time.Time) bool {
+	l.expire(now)
+	if len(l.entries) < l.config.MaxEntries {
+		return true
+	}
+	first := slices.MinFunc(slices.Collect(maps.Keys(l.entries)), func(a, b Fingerprint) int {
+		return cmp.Or(l.entries[a].until.Compare(l.entries[b].until), cmp.Compare(a, b))
+	})
+	if !l.entries[first].until.Before(until) {
+		return false
+	}
+	delete(l.entries, first)
+	return true
+}
+
+func (l *List) expire(now time.Time) {
+	maps.DeleteFunc(l.entries, func(_ Fingerprint, e *entry) bool { return !now.Before(e.until) })
+}
+
+// Contains reports whether a fingerprint is quarantined at time now. It does not allocate.
+func (l *List) Contains(now time.Time, f Fingerprint) bool {
+	e := l.entries[f]
+	return e != nil && now.Before(e.until)
+}
+
+// Len returns the number of entries that are in force at time now.
+func (l *List) Len(now time.Time) int {
+	l.expire(now)
+	return len(l.entries)
+}
+
+// Digest returns at most limit entries to gossip: the least sent ones while they are fresh, and one older entry in turn, so that a
+// process that missed an entry learns it later. Without fresh entries a digest has at most one entry.
+func (l *List) Digest(now time.Time, limit int) []wire.QuarantineEntry {
+	l.expire(now)
+	var digest []wire.QuarantineEntry
+	for _, f := range l.fresh() {
+		if len(digest) >= limit {
+			return digest
+		}
+		digest = l.appendTo(digest, now, f)
+	}
+	if len(digest) >= limit {
+		return digest
+	}
+	if f, ok := l.inTurn(); ok {
+		digest = l.appendTo(digest, now, f)
+	}
+	return digest
+}
+
+func (l *List) appendTo(digest []wire.QuarantineEntry, now time.Time, f Fingerprint) []wire.QuarantineEntry {
+	e := l.entries[f]
+	e.sent++
+	left := e.until.Sub(now) - l.config.GossipMargin
+	if left < time.Millisecond {
+		return digest
+	}
+	return append(digest, wire.QuarantineEntry{Fingerprint: uint64(f), LeftMS: uint32(left.Milliseconds())})
+}
+
+// fresh returns the entries that were sent in fewer than FreshRounds digests, the least sent first.
+func (l *List) fresh() []Fingerprint {
+	var found []Fingerprint
+	for f, e := range l.entries {
+		if e.sent < l.config.FreshRounds {
+			found = append(found, f)
+		}
+	}
+	slices.SortFunc(found, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(l.entries[a].sent, l.entries[b].sent), cmp.Compare(a, b))
+	})
+	return found
+}
+
+// inTurn returns the next entry that is not fresh, in ascending order from the last one on.
+func (l *List) inTurn() (Fingerprint, bool) {
+	var next, first Fingerprint
+	haveNext, haveFirst := false, false
+	for f, e := range l.entries {
+		if e.sent < l.config.FreshRounds {
+			continue
+		}
+		if !haveFirst || f < first {
+			first, haveFirst = f, true
+		}
+		if f > l.cursor && (!haveNext || f < next) {
+			next, haveNext = f, true
+		}
+	}
+	if !haveNext {
+		next = first
+	}
+	l.cursor = next
+	return next, haveNext || haveFirst
+}
--- /dev/null
+++ b/version/rollout/evidence.go
@@ -0,0 +1,173 @@
+package rollout
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Outcome is how one request ended.
+type Outcome uint8
+
+// Outcomes. A request that failed because of its caller (malformed, canceled, over a limit) is not counted at all.
+const (
+	OK Outcome = iota
+	Failed
+	Slow
+)
+
+// Side is one of the two versions of a shift.
+type Side uint8
+
+// Sides of a shift.
+const (
+	Old Side = iota
+	New
+)
+
+// Counts are numbers of requests by outcome.
+type Counts struct {
+	OK     uint32
+	Failed uint32
+	Slow   uint32
+}
+
+// Total returns the number of requests.
+func (c Counts) Total() uint32 { return c.OK + c.Failed + c.Slow }
+
+// plus returns the sum of two counts.
+func (c Counts) plus(d Counts) Counts {
+	c.OK += d.OK
+	c.Failed += d.Failed
+	c.Slow += d.Slow
+	return c
+}
+
+// Key names a stratum: requests that differ only in the version that served them.
+type Key struct {
+	DataCentre string
+	Route      string
+	// Window is the number of the time window since the Unix epoch.
+	Window int64
+	// Step is the step of the shift that the entry followed, so that a change of the share does not fall inside a stratum.
+	Step uint8
+}
+
+func (k Key) compare(l Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Window, l.Window),
+		cmp.Compare(k.DataCentre, l.DataCentre),
+		cmp.Compare(k.Route, l.Route),
+		cmp.Compare(k.Step, l.Step),
+	)
+}
+
+// Cell is the counts of one stratum.
+type Cell struct {
+	Key Key
+	Old Counts
+	New Counts
+}
+
+func (c Cell) total() uint64 { return uint64(c.Old.Total()) + uint64(c.New.Total()) }
+
+// Evidence is a set of cells of one shift. Its zero value is empty and ready for use.
+type Evidence struct {
+	cells map[Key]Cell
+}
+
+// Add counts n requests.
+func (e *Evidence) Add(key Key, side Side, outcome Outcome, n uint32) {
+	var counts Counts
+	switch outcome {
+	case Failed:
+		counts.Failed = n
+	case Slow:
+		counts.Slow = n
+	default:
+		counts.OK = n
+	}
+	if side == New {
+		e.AddCell(Cell{Key: key, New: counts})
+		return
+	}
+	e.AddCell(Cell{Key: key, Old: counts})
+}
+
+// AddCell adds the counts of a cell.
+func (e *Evidence) AddCell(c Cell) {
+	if e.cells == nil {
+		e.cells = make(map[Key]Cell)
+	}
+	sum := e.cells[c.Key]
+	sum.Key = c.Key
+	sum.Old = sum.Old.plus(c.Old)
+	sum.New = sum.New.plus(c.New)
+	e.cells[c.Key] = sum
+}
+
+// Merge adds the counts of other, which is unchanged.
+func (e *Evidence) Merge(other Evidence) {
+	for _, c := range other.cells {
+		e.AddCell(c)
+	}
+}
+
+// Len returns the number of cells.
+func (e Evidence) Len() int { return len(e.cells) }
+
+// Cells returns the cells by window, data centre, route and step.
+func (e Evidence) Cells() []Cell {
+	cells := make([]Cell, 0, len(e.cells))
+	for _, c := range e.cells {
+		cells = append(cells, c)
+	}
+	slices.SortFunc(cells, func(a, b Cell) int { return a.Key.compare(b.Key) })
+	return cells
+}
+
+// Encode returns the evidence as msgpack, structs as arrays.
+func (e Evidence) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(e.Cells()); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeEvidence reverses Encode. It rejects evidence with more than maxCells cells.
+func DecodeEvidence(data []byte) (Evidence, error) {
+	var cells []Cell
+	if err := msgpack.Unmarshal(data, &cells); err != nil {
+		return Evidence{}, trace.Wrap(err)
+	}
+	if len(cells) > maxCells {
+		return Evidence{}, trace.Wrap(fmt.Errorf("evidence of %d cells exceeds %d", len(cells), maxCells))
+	}
+	var e Evidence
+	for _, c := range cells {
+		e.AddCell(c)
+	}
+	return e, nil
+}
+
+// maxCells bounds what a peer can make a process hold: 64 sources of 256 routes in four open windows.
+const maxCells = 1 << 16
+
+// WindowOf returns the number of the window that contains t.
+func (c Config) WindowOf(t time.Time) int64 {
+	return t.UnixMilli() / c.Window.Milliseconds()
+}
+
+// firstOpen returns the oldest window that may still receive counts at time now.
+func (c Config) firstOpen(now time.Time) int64 {
+	return c.WindowOf(now.Add(-c.Lag))
+}
