--- /dev/null
+++ b/cmd/jayridge/load.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jayridge/jayridge/internal/loadgen"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// loadReport is the output of load.
+type loadReport struct {
+	loadgen.Summary
+	// Duplicates are bookings that ran more than once; Lost are confirmed bookings that did not run.
+	Duplicates []string `json:"duplicates"`
+	Lost       []string `json:"lost"`
+	// CacheReuse is the share of prompt tokens that engines found in their cache.
+	CacheReuse float64 `json:"cache_reuse"`
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name: "load", Usage: "send many chats and bookings to stand-ins and check every answer",
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.StringSliceFlag{Name: "entry", Required: true, Usage: "base `URL` of an entry; may be repeated"},
+			&cli.StringSliceFlag{Name: "service", Usage: "base `URL` of a stand-in plain service whose effects are counted; may be repeated"},
+			&cli.StringSliceFlag{Name: "engine", Usage: "base `URL` of a stand-in engine whose cache is counted; may be repeated"},
+			&cli.StringFlag{Name: "team", Value: "demo", Usage: "`TEAM` of the caller"},
+			&cli.StringFlag{Name: "name", Value: "load", Usage: "`NAME` that makes the ids of this load differ from others"},
+			&cli.StringFlag{Name: "chat-path", Value: "/chat", Usage: "`PATH` of the chats"},
+			&cli.StringFlag{Name: "booking-path", Value: "/bookings", Usage: "`PATH` of the bookings"},
+			&cli.IntFlag{Name: "chats", Value: 50, Usage: "`N` chats"},
+			&cli.IntFlag{Name: "returns", Value: 4, Usage: "each chat comes `N` times"},
+			&cli.IntFlag{Name: "bookings", Value: 20, Usage: "`N` bookings"},
+			&cli.IntFlag{Name: "sends", Value: 2, Usage: "each booking is sent `N` times with the same key"},
+			&cli.IntFlag{Name: "workers", Value: 16, Usage: "`N` requests at one time"},
+			&cli.IntFlag{Name: "tries", Value: 20, Usage: "tries of a request that was refused as not run"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, cmd *cli.Command) error {
+	summary := loadgen.Run(ctx, loadgen.Config{
+		Entries: cmd.StringSlice("entry"), Team: cmd.String("team"), Name: cmd.String("name"),
+		Chats: cmd.Int("chats"), Returns: cmd.Int("returns"), ChatPath: cmd.String("chat-path"),
+		Bookings: cmd.Int("bookings"), Sends: cmd.Int("sends"), BookingPath: cmd.String("booking-path"),
+		Workers: max(1, cmd.Int("workers")), Tries: cmd.Int("tries"),
+	})
+	report := loadReport{Summary: summary, Duplicates: []string{}, Lost: []string{}}
+	if err := report.countEffects(ctx, cmd.StringSlice("service"), cmd.String("name")); err != nil {
+		return fail(result.DemoFailed, err)
+	}
+	if err := report.countCache(ctx, cmd.StringSlice("engine")); err != nil {
+		return fail(result.DemoFailed, err)
+	}
+	if err := newPrinter(cmd).print(report, []string{"MEASURE", "VALUE"}, report.rows()); err != nil {
+		return err
+	}
+	return report.verdict()
+}
+
+func (r *loadReport) countEffects(ctx context.Context, services []string, name string) error {
+	if len(services) == 0 {
+		return nil
+	}
+	effects, err := loadgen.Effects(ctx, services)
+	if err != nil {
+		return err
+	}
+	for id, n := range effects {
+		if n > 1 && strings.HasPrefix(id, name+"-") {
+			r.Duplicates = append(r.Duplicates, id)
+		}
+	}
+	for _, id := range r.Confirmed {
+		if effects[id] == 0 {
+			r.Lost = append(r.Lost, id)
+		}
+	}
+	return nil
+}
+
+func (r *loadReport) countCache(ctx context.Context, engines []string) error {
+	counters, err := loadgen.Engines(ctx, engines)
+	if err != nil {
+		return err
+	}
+	var prompt, cached uint64
+	for _, c := range counters {
+		prompt += c.PromptTokens
+		cached += c.CachedTokens
+	}
+	r.CacheReuse = float64(cached) / float64(max(1, prompt))
+	return nil
+}
+
+func (r *loadReport) rows() [][]string {
+	milliseconds := func(ms float64) string { return strconv.FormatFloat(ms, 'f', 1, 64) + " ms" }
+	rows := [][]string{
+		{"requests", strconv.FormatInt(r.Requests, 10)},
+		{"answered whole", strconv.FormatInt(r.OK, 10)},
+		{"wrong answers", strconv.FormatInt(r.Wrong, 10)},
+		{"refused as not run, sent again", strconv.FormatInt(r.Retried, 10)},
+		{"first part p50 / p95 / p99", milliseconds(r.FirstPartP50MS) + " / " + milliseconds(r.FirstPartP95MS) + " / " + milliseconds(r.FirstPartP99MS)},
+		{"bookings confirmed", strconv.Itoa(r.Bookings)},
+		{"bookings run twice", strconv.Itoa(len(r.Duplicates))},
+		{"bookings lost", strconv.Itoa(len(r.Lost))},
+		{"prompt tokens found in caches", fmt.Sprintf("%.0f%%", 100*r.CacheReuse)},
+		{"seconds", strconv.FormatFloat(r.Seconds, 'f', 1, 64)},
+	}
+	for name, n := range r.Failed {
+		rows = append(rows, []string{"ended with " + name, strconv.FormatInt(n, 10)})
+	}
+	return rows
+}
+
+// verdict fails loudly on what must never happen.
+func (r *loadReport) verdict() error {
+	if r.Wrong > 0 || len(r.Duplicates) > 0 || len(r.Lost) > 0 || r.OK < r.Requests {
+		return failf(result.DemoFailed, "%d of %d requests answered whole, %d wrong, %d bookings run twice, %d lost",
+			r.OK, r.Requests, r.Wrong, len(r.Duplicates), len(r.Lost))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/jayridge/operator.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+const (
+	// listTimeout bounds a read of the instance list.
+	listTimeout = 5 * time.Second
+	// statusTimeout bounds one read of an instance's status page.
+	statusTimeout = 2 * time.Second
+	// statusReads bounds the status pages read at one time.
+	statusReads = 32
+)
+
+func kvFlag() cli.Flag {
+	return &cli.StringFlag{Name: "kv", Required: true, Sources: cli.EnvVars("JAYRIDGE_KV"), Usage: "base `URL` of the platform's key-value service"}
+}
+
+func instancesFlag() cli.Flag {
+	return &cli.StringFlag{Name: "instances", Sources: cli.EnvVars("JAYRIDGE_INSTANCES"), Usage: "base `URL` of the platform's instance list"}
+}
+
+func openKV(cmd *cli.Command) (platform.KV, error) {
+	kv, err := httpkv.New(httpkv.DefaultConfig(cmd.String("kv")))
+	if err != nil {
+		return nil, fail(result.UsageError, err)
+	}
+	return kv, nil
+}
+
+// instanceList reads the instance list.
+func instanceList(ctx context.Context, cmd *cli.Command) ([]platform.Instance, error) {
+	if cmd.String("instances") == "" {
+		return nil, failf(result.UsageError, "--instances (or JAYRIDGE_INSTANCES) is needed to find the instances")
+	}
+	rows, _, err := httplist.New(cmd.String("instances"), listTimeout).List(ctx, 0)
+	if err != nil {
+		return nil, fail(result.PlatformDown, err)
+	}
+	return rows, nil
+}
+
+// report is an instance's status page, or why there is none.
+type report struct {
+	platform.Instance
+	Status *node.Status `json:"status,omitempty"`
+	Error  string       `json:"error,omitempty"`
+}
+
+// readReports reads the status pages of instances.
+func readReports(ctx context.Context, instances []platform.Instance) []report {
+	reports := make([]report, len(instances))
+	var group errgroup.Group
+	group.SetLimit(statusReads)
+	for i, instance := range instances {
+		group.Go(func() error {
+			reports[i] = readReport(ctx, instance)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reports
+}
+
+func readReport(ctx context.Context, instance platform.Instance) report {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := readStatus(ctx, instance.Admin)
+	if err != nil {
+		return report{Instance: instance, Error: err.Error()}
+	}
+	return report{Instance: instance, Status: status}
+}
+
+func readStatus(ctx context.Context, admin string) (*node.Status, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status page answered %s", resp.Status)
+	}
+	var status node.Status
+	return &status, json.NewDecoder(resp.Body).Decode(&status)
+}
--- /dev/null
+++ b/cmd/jayridge/show.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+func showCommand() *cli.Command {
+	return &cli.Command{
+		Name: "show", Usage: "print the accepted rules, ready to be edited and applied",
+		Flags: []cli.Flag{kvFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			kv, err := openKV(cmd)
+			if err != nil {
+				return err
+			}
+			head, err := readHead(ctx, kv)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprint(cmd.Root().Writer, withBase(head.Text, head.Version))
+			return nil
+		},
+	}
+}
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name: "diff", Usage: "show how a rules file differs from the accepted rules", ArgsUsage: "FILE",
+		Description: "Exits with code 0 if there is no difference, and with differences-found otherwise.",
+		Flags:       []cli.Flag{kvFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return failf(result.UsageError, "diff needs exactly one FILE")
+			}
+			text, _, err := readRulesFile(cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			kv, err := openKV(cmd)
+			if err != nil {
+				return err
+			}
+			head, err := readHead(ctx, kv)
+			if err != nil {
+				return err
+			}
+			diff := headDiff(head, cmd.Args().First(), text)
+			_, _ = fmt.Fprint(cmd.Root().Writer, diff)
+			if diff != "" {
+				return failf(result.DifferencesFound, "%s differs from version %d", cmd.Args().First(), head.Version)
+			}
+			return nil
+		},
+	}
+}
+
+func headDiff(head config.Head, path, text string) string {
+	return config.Unified(fmt.Sprintf("accepted version %d", head.Version), path, head.Text, text)
+}
+
+// readHead reads the accepted configuration with its text.
+func readHead(ctx context.Context, kv platform.KV) (config.Head, error) {
+	head, _, err := config.ReadHead(ctx, kv, nil)
+	if err != nil {
+		return config.Head{}, fail(result.PlatformDown, err)
+	}
+	return head, nil
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,222 @@
+// Package entry is the caller-facing role. An entry chooses an upstream for each request from hints, passes the answer on, and
+// retries elsewhere where that is safe. It holds no state that must outlive it.
+package entry
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/candidate"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/request/retry"
+)
+
+// metrics counts what an entry does; docs/operations.md lists the names.
+var metrics = expvar.NewMap("jayridge_entry")
+
+// Options are an entry's collaborators. KV and List may be nil.
+type Options struct {
+	Settings *settings.Settings
+	KV       platform.KV
+	List     platform.InstanceList
+}
+
+// routing is what a request needs to find an upstream. It is immutable.
+type routing struct {
+	view     *candidate.View
+	sidecars map[string]platform.Instance
+	// present holds the service versions that have an upstream.
+	present map[serviceVersion]bool
+	entries int
+}
+
+type serviceVersion struct{ service, version string }
+
+// Entry is a running entry.
+type Entry struct {
+	opts    Options
+	node    *node.Node
+	routing atomic.Pointer[routing]
+	policy  *retry.Policy
+	teams   *teamLimits
+	server  *http.Server
+	ln      net.Listener
+
+	// mu guards the decisions below. It is never held across I/O.
+	mu     sync.Mutex
+	budget *retry.Budget
+	loads  *load.Table
+	random *rand.Rand
+
+	work sync.WaitGroup
+}
+
+var _ node.Role = (*Entry)(nil)
+
+// New binds the listeners of an entry and returns it, not yet running.
+func New(opts Options) (*Entry, error) {
+	retryConfig := retry.DefaultConfig()
+	e := &Entry{
+		opts:   opts,
+		policy: retry.NewPolicy(retryConfig),
+		budget: retry.NewBudget(time.Now(), retryConfig),
+		loads:  load.NewTable(opts.Settings.DataCentre, load.DefaultConfig()),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		teams:  newTeamLimits(),
+	}
+	e.routing.Store(&routing{})
+	n, err := node.New(node.Options{
+		Settings: opts.Settings, KV: opts.KV, List: opts.List,
+		Link: link.DefaultConfig(), Member: membership.DefaultConfig(), Role: e,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	e.node = n
+	if e.ln, err = net.Listen("tcp", opts.Settings.HTTPAddress); err != nil {
+		n.Stop()
+		return nil, trace.Wrap(err, "http_address")
+	}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serveHTTP), ReadHeaderTimeout: 10 * time.Second}
+	return e, nil
+}
+
+// Start runs the entry until Stop.
+func (e *Entry) Start() {
+	e.node.Start()
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		_ = e.server.Serve(e.ln)
+	}()
+}
+
+// Node returns the part that all roles share.
+func (e *Entry) Node() *node.Node { return e.node }
+
+// Leave turns the readiness page false and announces the departure. Callers that still arrive are served.
+func (e *Entry) Leave() { e.node.Leave() }
+
+// Drain stops accepting callers and waits until no request is in progress, or until ctx ends.
+func (e *Entry) Drain(ctx context.Context) error { return trace.Wrap(e.server.Shutdown(ctx)) }
+
+// Stop ends all goroutines and waits for them. Requests in progress are cut; call Drain first.
+func (e *Entry) Stop() {
+	_ = e.server.Close()
+	e.work.Wait()
+	e.node.Stop()
+}
+
+// Publish implements node.Role: it builds the routing tables of a new set of instances.
+func (e *Entry) Publish(snapshot *node.Snapshot) {
+	next := &routing{
+		sidecars: make(map[string]platform.Instance, len(snapshot.Sidecars)),
+		present:  map[serviceVersion]bool{},
+		entries:  max(1, len(snapshot.Entries)),
+	}
+	upstreams := make([]candidate.Upstream, 0, len(snapshot.Sidecars))
+	for _, i := range snapshot.Sidecars {
+		if drained(snapshot, i) {
+			continue
+		}
+		next.sidecars[i.ID] = i
+		next.present[serviceVersion{i.Service, i.Version}] = true
+		upstreams = append(upstreams, candidate.Upstream{ID: i.ID, DataCentre: i.DataCentre, Service: i.Service, Version: i.Version})
+	}
+	previous := e.routing.Load()
+	next.view = candidate.Build(previous.view, upstreams, candidate.DefaultConfig())
+	e.routing.Store(next)
+	e.forget(previous, next)
+}
+
+func drained(snapshot *node.Snapshot, i platform.Instance) bool {
+	if snapshot.Config == nil {
+		return false
+	}
+	_, is := snapshot.Config.Rules.Drained(i.DataCentre, i.ID)
+	return is
+}
+
+// forget drops the load reports of upstreams that left.
+func (e *Entry) forget(previous, next *routing) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range previous.sidecars {
+		if _, still := next.sidecars[id]; !still {
+			e.loads.Remove(id)
+		}
+	}
+}
+
+// Connect implements node.Role: it connects to the sidecars that this entry looks after, so that they learn the configuration
+// without traffic.
+func (e *Entry) Connect(snapshot *node.Snapshot) {
+	index, entries := place(snapshot.Entries, e.opts.Settings.Instance)
+	for _, i := range snapshot.Sidecars {
+		if i.DataCentre == e.opts.Settings.DataCentre || looksAfter(index, entries, i.ID) {
+			e.node.Pool().Prepare(i)
+		}
+	}
+}
+
+// place returns the position of an instance in the sorted list and the list's length, counting the instance if it is missing.
+func place(sorted []platform.Instance, id string) (index, n int) {
+	index, found := slices.BinarySearchFunc(sorted, id, func(i platform.Instance, id string) int { return strings.Compare(i.ID, id) })
+	if found {
+		return index, len(sorted)
+	}
+	return index, len(sorted) + 1
+}
+
+// entriesPerSidecar is how many entries of the whole fleet connect to a sidecar besides those of its own data centre, which may have
+// none.
+const entriesPerSidecar = 2
+
+func looksAfter(index, entries int, sidecar string) bool {
+	first := int(xxhash.Sum64String(sidecar) % uint64(entries))
+	return (index-first+entries)%entries < entriesPerSidecar
+}
+
+// Gossip implements node.Role.
+func (e *Entry) Gossip(g *wire.Gossip) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.Loads = e.loads.Summaries(time.Now())
+}
+
+// Heard implements node.Role.
+func (e *Entry) Heard(g *wire.Gossip) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads.Gossip(time.Now(), g.Loads)
+}
+
+// HandleOpen implements node.Role: entries serve no requests of peers.
+func (e *Entry) HandleOpen(_ context.Context, _ *link.Conn, _ *wire.Open, r *link.Responder) {
+	_ = r.End(wire.End{Result: uint8(result.NoRoute), Reason: "an entry has no upstream"})
+}
+
+// Status implements node.Role.
+func (e *Entry) Status() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{"retry_tokens": e.budget.Tokens(time.Now())}
+}
--- /dev/null
+++ b/process/entry/http.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/claim"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/rules"
+)
+
+// Headers of callers' requests and of answers; docs/callers.md describes them.
+const (
+	HeaderTeam           = "Jayridge-Team"
+	HeaderChat           = "Jayridge-Chat"
+	HeaderDeadline       = "Jayridge-Deadline-Ms"
+	HeaderPriority       = "Jayridge-Priority"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "Jayridge-Request-Id"
+	HeaderResult         = "Jayridge-Result"
+	HeaderOutcome        = "Jayridge-Outcome"
+	HeaderUpstream       = "Jayridge-Upstream"
+)
+
+// maxNameBytes bounds the team, chat and idempotency key headers.
+const maxNameBytes = 256
+
+// defaultRetryAfter is what a caller is told to wait when no sidecar said how long.
+const defaultRetryAfter = time.Second
+
+// serveHTTP answers one caller.
+func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	var id wire.RequestID
+	// crypto/rand.Read never fails.
+	_, _ = crand.Read(id[:])
+	w.Header().Set(HeaderRequestID, hex.EncodeToString(id[:]))
+	snapshot := e.node.Snapshot()
+	x, refusal := e.newExchange(id, snapshot, w, r)
+	if refusal != nil {
+		e.refuse(w, *refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), x.deadline)
+	defer cancel()
+	outcome := x.run(ctx)
+	metrics.Add("result_"+outcome.code.String(), 1)
+	if outcome.code.Outcome() == result.Unknown {
+		event.Log(event.RequestFailed, "request", hex.EncodeToString(id[:]), "service", x.route.Service, "route", x.route.Path, "code", int(outcome.code), "reason", outcome.reason)
+	}
+	x.answer.finish(outcome)
+}
+
+// refusal is an answer of the entry itself.
+type refusal struct {
+	code       result.Code
+	reason     string
+	retryAfter time.Duration
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, r refusal) {
+	metrics.Add("result_"+r.code.String(), 1)
+	writeFailure(w, outcome{code: r.code, reason: r.reason, retryAfter: r.retryAfter})
+}
+
+// newExchange checks a caller's request.
+func (e *Entry) newExchange(id wire.RequestID, snapshot *node.Snapshot, w http.ResponseWriter, r *http.Request) (*exchange, *refusal) {
+	if snapshot.Config == nil {
+		return nil, &refusal{code: result.NoConfiguration}
+	}
+	route, ok := snapshot.Config.Rules.Route(r.URL.Path)
+	if !ok {
+		return nil, &refusal{code: result.NoRoute}
+	}
+	service, ok := snapshot.Config.Rules.Service(route.Service)
+	if !ok {
+		return nil, &refusal{code: result.NoRoute}
+	}
+	x := &exchange{e: e, id: id, snapshot: snapshot, route: route, service: service, method: r.Method, path: r.URL.RequestURI()}
+	if fault := x.readHeaders(r.Header); fault != "" {
+		return nil, &refusal{code: result.BadRequest, reason: fault}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.opts.Settings.MaxBodyBytes)))
+	if err != nil {
+		return nil, &refusal{code: result.BadRequest, reason: bodyFault(err)}
+	}
+	x.body = body
+	x.estimateWork()
+	team, _ := snapshot.Config.Rules.Team(x.team)
+	if wait := e.teams.take(time.Now(), team, e.routing.Load().entries); wait > 0 {
+		return nil, &refusal{code: result.TeamLimit, retryAfter: wait}
+	}
+	x.answer = newAnswer(w, r, service.Kind == rules.Model, e.opts.Settings.MaxAnswerBytes)
+	return x, nil
+}
+
+func bodyFault(err error) string {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return "the body exceeds " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
+	}
+	return "the body could not be read"
+}
+
+// readHeaders returns what is wrong with the headers, or an empty text.
+func (x *exchange) readHeaders(h http.Header) string {
+	for _, name := range []string{HeaderTeam, HeaderChat, HeaderIdempotencyKey} {
+		if len(h.Get(name)) > maxNameBytes {
+			return name + " exceeds " + strconv.Itoa(maxNameBytes) + " bytes"
+		}
+	}
+	x.team = h.Get(HeaderTeam)
+	if x.team == "" {
+		return HeaderTeam + " is required"
+	}
+	x.key = h.Get(HeaderIdempotencyKey)
+	x.chat = x.affinity(h.Get(HeaderChat))
+	fault := x.readDeadline(h.Get(HeaderDeadline))
+	if fault != "" {
+		return fault
+	}
+	return x.readPriority(h.Get(HeaderPriority))
+}
+
+// affinity returns the hash by which the request finds its upstream. Calls with an idempotency key follow the shard of their claim, so
+// that one sidecar appends to it. Calls without a chat are spread.
+func (x *exchange) affinity(chat string) uint64 {
+	switch {
+	case x.key != "" && !x.route.Idempotent:
+		shards := claim.DefaultConfig(x.route.Service).Shards
+		shard := claim.KeyOf(x.team, x.key).Shard(shards)
+		return xxhash.Sum64String(x.route.Service + " shard " + strconv.Itoa(shard))
+	case chat != "":
+		x.inChat = true
+		return xxhash.Sum64String(x.team + "\x00" + chat)
+	default:
+		return rand.Uint64()
+	}
+}
+
+func (x *exchange) readDeadline(text string) string {
+	x.deadline = x.route.Deadline
+	if text == "" {
+		return ""
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms <= 0 || ms > math.MaxInt32 {
+		return HeaderDeadline + " must be a positive number of milliseconds"
+	}
+	x.deadline = min(x.deadline, settings.Milliseconds(ms))
+	return ""
+}
+
+// readPriority lets a caller lower the priority of its route's rule, never raise it.
+func (x *exchange) readPriority(text string) string {
+	x.priority = x.route.Priority
+	switch strings.ToLower(text) {
+	case "", "high":
+	case "normal":
+		x.priority = min(x.priority, rules.Normal)
+	case "low":
+		x.priority = rules.Low
+	default:
+		return HeaderPriority + " must be high, normal or low"
+	}
+	return ""
+}
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -4,6 +4,9 @@
 package event
 
 import (
+	"strings"
+
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
@@ -33,14 +36,14 @@
 	InstanceLeft     ID = 305
 	InstanceListFail ID = 306
 
-	RequestFailed    ID = 400
-	UpstreamCold     ID = 401
-	UpstreamWarm     ID = 402
-	DrainStarted     ID = 403
-	DrainEnded       ID = 404
-	UpstreamCrashed  ID = 405
-	RequestQuarantin ID = 406
-	LoadReportFailed ID = 407
+	RequestFailed      ID = 400
+	UpstreamCold       ID = 401
+	UpstreamWarm       ID = 402
+	DrainStarted       ID = 403
+	DrainEnded         ID = 404
+	UpstreamCrashed    ID = 405
+	RequestQuarantined ID = 406
+	LoadReportFailed   ID = 407
 
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
@@ -104,7 +107,7 @@
 	{DrainStarted, "drain in force", Info, ""},
 	{DrainEnded, "drain ended", Info, ""},
 	{UpstreamCrashed, "upstream crashed with requests in flight", Error, "look at the upstream's own log"},
-	{RequestQuarantin, "request fingerprint quarantined", Error, "send the request's fingerprint to the owner of the model engine"},
+	{RequestQuarantined, "request fingerprint quarantined", Error, "send the request's fingerprint to the owner of the model engine"},
 	{LoadReportFailed, "load report of the upstream unavailable", Warning, "check that the upstream runs"},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
@@ -139,6 +142,12 @@
 func Log(id ID, keysAndValues ...any) {
 	d := byID[id]
 	fields := append([]any{"event", int(id)}, keysAndValues...)
+	for i, field := range fields {
+		// The text of a wrapped error includes its stack on several lines.
+		if err, ok := field.(error); ok {
+			fields[i] = strings.ReplaceAll(trace.Unwrap(err).Error(), "\n", "; ")
+		}
+	}
 	switch d.Level {
 	case Error:
 		klog.ErrorSDepth(1, nil, d.Name, fields...)
--- /dev/null
+++ b/process/event/event_test.go
@@ -0,0 +1,25 @@
+package event
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against an event that the catalogue page does not have or describes otherwise.
+func TestDocs_ListEveryEvent(t *testing.T) {
+	page, err := os.ReadFile("../../docs/events.md")
+	must.NoError(t, err)
+	levels := map[Level]string{Info: "info", Warning: "warning", Error: "error"}
+	for _, d := range All() {
+		action := d.Action
+		if action == "" {
+			action = "nothing"
+		}
+		must.StrContains(t, string(page), fmt.Sprintf("| %d | %s | %s | %s |\n", d.ID, d.Name, levels[d.Level], action))
+	}
+	must.Eq(t, len(All()), strings.Count(string(page), "\n| ")-1)
+}
--- /dev/null
+++ b/process/node/control.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+const (
+	// tickInterval is how often the control goroutine looks for changes that only time brings.
+	tickInterval = 250 * time.Millisecond
+	// pullTimeout is the time after which an unanswered configuration pull is repeated with another peer.
+	pullTimeout = 300 * time.Millisecond
+	// adoptFanout is how many random peers hear at once of a version that was just adopted. Requests and gossip tell the rest.
+	adoptFanout = 8
+)
+
+// control is the state that the control goroutine owns.
+type control struct {
+	n       *Node
+	config  *config.State
+	members *membership.Table
+	// pulledAt is when the last configuration pull was sent; zero when none is under way.
+	pulledAt time.Time
+	// stopWatch ends the watch of the configuration head; nil while this process does not watch.
+	stopWatch  context.CancelFunc
+	lastGossip time.Time
+}
+
+func newControl(n *Node) *control {
+	return &control{n: n, config: config.New(config.DefaultConfig()), members: membership.New(n.opts.Member)}
+}
+
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-c.n.events:
+			f(c)
+			c.publishMembers(ctx)
+		case <-ticker.C:
+			c.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *control) tick(ctx context.Context) {
+	c.publishMembers(ctx)
+	now := time.Now()
+	if now.Sub(c.lastGossip) >= settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS) {
+		c.lastGossip = now
+		c.n.opts.Role.Connect(c.n.Snapshot())
+		c.gossip(ctx)
+	}
+}
+
+// publishMembers publishes a new snapshot if the eligible instances may have changed.
+func (c *control) publishMembers(ctx context.Context) {
+	now := time.Now()
+	if !c.members.Changed(now) {
+		return
+	}
+	next := *c.n.Snapshot()
+	next.Sidecars = c.members.Eligible(now, settings.RoleSidecar)
+	next.Entries = c.members.Eligible(now, settings.RoleEntry)
+	c.publish(&next)
+	c.chooseWatch(ctx, next.Entries)
+	c.n.pool.retain(c.members.Known(settings.RoleSidecar), c.members.Known(settings.RoleEntry))
+}
+
+func (c *control) publish(next *Snapshot) {
+	c.n.opts.Role.Publish(next)
+	c.n.snapshot.Store(next)
+}
+
+// adopted publishes the configuration that the state just took over and tells some peers.
+func (c *control) adopted(source string) {
+	next := *c.n.Snapshot()
+	next.Config = c.config.Current()
+	c.publish(&next)
+	c.pulledAt = time.Time{}
+	fresh := make(chan struct{})
+	close(*c.n.adopted.Swap(&fresh))
+	event.Log(event.ConfigAdopted, "version", next.Config.Version, "author", next.Config.Author, "source", source)
+	c.tellSome(adoptFanout)
+}
+
+// tellSome sends the digests to up to k random connected peers.
+func (c *control) tellSome(k int) {
+	conns := append(c.n.server.Conns(), c.n.pool.conns()...)
+	rand.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
+	for _, conn := range conns[:min(k, len(conns))] {
+		_ = conn.Send(c.digest())
+	}
+}
+
+func (c *control) digest() *wire.Gossip {
+	g := &wire.Gossip{ConfigVersion: c.n.Snapshot().Version()}
+	c.n.opts.Role.Gossip(g)
+	return g
+}
+
+// gossip exchanges digests with one random peer. An entry prefers other entries, which reach all data centres; a sidecar has only
+// the connections that entries made to it, and its seeds.
+func (c *control) gossip(ctx context.Context) {
+	peers := c.n.Snapshot().Entries
+	if c.n.opts.Settings.Role != settings.RoleEntry || len(peers) <= 1 {
+		c.tellSome(1)
+		c.callSeed(ctx)
+		return
+	}
+	peer := peers[rand.IntN(len(peers))]
+	if peer.ID == c.n.opts.Settings.Instance {
+		c.tellSome(1)
+		return
+	}
+	message := c.digest()
+	c.n.run(func() {
+		if conn, err := c.n.pool.Get(ctx, peer); err == nil {
+			_ = conn.Send(message)
+		}
+	})
+}
+
+// callSeed connects to a random seed while no configuration is known, so that a replaced instance learns it in an outage.
+func (c *control) callSeed(ctx context.Context) {
+	seeds := c.n.opts.Settings.Seeds
+	if c.n.Snapshot().Config != nil || len(seeds) == 0 {
+		return
+	}
+	address := seeds[rand.IntN(len(seeds))]
+	c.n.run(func() { _, _ = c.n.pool.Get(ctx, platform.Instance{ID: "seed " + address, Address: address}) })
+}
+
+// pull asks a peer for the configuration after the version in force, unless an earlier question is still open.
+func (c *control) pull(conn *link.Conn, version uint64) {
+	now := time.Now()
+	mine := c.n.Snapshot().Version()
+	if version <= mine || now.Sub(c.pulledAt) < pullTimeout {
+		return
+	}
+	c.pulledAt = now
+	if err := conn.Send(&wire.ConfigPull{Since: mine}); err != nil {
+		c.pulledAt = time.Time{}
+	}
+}
+
+func (c *control) answerPull(conn *link.Conn, pull wire.ConfigPull) {
+	for _, push := range c.config.Answer(pull) {
+		if err := conn.Send(&push); err != nil {
+			return
+		}
+	}
+}
+
+func (c *control) applyPush(conn *link.Conn, push wire.ConfigPush) {
+	adopted, err := c.config.ApplyPush(push)
+	if err != nil {
+		event.Log(event.ConfigInvalid, "peer", conn.Remote().Instance, "error", err)
+		c.pulledAt = time.Time{}
+		return
+	}
+	if adopted {
+		c.adopted(conn.Remote().Instance)
+	}
+}
+
+func (c *control) adoptHead(head config.Head) {
+	adopted, err := c.config.AdoptHead(head)
+	if err != nil {
+		event.Log(event.ConfigInvalid, "peer", "key-value service", "error", err)
+		return
+	}
+	if adopted {
+		c.adopted("key-value service")
+	}
+}
--- /dev/null
+++ b/process/node/node.go
@@ -0,0 +1,222 @@
+// Package node is the part that every role shares: the control goroutine with configuration and membership, connections to peers,
+// gossip, the admin server, and the leave sequence.
+//
+// One control goroutine per process owns all control state. Other goroutines post changes to it over a bounded channel and read the
+// immutable Snapshot that it publishes.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+// Snapshot is the published control state. It is immutable.
+type Snapshot struct {
+	// Config is the accepted configuration in force here; nil until one is known.
+	Config *config.Accepted
+	// Sidecars and Entries are the instances that may get new work, ordered by id.
+	Sidecars []platform.Instance
+	Entries  []platform.Instance
+}
+
+// Version returns the configuration version in force, zero if there is none.
+func (s *Snapshot) Version() uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
+// Role is what a process does beside the shared part.
+type Role interface {
+	// HandleOpen serves one request of a peer, on a goroutine of its own. It may block.
+	HandleOpen(ctx context.Context, c *link.Conn, open *wire.Open, r *link.Responder)
+	// Publish is called on the control goroutine before a new snapshot becomes visible. It must not block.
+	Publish(s *Snapshot)
+	// Connect starts connections that the role keeps without traffic. It is called on the control goroutine with each gossip
+	// interval and must not block.
+	Connect(s *Snapshot)
+	// Gossip adds the role's digests to a message that is about to be sent. It is called on the control goroutine.
+	Gossip(g *wire.Gossip)
+	// Heard takes a peer's digests. It is called on a connection's reader goroutine and must not block.
+	Heard(g *wire.Gossip)
+	// Status returns what the status page shows of the role. It is called on the admin server's goroutines.
+	Status() any
+}
+
+// Options are a node's collaborators. KV and List may be nil.
+type Options struct {
+	Settings *settings.Settings
+	KV       platform.KV
+	List     platform.InstanceList
+	Link     link.Config
+	Member   membership.Config
+	Role     Role
+}
+
+// eventQueue bounds the changes that wait for the control goroutine.
+const eventQueue = 4096
+
+// Node is a running process. Its methods may be called from any goroutine unless they say otherwise.
+type Node struct {
+	opts     Options
+	snapshot atomic.Pointer[Snapshot]
+	events   chan func(*control)
+	server   *link.Server
+	pool     *Pool
+	// heard holds the configuration version that each peer last showed, by instance id.
+	heard sync.Map
+	// adopted is closed and replaced when a configuration version is adopted.
+	adopted  atomic.Pointer[chan struct{}]
+	leaving  atomic.Bool
+	listener net.Listener
+	admin    *http.Server
+	adminLn  net.Listener
+	work     sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// New binds the listeners of a process and returns it, not yet running.
+func New(opts Options) (*Node, error) {
+	n := &Node{opts: opts, events: make(chan func(*control), eventQueue)}
+	n.snapshot.Store(&Snapshot{})
+	adopted := make(chan struct{})
+	n.adopted.Store(&adopted)
+	handler := &peerHandler{n}
+	n.server = link.NewServer(opts.Link, n.hello, handler)
+	n.pool = newPool(n, handler)
+	var err error
+	if n.listener, err = net.Listen("tcp", opts.Settings.PeerAddress); err != nil {
+		return nil, listenError(err, "peer_address")
+	}
+	if n.adminLn, err = net.Listen("tcp", opts.Settings.AdminAddress); err != nil {
+		_ = n.listener.Close()
+		return nil, listenError(err, "admin_address")
+	}
+	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: 10 * time.Second}
+	return n, nil
+}
+
+func listenError(err error, field string) error {
+	event.Log(event.ListenerFailed, "field", field, "error", err)
+	return trace.Wrap(err, "%s", field)
+}
+
+// Start runs the node until Stop.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.run(func() { newControl(n).run(ctx) })
+	n.run(func() { _ = n.server.Serve(n.listener) })
+	n.run(func() { _ = n.admin.Serve(n.adminLn) })
+	if n.opts.List != nil {
+		n.run(func() { n.pollInstances(ctx) })
+	}
+	if n.opts.KV != nil {
+		n.run(func() { n.readHeadUntilKnown(ctx) })
+	}
+	s := n.opts.Settings
+	event.Log(event.ProcessStarted, "instance", s.Instance, "role", s.Role, "data_centre", s.DataCentre, "peer", s.PeerAddress, "admin", s.AdminAddress)
+}
+
+// run starts a goroutine that Stop waits for.
+func (n *Node) run(f func()) {
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		f()
+	}()
+}
+
+// Snapshot returns the current control state.
+func (n *Node) Snapshot() *Snapshot { return n.snapshot.Load() }
+
+// Pool returns the connections to other instances.
+func (n *Node) Pool() *Pool { return n.pool }
+
+// Leaving reports whether the process takes no new work any more.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Leave announces that the process takes no new work. The health page says so from now on.
+func (n *Node) Leave() {
+	if n.leaving.Swap(true) {
+		return
+	}
+	event.Log(event.ProcessLeaving, "instance", n.opts.Settings.Instance)
+	goodbye := &wire.Leaving{Instance: n.opts.Settings.Instance}
+	n.server.Broadcast(goodbye)
+	n.pool.broadcast(goodbye)
+}
+
+// Drain waits until no peer's request is in progress, or until ctx ends.
+func (n *Node) Drain(ctx context.Context) error { return n.server.Drain(ctx) }
+
+// Stop ends all goroutines and connections and waits for them.
+func (n *Node) Stop() {
+	if n.stop != nil {
+		n.stop()
+	}
+	n.server.Close()
+	n.pool.close()
+	_ = n.admin.Close()
+	n.work.Wait()
+	event.Log(event.ProcessStopped, "instance", n.opts.Settings.Instance)
+}
+
+// post hands a change to the control goroutine. It reports false, and counts it, when the queue is full.
+func (n *Node) post(f func(*control)) bool {
+	select {
+	case n.events <- f:
+		return true
+	default:
+		metrics.Add("control_events_dropped", 1)
+		return false
+	}
+}
+
+func (n *Node) hello() wire.Hello {
+	s := n.opts.Settings
+	h := wire.Hello{
+		Major: wire.MajorVersion, Minor: wire.MinorVersion, Instance: s.Instance, Role: s.Role, DataCentre: s.DataCentre,
+		Service: s.Service, Address: s.PeerAddress, ConfigVersion: n.Snapshot().Version(),
+	}
+	if s.Role == settings.RoleSidecar {
+		h.Version = s.Upstream.Version
+	}
+	return h
+}
+
+// jitter returns a random duration up to d.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(rand.Int64N(int64(d)))
+}
+
+// sleep waits for d and reports false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/process/node/watch.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+const (
+	// watchersPerDataCentre is how many entries of a data centre watch the configuration head. A watch counts as a call of the
+	// platform's service, so most instances learn of a change from their peers.
+	watchersPerDataCentre = 2
+	// maxBackoff bounds the time between tries while the platform is unavailable.
+	maxBackoff = 5 * time.Second
+	// firstReadJitter spreads the first reads of many instances that start at once.
+	firstReadJitter = 500 * time.Millisecond
+	// sidecarReadDelay gives entries the time to bring the configuration to a new sidecar before it reads it itself.
+	sidecarReadDelay = 3 * time.Second
+)
+
+// chooseWatch starts or ends this entry's watch of the configuration head.
+func (c *control) chooseWatch(ctx context.Context, entries []platform.Instance) {
+	if c.n.opts.KV == nil || c.n.opts.Settings.Role != settings.RoleEntry {
+		return
+	}
+	watch := watches(c.n.opts.Settings, entries)
+	switch {
+	case watch && c.stopWatch == nil:
+		watchCtx, cancel := context.WithCancel(ctx)
+		c.stopWatch = cancel
+		c.n.run(func() { c.n.watchHead(watchCtx) })
+	case !watch && c.stopWatch != nil:
+		c.stopWatch()
+		c.stopWatch = nil
+	}
+}
+
+// watches reports whether the instance is among the first of its data centre by hash. An instance that the list does not show yet
+// watches, since nobody else may.
+func watches(s *settings.Settings, entries []platform.Instance) bool {
+	var hashes []uint64
+	listed := false
+	for _, e := range entries {
+		if e.DataCentre == s.DataCentre {
+			hashes = append(hashes, xxhash.Sum64String(e.ID))
+			listed = listed || e.ID == s.Instance
+		}
+	}
+	slices.Sort(hashes)
+	mine, _ := slices.BinarySearch(hashes, xxhash.Sum64String(s.Instance))
+	return !listed || mine < watchersPerDataCentre
+}
+
+// watchHead posts each new configuration head to the control goroutine until ctx ends.
+func (n *Node) watchHead(ctx context.Context) {
+	var after platform.Revision
+	backoff := newBackoff()
+	for ctx.Err() == nil {
+		kv, err := n.opts.KV.Watch(ctx, config.HeadKey, after)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded) {
+				event.Log(event.ConfigWatchFailed, "error", err)
+				sleep(ctx, backoff.next())
+			}
+			continue
+		}
+		backoff.reset()
+		// A revision below the one already seen is a stale answer; the state ignores its content too.
+		after = max(after, kv.Revision)
+		n.takeHead(ctx, kv)
+	}
+}
+
+func (n *Node) takeHead(ctx context.Context, kv platform.KeyValue) {
+	head, err := config.DecodeHead(kv.Value)
+	if err == nil {
+		head, err = config.Complete(ctx, n.opts.KV, head, n.Snapshot().Config)
+	}
+	if err != nil {
+		event.Log(event.ConfigInvalid, "peer", "key-value service", "error", err)
+		return
+	}
+	n.post(func(c *control) { c.adoptHead(head) })
+}
+
+// readHeadUntilKnown reads the configuration head directly while no peer has brought one.
+func (n *Node) readHeadUntilKnown(ctx context.Context) {
+	delay := jitter(firstReadJitter)
+	if n.opts.Settings.Role == settings.RoleSidecar {
+		delay += sidecarReadDelay
+	}
+	backoff := newBackoff()
+	for sleep(ctx, delay) && n.Snapshot().Config == nil {
+		kv, err := n.opts.KV.Get(ctx, config.HeadKey)
+		if err == nil {
+			n.takeHead(ctx, kv)
+		}
+		delay = backoff.next()
+	}
+}
+
+// pollInstances posts each new instance list to the control goroutine until ctx ends.
+func (n *Node) pollInstances(ctx context.Context) {
+	interval := settings.Milliseconds(n.opts.Settings.Instances.PollIntervalMS)
+	var revision uint64
+	failing := false
+	for {
+		rows, next, err := n.opts.List.List(ctx, revision)
+		if err != nil && ctx.Err() == nil && !failing {
+			event.Log(event.InstanceListFail, "error", err)
+		}
+		failing = err != nil
+		if err == nil && next != revision {
+			if n.post(func(c *control) { c.members.ApplyList(rows) }) {
+				revision = next
+			}
+		}
+		// Polls of many instances are spread over the interval.
+		if !sleep(ctx, interval/2+jitter(interval)) {
+			return
+		}
+	}
+}
+
+// backoff grows from a short wait to maxBackoff with full jitter.
+type backoff struct{ limit time.Duration }
+
+const firstBackoff = 100 * time.Millisecond
+
+func newBackoff() *backoff { return &backoff{firstBackoff} }
+
+func (b *backoff) next() time.Duration {
+	d := jitter(b.limit)
+	b.limit = min(2*b.limit, maxBackoff)
+	return d
+}
+
+func (b *backoff) reset() { b.limit = firstBackoff }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -73,6 +73,9 @@
 	KeepaliveMS int `json:"keepalive_ms" validate:"min=50,max=600000"`
 	// ConnectTimeoutMS bounds dialing and handshake with a peer, in milliseconds. Default 1000.
 	ConnectTimeoutMS int `json:"connect_timeout_ms" validate:"min=10,max=60000"`
+	// LeaveDelayMS is how long an entry still accepts callers after its readiness page turned false, in milliseconds, so that
+	// the balancer has noticed before the listener closes. Default 3000.
+	LeaveDelayMS int `json:"leave_delay_ms" validate:"min=0,max=600000"`
 	// ShutdownTimeoutMS bounds a graceful shutdown, in milliseconds. Default 60000.
 	ShutdownTimeoutMS int `json:"shutdown_timeout_ms" validate:"min=0,max=3600000"`
 	// MaxBodyBytes bounds a caller's request body, in bytes. Default 524288; a request must fit one frame.
@@ -136,6 +139,7 @@
 		GossipIntervalMS:  1000,
 		KeepaliveMS:       5000,
 		ConnectTimeoutMS:  1000,
+		LeaveDelayMS:      3000,
 		ShutdownTimeoutMS: 60_000,
 		MaxBodyBytes:      512 << 10,
 		MaxAnswerBytes:    16 << 20,
--- /dev/null
+++ b/process/sidecar/sidecar.go
@@ -0,0 +1,235 @@
+// Package sidecar is the role of the process beside an upstream. All work for the upstream goes through it, so it enforces every
+// limit: drain, load bound, cold start, team shares, claims and quarantine. It refuses before it hands a request over, and then
+// "not run" is true.
+package sidecar
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/admission"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/claim"
+	"github.com/jayridge/jayridge/version/rules"
+)
+
+// metrics counts what a sidecar does; docs/operations.md lists the names.
+var metrics = expvar.NewMap("jayridge_sidecar")
+
+// Options are a sidecar's collaborators. Exactly one of Engine and Plain is set; KV may be nil, and then calls that need a claim
+// are refused.
+type Options struct {
+	Settings *settings.Settings
+	Engine   platform.Engine
+	Plain    platform.PlainService
+	KV       platform.KV
+}
+
+// Sidecar is a running sidecar.
+type Sidecar struct {
+	opts   Options
+	node   *node.Node
+	claims *claim.Store
+
+	// mu guards the decisions below. It is never held across I/O.
+	mu        sync.Mutex
+	admission *admission.Controller
+	mean      *load.MeanEstimator
+
+	stop context.CancelFunc
+	work sync.WaitGroup
+}
+
+var _ node.Role = (*Sidecar)(nil)
+
+// New binds the listeners of a sidecar and returns it, not yet running.
+func New(opts Options) (*Sidecar, error) {
+	cfg := admission.DefaultConfig()
+	cfg.DefaultCapacity = uint64(opts.Settings.Upstream.CapacityWorkUnits)
+	cfg.FirstByteBase = settings.Milliseconds(opts.Settings.Upstream.FirstTokenSlowMS)
+	if err := cfg.Validate(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &Sidecar{
+		opts:      opts,
+		admission: admission.New(cfg),
+		mean:      load.NewMeanEstimator(load.DefaultEstimatorConfig()),
+	}
+	if opts.KV != nil && opts.Plain != nil {
+		store, err := claim.NewStore(opts.KV, claim.DefaultConfig(opts.Settings.Service), opts.Settings.Instance)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		s.claims = store
+	}
+	n, err := node.New(node.Options{
+		Settings: opts.Settings, KV: opts.KV, Link: link.DefaultConfig(), Member: membership.DefaultConfig(), Role: s,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.node = n
+	return s, nil
+}
+
+// Start runs the sidecar until Stop.
+func (s *Sidecar) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		s.reportLoad(ctx)
+	}()
+	s.node.Start()
+}
+
+// Node returns the part that all roles share.
+func (s *Sidecar) Node() *node.Node { return s.node }
+
+// Leave refuses new work from now on and announces that.
+func (s *Sidecar) Leave() {
+	s.mu.Lock()
+	s.admission.SetLeaving()
+	s.mu.Unlock()
+	s.node.Leave()
+}
+
+// Drain waits until no request is in progress, or until ctx ends.
+func (s *Sidecar) Drain(ctx context.Context) error { return s.node.Drain(ctx) }
+
+// Stop ends all goroutines and waits for them. Results of calls that are not written yet are written while ctx lasts.
+func (s *Sidecar) Stop(ctx context.Context) {
+	if s.stop != nil {
+		s.stop()
+	}
+	s.work.Wait()
+	if s.claims != nil {
+		_ = s.claims.Close(ctx)
+	}
+	s.node.Stop()
+}
+
+// reportLoad hands the upstream's load reports to the admission controller.
+func (s *Sidecar) reportLoad(ctx context.Context) {
+	interval := settings.Milliseconds(s.opts.Settings.Upstream.LoadIntervalMS)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		failing = s.readLoad(ctx, failing)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loadTimeout bounds one read of the upstream's load report.
+const loadTimeout = 2 * time.Second
+
+// readLoad reads the load report once and returns whether that failed. It logs the first failure of a row.
+func (s *Sidecar) readLoad(ctx context.Context, failing bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	report, err := s.upstreamLoad(ctx)
+	if err != nil {
+		metrics.Add("load_reports_failed", 1)
+		if !failing {
+			event.Log(event.LoadReportFailed, "upstream", s.opts.Settings.Upstream.URL, "error", err)
+		}
+		return true
+	}
+	s.mu.Lock()
+	was := s.admission.Load().Cold
+	s.admission.Report(time.Now(), report)
+	is := s.admission.Load().Cold
+	s.mu.Unlock()
+	s.logTemperature(was, is)
+	return false
+}
+
+func (s *Sidecar) upstreamLoad(ctx context.Context) (platform.EngineLoad, error) {
+	if s.opts.Engine != nil {
+		return s.opts.Engine.Load(ctx)
+	}
+	return s.opts.Plain.Load(ctx)
+}
+
+func (s *Sidecar) logTemperature(was, is bool) {
+	switch {
+	case !was && is:
+		event.Log(event.UpstreamCold, "instance", s.opts.Settings.Instance)
+	case was && !is:
+		event.Log(event.UpstreamWarm, "instance", s.opts.Settings.Instance)
+	}
+}
+
+// Publish implements node.Role: it takes over the limits of a new configuration.
+func (s *Sidecar) Publish(snapshot *node.Snapshot) {
+	if snapshot.Config == nil {
+		return
+	}
+	limits, drain := s.limits(snapshot.Config.Rules)
+	s.mu.Lock()
+	was := s.admission.State().Drained
+	s.admission.SetLimits(time.Now(), limits)
+	s.mu.Unlock()
+	switch {
+	case limits.Drained && !was:
+		event.Log(event.DrainStarted, "instance", s.opts.Settings.Instance, "line", drain.Line, "comment", drain.Comment)
+	case !limits.Drained && was:
+		event.Log(event.DrainEnded, "instance", s.opts.Settings.Instance)
+	}
+}
+
+func (s *Sidecar) limits(set *rules.Set) (admission.Limits, rules.Drain) {
+	drain, drained := set.Drained(s.opts.Settings.DataCentre, s.opts.Settings.Instance)
+	limits := admission.Limits{
+		Drained:    drained,
+		TeamWeight: func(name string) float64 { return teamOf(set, name).weight },
+		TeamLimit:  func(name string) float64 { return teamOf(set, name).limit },
+	}
+	if service, ok := set.Service(s.opts.Settings.Service); ok {
+		limits.Bound = service.Bound.Factor
+		limits.ColdInitial = service.ColdStart.Initial
+		limits.ColdLimit = service.ColdStart.Limit
+	}
+	return limits, drain
+}
+
+// teamShare is what the rules say of a team, with a rate for this upstream.
+type teamShare struct{ weight, limit float64 }
+
+func teamOf(set *rules.Set, name string) teamShare {
+	team, _ := set.Team(name)
+	return teamShare{weight: float64(team.Weight), limit: team.Limit}
+}
+
+// Connect implements node.Role: entries connect to sidecars, not the reverse.
+func (s *Sidecar) Connect(*node.Snapshot) {}
+
+// Gossip implements node.Role.
+func (s *Sidecar) Gossip(*wire.Gossip) {}
+
+// Heard implements node.Role.
+func (s *Sidecar) Heard(*wire.Gossip) {}
+
+// Status implements node.Role.
+func (s *Sidecar) Status() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.State()
+}
