Test drain, configuration, departure and answers with real processes

Cause: the invariants about drained data centres, configurations that never revert, departures that cut nothing and whole answers had no proof with processes that are killed, cut off and replaced.

Change: package test runs the roles as processes against stand-ins in the test's process; each process reaches the platform through a gate of its own, so that one can be cut off. Tests wait for conditions and assert counts and outcomes. Ruled out: stand-ins as processes, which would need an HTTP call for each look at a counter.

--- /dev/null
+++ b/test/drain_test.go
@@ -0,0 +1,182 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/internal/standin/engine"
+)
+
+// small starts two entries and four runners in two data centres.
+func small(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.startEntry("entry-1", "suva")
+	f.startEntry("entry-2", "nadi")
+	for i, dc := range []string{"suva", "suva", "nadi", "nadi"} {
+		f.startRunner(fmt.Sprintf("press-%d", i+1), dc, "v1", engine.Config{})
+	}
+	f.awaitVersion(f.apply(baseRules))
+	f.awaitSidecars("entry-1", 4)
+	f.awaitSidecars("entry-2", 4)
+	return f
+}
+
+// nadi counts the requests that the runners of nadi received.
+func (f *fleet) nadi() int { return f.received("press-3") + f.received("press-4") }
+
+// chats sends n chats through an entry and requires that each is answered whole.
+func (f *fleet) chats(entry, name string, n int) {
+	f.t.Helper()
+	for i := range n {
+		f.chatUntilOK(entry, fmt.Sprintf("%s-%d", name, i))
+	}
+}
+
+const drainNadi = baseRules + "drain datacentre nadi # ops: power work\n"
+
+// Guards against work for a drained data centre from an entry that cannot reach the platform, and from one whose sidecars cannot.
+func TestDrain_CutOffFromPlatform(t *testing.T) {
+	f := small(t)
+	f.chats("entry-1", "warm", 20)
+	must.Positive(t, f.nadi())
+	for _, name := range []string{"entry-1", "press-3", "press-4"} {
+		f.procs[name].gate.cut.Store(true)
+	}
+	f.awaitVersion(f.apply(drainNadi))
+	before := f.nadi()
+	f.chats("entry-1", "drained", 40)
+	f.chats("entry-2", "drained", 40)
+	must.Eq(t, before, f.nadi())
+}
+
+// Guards against a sidecar that forgets a drain when it restarts while the platform is down.
+func TestDrain_SidecarRestartedInOutage(t *testing.T) {
+	f := small(t)
+	version := f.apply(drainNadi)
+	f.awaitVersion(version)
+	f.servers["kv"].CloseClientConnections()
+	for _, p := range f.procs {
+		p.gate.cut.Store(true)
+	}
+	f.kill("press-3")
+	f.restart("press-3", "sidecar")
+	before := f.nadi()
+	f.chats("entry-1", "outage", 30)
+	f.awaitVersion(version, "press-3")
+	f.chats("entry-2", "outage", 30)
+	must.Eq(t, before, f.nadi())
+}
+
+// Guards against a configuration that is lost or reverts when all entries are replaced while the platform is down.
+func TestConfig_SurvivesReplacedEntriesInOutage(t *testing.T) {
+	f := small(t)
+	version := f.apply(drainNadi)
+	f.awaitVersion(version)
+	for _, p := range f.procs {
+		p.gate.cut.Store(true)
+	}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.kill(name)
+	}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.restart(name, "entry")
+	}
+	f.awaitVersion(version, "entry-1", "entry-2")
+	before := f.nadi()
+	f.chats("entry-1", "replaced", 30)
+	must.Eq(t, before, f.nadi())
+}
+
+// Guards against a stale read of the platform that turns a newer configuration back.
+func TestConfig_StaleReadNeverReverts(t *testing.T) {
+	f := small(t)
+	version := f.apply(drainNadi)
+	f.awaitVersion(version)
+	f.kv.SetFaults(staleReads(1000))
+	f.kill("entry-1")
+	f.restart("entry-1", "entry")
+	f.awaitVersion(version, "entry-1")
+	before := f.nadi()
+	f.chats("entry-1", "stale", 30)
+	must.Eq(t, before, f.nadi())
+	for name := range f.procs {
+		must.Eq(t, version, f.status(name).ConfigVersion)
+	}
+}
+
+// Guards against callers that are cut or refused for good while any one process is killed.
+func TestKill_RestServes(t *testing.T) {
+	for _, victim := range []string{"press-1", "press-4", "entry-2"} {
+		t.Run(victim, func(t *testing.T) {
+			f := small(t)
+			f.chats("entry-1", "before", 10)
+			f.kill(victim)
+			f.chats("entry-1", "after", 40)
+		})
+	}
+}
+
+// Guards against a shutdown that cuts requests in progress or lets new ones fail, with an instance list that lags behind.
+func TestLeave_SidecarCutsNothing(t *testing.T) {
+	f := small(t)
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{HoldRequests: true})
+	}
+	const inProgress = 12
+	replies := make(chan reply, inProgress)
+	for i := range inProgress {
+		go func() { replies <- f.chat("entry-1", fmt.Sprintf("held-%d", i)) }()
+	}
+	f.await("requests are in progress", func() bool { return f.total(inFlight) == inProgress })
+	f.signal("press-1", syscall.SIGTERM)
+	f.signal("press-3", syscall.SIGTERM)
+	f.await("press-1 is leaving", func() bool { s := f.status("press-1"); return s != nil && s.Leaving })
+	received := f.received("press-1") + f.received("press-3")
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{})
+	}
+	f.chats("entry-1", "new", 40)
+	for range inProgress {
+		must.Eq(t, http.StatusOK, (<-replies).status)
+	}
+	must.Eq(t, received, f.received("press-1")+f.received("press-3"))
+	<-f.procs["press-1"].exited
+	<-f.procs["press-3"].exited
+	must.Zero(t, f.procs["press-1"].cmd.ProcessState.ExitCode())
+}
+
+// Guards against an entry that cuts streams when it is shut down.
+func TestLeave_EntryFinishesStreams(t *testing.T) {
+	f := small(t)
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{HoldRequests: true})
+	}
+	done := make(chan reply, 1)
+	go func() { done <- f.chat("entry-1", "held") }()
+	f.await("the request is in progress", func() bool { return f.total(inFlight) == 1 })
+	f.signal("entry-1", syscall.SIGTERM)
+	f.await("entry-1 says that it is not ready", func() bool {
+		resp, err := f.client.Get("http://" + f.procs["entry-1"].admin + "/readyz")
+		return err == nil && resp.StatusCode == http.StatusServiceUnavailable
+	})
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{})
+	}
+	must.Eq(t, http.StatusOK, (<-done).status)
+	<-f.procs["entry-1"].exited
+}
+
+func inFlight(c engine.Counters) int { return c.InFlight }
+
+// total adds up a counter of all engines.
+func (f *fleet) total(counter func(engine.Counters) int) int {
+	n := 0
+	for _, e := range f.engines {
+		n += counter(e.Counters())
+	}
+	return n
+}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,368 @@
+// Package test runs the binary's roles as separate processes against stand-ins in the test's own process, kills, freezes and cuts them,
+// and asserts what must always hold. Tests wait for conditions and never for a fixed time.
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/internal/standin/engine"
+	"github.com/jayridge/jayridge/internal/standin/instances"
+	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/internal/standin/service"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "jayridge-test")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "jayridge")
+	build := exec.Command("go", "build", "-o", binary, "github.com/jayridge/jayridge/cmd/jayridge")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// patience bounds every wait for a condition. It is far above what any condition takes, so a test fails only if it never holds.
+const patience = 30 * time.Second
+
+const baseRules = `service press-model kind=model versions=v1,v2 # losana: the model
+service basket-app kind=plain versions=v1 # josefa: bookings
+coldstart press-model initial=4 limit=8 # ops: cold engines
+route /chat service=press-model deadline=30s # losana: chats
+route /bookings service=basket-app idempotent=no deadline=20s # josefa: bookings
+`
+
+// gate cuts one process off from the platform.
+type gate struct {
+	cut  atomic.Bool
+	next http.Handler
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	g.next.ServeHTTP(w, r)
+}
+
+// process is one running role.
+type process struct {
+	name     string
+	settings string
+	admin    string
+	http     string
+	gate     *gate
+	cmd      *exec.Cmd
+	log      *bytes.Buffer
+	exited   chan struct{}
+}
+
+// fleet is a small deployment.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	kv       *kv.Server
+	store    platform.KV
+	list     *instances.Server
+	engines  map[string]*engine.Server
+	services map[string]*service.Server
+	servers  map[string]*httptest.Server
+	procs    map[string]*process
+	entries  []string
+	client   *http.Client
+
+	mu  sync.Mutex
+	ids int
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, dir: t.TempDir(), kv: kv.New(), list: instances.New(nil),
+		engines: map[string]*engine.Server{}, services: map[string]*service.Server{}, servers: map[string]*httptest.Server{},
+		procs: map[string]*process{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	store, err := httpkv.New(httpkv.DefaultConfig(f.serve("kv", f.kv)))
+	must.NoError(t, err)
+	f.store = store
+	f.serve("list", f.list)
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) serve(name string, h http.Handler) string {
+	server := httptest.NewServer(h)
+	f.servers[name] = server
+	return server.URL
+}
+
+func (f *fleet) close() {
+	for _, p := range f.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", p.name, p.log.String())
+		}
+	}
+	for _, s := range f.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func (f *fleet) freeAddress() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(f.t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// start writes a role's settings and starts it.
+func (f *fleet) start(name, role, dataCentre string, extra map[string]any) *process {
+	f.t.Helper()
+	p := &process{name: name, admin: f.freeAddress(), gate: &gate{next: f.kv}, settings: filepath.Join(f.dir, name+".json")}
+	peer := f.freeAddress()
+	s := map[string]any{
+		"instance": name, "role": role, "data_centre": dataCentre, "peer_address": peer, "admin_address": p.admin,
+		"gossip_interval_ms": 100, "leave_delay_ms": 200,
+		"kv": map[string]any{"url": f.serve(name+" kv", p.gate), "writes_per_second": 300},
+	}
+	if role == "entry" {
+		p.http = f.freeAddress()
+		s["http_address"] = p.http
+		s["instances"] = map[string]any{"url": f.servers["list"].URL, "poll_interval_ms": 50}
+		f.entries = append(f.entries, name)
+	}
+	for key, value := range extra {
+		s[key] = value
+	}
+	text, err := json.Marshal(s)
+	must.NoError(f.t, err)
+	must.NoError(f.t, os.WriteFile(p.settings, text, 0o600))
+	f.procs[name] = p
+	f.run(p, role)
+	serviceName, _ := s["service"].(string)
+	upstream, _ := s["upstream"].(map[string]any)
+	version, _ := upstream["version"].(string)
+	f.list.Put(platform.Instance{
+		ID: name, Role: role, DataCentre: dataCentre, Address: peer, Admin: p.admin, Service: serviceName, Version: version, State: platform.InstanceLive,
+	})
+	return p
+}
+
+// run starts or restarts a process with its settings.
+func (f *fleet) run(p *process, role string) {
+	p.log = &bytes.Buffer{}
+	p.cmd = exec.Command(binary, role, "--settings", p.settings)
+	p.cmd.Stderr = p.log
+	p.exited = make(chan struct{})
+	must.NoError(f.t, p.cmd.Start())
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait()
+		close(exited)
+	}(p.cmd, p.exited)
+}
+
+func (f *fleet) startEntry(name, dataCentre string) *process {
+	return f.start(name, "entry", dataCentre, nil)
+}
+
+func (f *fleet) startRunner(name, dataCentre, version string, cfg engine.Config) *process {
+	cfg.Version = version
+	f.engines[name] = engine.New(cfg)
+	return f.start(name, "sidecar", dataCentre, map[string]any{"service": "press-model", "upstream": map[string]any{
+		"kind": "engine", "url": f.serve(name+" engine", f.engines[name]), "version": version, "load_interval_ms": 50,
+	}})
+}
+
+func (f *fleet) startUpstream(name, dataCentre string) *process {
+	f.services[name] = service.New()
+	return f.start(name, "sidecar", dataCentre, map[string]any{"service": "basket-app", "upstream": map[string]any{
+		"kind": "plain", "url": f.serve(name+" service", f.services[name]), "version": "v1", "load_interval_ms": 50,
+	}})
+}
+
+// apply accepts new rules on top of the accepted ones and returns the version.
+func (f *fleet) apply(text string) uint64 {
+	f.t.Helper()
+	head, _, err := config.ReadHead(context.Background(), f.store, nil)
+	must.NoError(f.t, err)
+	f.ids++
+	outcome, err := config.Propose(context.Background(), f.store, config.Proposal{
+		File: "rules", Text: text, Base: head.Version, ChangeID: fmt.Sprintf("change-%d", f.ids), Author: "test", Time: time.Now(),
+	})
+	must.NoError(f.t, err)
+	return outcome.Version
+}
+
+// await waits for a condition.
+func (f *fleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// status returns a process's status page, or nil.
+func (f *fleet) status(name string) *node.Status {
+	resp, err := f.client.Get("http://" + f.procs[name].admin + "/status")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var s node.Status
+	if json.NewDecoder(resp.Body).Decode(&s) != nil {
+		return nil
+	}
+	return &s
+}
+
+// awaitVersion waits until the named processes, or all, have a configuration version, and entries see every live sidecar.
+func (f *fleet) awaitVersion(version uint64, names ...string) {
+	f.t.Helper()
+	if len(names) == 0 {
+		for name := range f.procs {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		f.await(fmt.Sprintf("%s has version %d", name, version), func() bool {
+			s := f.status(name)
+			return s != nil && s.ConfigVersion >= version
+		})
+	}
+}
+
+// awaitSidecars waits until an entry sees n sidecars.
+func (f *fleet) awaitSidecars(entry string, n int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("%s sees %d sidecars", entry, n), func() bool {
+		s := f.status(entry)
+		return s != nil && len(s.Sidecars) == n
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	name    string
+	body    string
+	err     error
+}
+
+// post sends one request to an entry.
+func (f *fleet) post(entry, path, chat, key, body string, header ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.procs[entry].http+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Jayridge-Team", "drivers")
+	if chat != "" {
+		req.Header.Set("Jayridge-Chat", chat)
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	var text bytes.Buffer
+	_, err = text.ReadFrom(resp.Body)
+	r := reply{status: resp.StatusCode, outcome: resp.Header.Get("Jayridge-Outcome"), body: text.String(), err: err}
+	var failure struct {
+		Name string `json:"name"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = json.Unmarshal(text.Bytes(), &failure)
+		r.name = failure.Name
+	}
+	return r
+}
+
+// chat sends one chat and reports whether its answer is whole.
+func (f *fleet) chat(entry, chat string) reply {
+	body := fmt.Sprintf(`{"prompt":"%s","max_tokens":8}`, chat)
+	r := f.post(entry, "/chat", chat, "", body)
+	if r.err == nil && r.status == http.StatusOK && r.body != strings.Join(engine.Answer([]byte(body)), "") {
+		f.t.Errorf("chat %s got a wrong answer: %q", chat, r.body)
+	}
+	return r
+}
+
+// chatUntilOK sends a chat again while it is refused as not run, as a caller would.
+func (f *fleet) chatUntilOK(entry, chat string) {
+	f.t.Helper()
+	f.await("chat "+chat+" is answered", func() bool {
+		r := f.chat(entry, chat)
+		if r.status != http.StatusOK && r.outcome != "not-run" {
+			f.t.Fatalf("chat %s: %+v", chat, r)
+		}
+		return r.status == http.StatusOK
+	})
+}
+
+// effects returns how often an effect took place at all upstreams.
+func (f *fleet) effects(id string) int {
+	n := 0
+	for _, s := range f.services {
+		n += s.Counters().Effects[id]
+	}
+	return n
+}
+
+// received returns the number of requests that an engine received.
+func (f *fleet) received(runner string) int { return f.engines[runner].Counters().Received }
+
+func (f *fleet) signal(name string, s syscall.Signal) {
+	must.NoError(f.t, f.procs[name].cmd.Process.Signal(s))
+}
+
+// kill ends a process at once and waits until it is gone.
+func (f *fleet) kill(name string) {
+	f.signal(name, syscall.SIGKILL)
+	<-f.procs[name].exited
+}
+
+// restart starts a process again that has exited.
+func (f *fleet) restart(name, role string) { f.run(f.procs[name], role) }
