Quarantine requests that crash upstreams, and stop retrying them

Cause: a request whose body crashes its engine was retried by the entry on the next candidates, so one request took down four upstreams out of four. The sidecars' quarantine alone could not help: each of them saw its first crash.

Change: the sidecar suspects what was in flight when the start id changes or the engine cannot be reached, and runs a suspect alone once; a second crash quarantines its fingerprint and tells all peers at once. Open carries a suspect flag, so that the next attempt runs alone. retry.Config.MaxRuns (2) bounds the attempts that may have run. Ruled out: no retry after a broken answer at all, because a killed runner would then fail its callers' chats.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -87,6 +87,8 @@
 	Body   []byte `msgpack:"b"`
 	// ResumeOffset is the number of chunks that the entry already passed on; the upstream continues after them.
 	ResumeOffset uint32 `msgpack:"of,omitempty"`
+	// Suspect says that an upstream broke during an earlier attempt of the request; it must run alone.
+	Suspect bool `msgpack:"su,omitempty"`
 	// MeanLoad is the sender's estimate of the mean load of the service's upstreams, in work units; zero means no estimate.
 	MeanLoad      uint32 `msgpack:"ml,omitempty"`
 	ConfigVersion uint64 `msgpack:"cv"`
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/membership"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/quarantine"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/result"
@@ -65,6 +66,8 @@
 	budget *retry.Budget
 	loads  *load.Table
 	random *rand.Rand
+	// banned holds the fingerprints of requests that crashed upstreams.
+	banned *quarantine.List
 
 	work sync.WaitGroup
 }
@@ -81,6 +84,7 @@
 		loads:  load.NewTable(opts.Settings.DataCentre, load.DefaultConfig()),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		teams:  newTeamLimits(),
+		banned: quarantine.NewList(quarantine.DefaultConfig()),
 	}
 	e.routing.Store(&routing{})
 	n, err := node.New(node.Options{
@@ -195,18 +199,33 @@
 	return (index-first+entries)%entries < entriesPerSidecar
 }
 
+// digestEntries bounds the quarantined fingerprints in one gossip message.
+const digestEntries = 16
+
 // Gossip implements node.Role.
 func (e *Entry) Gossip(g *wire.Gossip) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g.Loads = e.loads.Summaries(time.Now())
+	now := time.Now()
+	g.Loads = e.loads.Summaries(now)
+	g.Quarantine = e.banned.Digest(now, digestEntries)
 }
 
 // Heard implements node.Role.
 func (e *Entry) Heard(g *wire.Gossip) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.loads.Gossip(time.Now(), g.Loads)
+	now := time.Now()
+	e.loads.Gossip(now, g.Loads)
+	e.banned.Merge(now, g.Quarantine)
+}
+
+// isBanned reports whether requests like this one crashed upstreams.
+func (e *Entry) isBanned(service, route string, body []byte) bool {
+	fingerprint := quarantine.FingerprintOf(service, route, body)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.banned.Contains(time.Now(), fingerprint)
 }
 
 // HandleOpen implements node.Role: entries serve no requests of peers.
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -245,12 +245,23 @@
 	if x.inChat {
 		open.Chat = x.chat
 	}
+	open.Suspect = x.brokeUpstream()
 	x.e.mu.Lock()
 	open.MeanLoad = x.e.loads.Hint(time.Now(), a.loadKey())
 	x.e.mu.Unlock()
 	return open
 }
 
+// brokeUpstream reports whether an earlier attempt ended because its upstream or sidecar broke.
+func (x *exchange) brokeUpstream() bool {
+	for _, a := range x.attempts {
+		if a.Code == result.UpstreamBroken || a.Code == result.ConnectionLost {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *attempt) loadKey() load.Upstream {
 	return load.Upstream{ID: a.target.ID, DataCentre: a.target.DataCentre, Group: a.target.Service}
 }
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -100,6 +100,9 @@
 	}
 	x.body = body
 	x.estimateWork()
+	if e.isBanned(route.Service, route.Path, body) {
+		return nil, &refusal{code: result.Quarantined}
+	}
 	team, _ := snapshot.Config.Rules.Team(x.team)
 	if wait := e.teams.take(time.Now(), team, e.routing.Load().entries); wait > 0 {
 		return nil, &refusal{code: result.TeamLimit, retryAfter: wait}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -163,6 +163,12 @@
 	n.pool.broadcast(goodbye)
 }
 
+// Tell sends digests to every connected peer. It is for rare news that must not wait for gossip.
+func (n *Node) Tell(g *wire.Gossip) {
+	n.server.Broadcast(g)
+	n.pool.broadcast(g)
+}
+
 // Drain waits until no peer's request is in progress, or until ctx ends.
 func (n *Node) Drain(ctx context.Context) error { return n.server.Drain(ctx) }
 
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -65,11 +65,25 @@
 		return refuse(refusal, "")
 	}
 	x.ticket = ticket
-	end := x.claimAndRun(ctx, route)
+	end := x.runInFlight(ctx, route)
 	x.done(result.Code(end.Result))
 	return end
 }
 
+// runInFlight runs an admitted request unless requests like it crashed upstreams.
+func (x *exchange) runInFlight(ctx context.Context, route rules.Route) wire.End {
+	f, code := x.s.begin(x.open)
+	if code != result.OK {
+		return wire.End{Result: uint8(code)}
+	}
+	end := x.claimAndRun(ctx, route)
+	if result.Code(end.Result) == result.UpstreamBroken {
+		x.s.upstreamBroke(f.epoch)
+	}
+	x.s.end(f, result.Code(end.Result))
+	return end
+}
+
 func refuse(refusal admission.Refusal, reason string) wire.End {
 	return wire.End{Result: uint8(refusal.Code), RetryAfterMS: uint32(refusal.RetryAfter.Milliseconds()), Reason: reason}
 }
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -46,6 +46,7 @@
 	mu        sync.Mutex
 	admission *admission.Controller
 	mean      *load.MeanEstimator
+	crashes   crashes
 
 	stop context.CancelFunc
 	work sync.WaitGroup
@@ -65,6 +66,7 @@
 		opts:      opts,
 		admission: admission.New(cfg),
 		mean:      load.NewMeanEstimator(load.DefaultEstimatorConfig()),
+		crashes:   newCrashes(),
 	}
 	if opts.KV != nil && opts.Plain != nil {
 		store, err := claim.NewStore(opts.KV, claim.DefaultConfig(opts.Settings.Service), opts.Settings.Instance)
@@ -152,6 +154,7 @@
 		}
 		return true
 	}
+	s.restarted(report)
 	s.mu.Lock()
 	was := s.admission.Load().Cold
 	s.admission.Report(time.Now(), report)
@@ -222,10 +225,21 @@
 func (s *Sidecar) Connect(*node.Snapshot) {}
 
 // Gossip implements node.Role.
-func (s *Sidecar) Gossip(*wire.Gossip) {}
+func (s *Sidecar) Gossip(g *wire.Gossip) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Quarantine = s.crashes.list.Digest(time.Now(), digestEntries)
+}
 
 // Heard implements node.Role.
-func (s *Sidecar) Heard(*wire.Gossip) {}
+func (s *Sidecar) Heard(g *wire.Gossip) {
+	if len(g.Quarantine) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.list.Merge(time.Now(), g.Quarantine)
+}
 
 // Status implements node.Role.
 func (s *Sidecar) Status() any {
--- a/request/retry/config.go
+++ b/request/retry/config.go
@@ -12,6 +12,9 @@
 	// MaxAttempts bounds the attempts of one request, the first one included. Default 8, the length of a candidate list: four
 	// in the first data centre and two in each of the next two. Zero is invalid; 1 turns retries off.
 	MaxAttempts int
+	// MaxRuns bounds the attempts that may have run, the first one included, because a request may be what breaks its upstreams.
+	// Default 2. Zero is invalid; 1 retries only after "not run".
+	MaxRuns int
 	// ImmediateRefusals is the number of refusals after which a request moves on to its next candidate without a backoff.
 	// Default 4, so that overflow from a full first data centre reaches the next one at once. Zero backs off after each.
 	ImmediateRefusals int
@@ -47,6 +50,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxAttempts:          8,
+		MaxRuns:              2,
 		ImmediateRefusals:    4,
 		BaseBackoff:          10 * time.Millisecond,
 		MaxBackoff:           time.Second,
@@ -68,6 +72,7 @@
 			errs = append(errs, fmt.Errorf("%s: %v is out of range", field, value))
 		}
 	}
+	check(c.MaxRuns >= 1, "MaxRuns", c.MaxRuns)
 	check(c.MaxAttempts >= 1 && c.MaxAttempts <= math.MaxUint8, "MaxAttempts", c.MaxAttempts)
 	check(c.ImmediateRefusals >= 0, "ImmediateRefusals", c.ImmediateRefusals)
 	check(c.BaseBackoff >= 0, "BaseBackoff", c.BaseBackoff)
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -126,8 +126,8 @@
 	if len(r.Attempts) == 0 || len(r.Attempts) >= p.cfg.MaxAttempts || r.CandidatesLeft <= 0 || r.Left <= 0 {
 		return GiveUp
 	}
-	ran := anyMayHaveRun(r.Attempts)
-	if ran && !r.Idempotent {
+	runs := mayHaveRun(r.Attempts)
+	if runs > 0 && !r.Idempotent || runs >= p.cfg.MaxRuns {
 		return GiveUp
 	}
 	if !mayHelp(r.Attempts[len(r.Attempts)-1]) {
@@ -142,13 +142,15 @@
 	return GiveUp
 }
 
-func anyMayHaveRun(attempts []Attempt) bool {
+// mayHaveRun counts the attempts that were or may have been handed to an upstream.
+func mayHaveRun(attempts []Attempt) int {
+	n := 0
 	for _, a := range attempts {
 		if a.mayHaveRun() {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // mayHelp says whether another upstream may give a better result than the attempt's. For attempts that may have run, that
