Drive rollouts in entries and prove them with processes

Cause: the rollout state machine had no driver: nothing counted outcomes, held the lease, wrote the record or told the peers of a stop.

Change: process/shift feeds the machines on the control goroutine. Entries report counts once a second to the aggregator of their data centre, chosen by hash, and aggregators to the leader, which alone tries to hold the lease, so that nobody receives from all. Records and stops spread by gossip and are told to some peers at once; a sidecar of the stopped version refuses as well. moves shows state, share and reason. The load mean is kept per version, because a shift gives versions unequal traffic. Ruled out: every entry reading the record from the platform, which costs 790 reads for each step.

--- a/cmd/jayridge/moves.go
+++ b/cmd/jayridge/moves.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/jayridge/jayridge/process/entry"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/version/config"
+	"github.com/jayridge/jayridge/version/rollout"
 	"github.com/jayridge/jayridge/version/rules"
 )
 
@@ -15,6 +20,7 @@
 const (
 	moveUnderWay = "under way"
 	moveDone     = "done"
+	moveUndone   = "undone"
 )
 
 // move is one change of where work goes.
@@ -68,7 +74,7 @@
 		moves = append(moves, drainMove(d, head.Version, reports))
 	}
 	for _, s := range set.Shifts() {
-		moves = append(moves, shiftMove(s))
+		moves = append(moves, shiftMove(s, reports))
 	}
 	return moves, nil
 }
@@ -106,9 +112,50 @@
 	return r.ID == d.Name
 }
 
-func shiftMove(s rules.Shift) move {
-	return move{
-		What:  fmt.Sprintf("shift %s %s -> %s", s.Service, s.From, s.To),
-		State: moveUnderWay, Detail: "by " + s.By.Format(time.RFC3339), AskedBy: s.Comment.Who, Why: s.Comment.Why,
+// shiftMove says how far a shift is, as the entry that leads it knows it, or else any other.
+func shiftMove(rule rules.Shift, reports []report) move {
+	m := move{
+		What: fmt.Sprintf("shift %s %s -> %s", rule.Service, rule.From, rule.To), AskedBy: rule.Comment.Who, Why: rule.Comment.Why,
+		State: moveUnderWay, Detail: "not started, by " + rule.By.Format(time.RFC3339),
 	}
+	known, found := findShift(rule.ID, reports)
+	if !found {
+		return m
+	}
+	m.Detail = fmt.Sprintf("%s, %s has %.3g%%, by %s", known.State, rule.To, 100*known.Share, rule.By.Format(time.RFC3339))
+	switch known.State {
+	case rollout.Done.String():
+		m.State = moveDone
+	case rollout.RolledBack.String():
+		m.State = moveUndone
+		m.Detail = known.Reason
+	}
+	return m
+}
+
+func findShift(id string, reports []report) (known shift.Status, found bool) {
+	for _, r := range reports {
+		for _, s := range entryShifts(r) {
+			if s.ID == id && (!found || s.Leader || s.State == rollout.RolledBack.String()) {
+				known, found = s, true
+			}
+		}
+	}
+	return known, found
+}
+
+// entryShifts returns the shifts on an entry's status page.
+func entryShifts(r report) []shift.Status {
+	if r.Status == nil || r.Role != settings.RoleEntry {
+		return nil
+	}
+	text, err := json.Marshal(r.Status.Detail)
+	if err != nil {
+		return nil
+	}
+	var status entry.Status
+	if json.Unmarshal(text, &status) != nil {
+		return nil
+	}
+	return status.Shifts
 }
--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -227,6 +227,8 @@
 		return new(ConfigPush)
 	case TypeLeaving:
 		return new(Leaving)
+	case TypeEvidence:
+		return new(Evidence)
 	default:
 		return nil
 	}
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -34,6 +34,7 @@
 	TypeConfigPull Type = 11
 	TypeConfigPush Type = 12
 	TypeLeaving    Type = 13
+	TypeEvidence   Type = 14
 )
 
 // Message is the content of one frame.
@@ -167,6 +168,13 @@
 	Reason  string `msgpack:"re"`
 }
 
+// RolloutRecord is the persisted state of a rollout as the sender read it from the platform.
+type RolloutRecord struct {
+	Rollout  string `msgpack:"r"`
+	Revision uint64 `msgpack:"v"`
+	Data     []byte `msgpack:"d"`
+}
+
 // QuarantineEntry is the fingerprint of a request that crashed upstreams.
 type QuarantineEntry struct {
 	Fingerprint uint64 `msgpack:"f"`
@@ -178,6 +186,7 @@
 type Gossip struct {
 	ConfigVersion uint64            `msgpack:"cv"`
 	Stops         []RolloutStop     `msgpack:"st,omitempty"`
+	Rollouts      []RolloutRecord   `msgpack:"ro,omitempty"`
 	Quarantine    []QuarantineEntry `msgpack:"q,omitempty"`
 	Loads         []LoadSummary     `msgpack:"l,omitempty"`
 }
@@ -225,6 +234,15 @@
 	TextHash uint64 `msgpack:"h"`
 }
 
+// Evidence carries the counted outcomes of a rollout: from an entry to the aggregator of its data centre, or from there to the leader.
+type Evidence struct {
+	Rollout string `msgpack:"r"`
+	// Source is the entry, or the data centre if ToLeader is set.
+	Source   string `msgpack:"s"`
+	ToLeader bool   `msgpack:"l,omitempty"`
+	Data     []byte `msgpack:"d"`
+}
+
 // Leaving says that an instance takes no new work.
 type Leaving struct {
 	Instance string `msgpack:"i"`
@@ -268,3 +286,6 @@
 
 // Type implements Message.
 func (*Leaving) Type() Type { return TypeLeaving }
+
+// Type implements Message.
+func (*Evidence) Type() Type { return TypeEvidence }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/quarantine"
 	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/request/retry"
@@ -44,13 +45,9 @@
 type routing struct {
 	view     *candidate.View
 	sidecars map[string]platform.Instance
-	// present holds the service versions that have an upstream.
-	present map[serviceVersion]bool
-	entries int
+	entries  int
 }
 
-type serviceVersion struct{ service, version string }
-
 // Entry is a running entry.
 type Entry struct {
 	opts    Options
@@ -58,6 +55,7 @@
 	routing atomic.Pointer[routing]
 	policy  *retry.Policy
 	teams   *teamLimits
+	shifts  *shift.Driver
 	server  *http.Server
 	ln      net.Listener
 
@@ -95,6 +93,7 @@
 		return nil, trace.Wrap(err)
 	}
 	e.node = n
+	e.shifts = newShifts(e)
 	if e.ln, err = net.Listen("tcp", opts.Settings.HTTPAddress); err != nil {
 		n.Stop()
 		return nil, trace.Wrap(err, "http_address")
@@ -133,7 +132,6 @@
 func (e *Entry) Publish(snapshot *node.Snapshot) {
 	next := &routing{
 		sidecars: make(map[string]platform.Instance, len(snapshot.Sidecars)),
-		present:  map[serviceVersion]bool{},
 		entries:  max(1, len(snapshot.Entries)),
 	}
 	upstreams := make([]candidate.Upstream, 0, len(snapshot.Sidecars))
@@ -142,9 +140,11 @@
 			continue
 		}
 		next.sidecars[i.ID] = i
-		next.present[serviceVersion{i.Service, i.Version}] = true
 		upstreams = append(upstreams, candidate.Upstream{ID: i.ID, DataCentre: i.DataCentre, Service: i.Service, Version: i.Version})
 	}
+	if snapshot.Config != nil && snapshot.Version() != e.node.Snapshot().Version() {
+		e.shifts.SetRules(time.Now(), snapshot.Config.Rules)
+	}
 	previous := e.routing.Load()
 	next.view = candidate.Build(previous.view, upstreams, candidate.DefaultConfig())
 	e.routing.Store(next)
@@ -209,6 +209,7 @@
 	now := time.Now()
 	g.Loads = e.loads.Summaries(now)
 	g.Quarantine = e.banned.Digest(now, digestEntries)
+	e.shifts.Gossip(g)
 }
 
 // Heard implements node.Role.
@@ -218,6 +219,9 @@
 	now := time.Now()
 	e.loads.Gossip(now, g.Loads)
 	e.banned.Merge(now, g.Quarantine)
+	if len(g.Stops)+len(g.Rollouts) > 0 {
+		e.node.Post(func() { e.shifts.Heard(time.Now(), g) })
+	}
 }
 
 // isBanned reports whether requests like this one crashed upstreams.
@@ -233,9 +237,15 @@
 	_ = r.End(wire.End{Result: uint8(result.NoRoute), Reason: "an entry has no upstream"})
 }
 
+// Status is the entry's part of the status page.
+type Status struct {
+	RetryTokens float64        `json:"retry_tokens"`
+	Shifts      []shift.Status `json:"shifts,omitempty"`
+}
+
 // Status implements node.Role.
 func (e *Entry) Status() any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return map[string]any{"retry_tokens": e.budget.Tokens(time.Now())}
+	return Status{RetryTokens: e.budget.Tokens(time.Now()), Shifts: e.shifts.Status()}
 }
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/assembly"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/result"
@@ -48,6 +49,8 @@
 	work     uint32
 	answer   answer
 
+	// plan is the shift between versions that the request was routed by, or nil.
+	plan     *shift.Plan
 	attempts []retry.Attempt
 	// delivered is the number of chunks that went to the caller.
 	delivered uint32
@@ -86,7 +89,7 @@
 	x.countRequest()
 	var buffer [maxCandidates]candidate.Candidate
 	routing := x.e.routing.Load()
-	candidates := routing.view.Candidates(x.service.Name, x.version(routing), nil, x.chat, buffer[:0])
+	candidates := x.candidates(routing, buffer[:0])
 	if len(candidates) == 0 {
 		return outcome{code: result.NoUpstream}
 	}
@@ -120,14 +123,14 @@
 	x.e.budget.Request(time.Now())
 }
 
-// version returns the upstream version that serves the chat: the first of the service's versions that has an upstream.
-func (x *exchange) version(r *routing) string {
-	for _, version := range x.service.Versions {
-		if r.present[serviceVersion{x.service.Name, version}] {
-			return version
+// candidates returns the upstreams that the request may try, in order: those of the preferred version that has any.
+func (x *exchange) candidates(r *routing, dst []candidate.Candidate) []candidate.Candidate {
+	for _, version := range x.versions() {
+		if found := r.view.Candidates(x.service.Name, version, nil, x.chat, dst); len(found) > 0 {
+			return found
 		}
 	}
-	return ""
+	return nil
 }
 
 func (x *exchange) decide(ctx context.Context, last outcome, dataCentre string, left int) retry.Decision {
@@ -185,9 +188,10 @@
 
 // try makes one attempt and records it.
 func (x *exchange) try(ctx context.Context, target platform.Instance) outcome {
-	a := attempt{x: x, target: target}
+	a := attempt{x: x, target: target, start: time.Now()}
 	o := a.run(ctx)
 	o.upstream = target.ID
+	x.observe(target, o.code, a.latency())
 	if o.code != result.OK {
 		x.attempts = append(x.attempts, retry.Attempt{Code: o.code, Accepted: a.accepted, DataCentre: target.DataCentre})
 	}
@@ -199,6 +203,17 @@
 	x        *exchange
 	target   platform.Instance
 	accepted bool
+	start    time.Time
+	// first is the time to the first part of the answer; zero until then.
+	first time.Duration
+}
+
+// latency is the time to the first part of the answer, or to the end if there was none.
+func (a *attempt) latency() time.Duration {
+	if a.first == 0 {
+		return time.Since(a.start)
+	}
+	return a.first
 }
 
 func (a *attempt) run(ctx context.Context) outcome {
@@ -263,7 +278,8 @@
 }
 
 func (a *attempt) loadKey() load.Upstream {
-	return load.Upstream{ID: a.target.ID, DataCentre: a.target.DataCentre, Group: a.target.Service}
+	// The versions of a service have a mean each, because a shift gives them unequal traffic.
+	return load.Upstream{ID: a.target.ID, DataCentre: a.target.DataCentre, Group: a.target.Service + "/" + a.target.Version}
 }
 
 // unsent is the result of an attempt of which nothing was sent.
@@ -303,6 +319,9 @@
 	if err != nil {
 		return result.BadAnswer
 	}
+	if a.first == 0 {
+		a.first = time.Since(a.start)
+	}
 	if err := a.x.answer.write(data); err != nil {
 		if errors.Is(err, io.ErrShortBuffer) {
 			return result.BadAnswer
--- /dev/null
+++ b/process/entry/shift.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/lease"
+	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/process/shift"
+	"github.com/jayridge/jayridge/request/candidate"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/rollout"
+)
+
+func newShifts(e *Entry) *shift.Driver {
+	s := e.opts.Settings
+	cfg := rollout.DefaultConfig()
+	cfg.Window = settings.Milliseconds(s.Rollout.WindowMS)
+	cfg.Lag = settings.Milliseconds(s.Rollout.LagMS)
+	cfg.MinStep = settings.Milliseconds(s.Rollout.MinStepMS)
+	cfg.Monitor = settings.Milliseconds(s.Rollout.MonitorMS)
+	cfg.Settle = settings.Milliseconds(s.Rollout.SettleMS)
+	return shift.New(shift.Options{
+		Config: cfg, Lease: lease.DefaultConfig(), Instance: s.Instance, DataCentre: s.DataCentre, KV: e.opts.KV, Host: shiftHost{e},
+	})
+}
+
+// shiftHost adapts the entry to shift.Host.
+type shiftHost struct{ e *Entry }
+
+// Post implements shift.Host.
+func (h shiftHost) Post(f func()) bool { return h.e.node.Post(f) }
+
+// Go implements shift.Host.
+func (h shiftHost) Go(f func(ctx context.Context)) { h.e.node.Go(f) }
+
+// TellSome implements shift.Host.
+func (h shiftHost) TellSome() { h.e.node.TellSome() }
+
+// Send implements shift.Host.
+func (h shiftHost) Send(to platform.Instance, m wire.Message) {
+	h.e.node.Go(func(ctx context.Context) {
+		if conn, err := h.e.node.Pool().Get(ctx, to); err == nil {
+			_ = conn.Send(m)
+		}
+	})
+}
+
+// Tick implements node.Role.
+func (e *Entry) Tick(now time.Time, snapshot *node.Snapshot) { e.shifts.Tick(now, snapshot.Entries) }
+
+// Evidence implements node.Role.
+func (e *Entry) Evidence(m *wire.Evidence) {
+	e.node.Post(func() { e.shifts.Evidence(time.Now(), m) })
+}
+
+// versions returns the upstream versions that may serve the chat, the preferred one first. While a shift is under way the chat's hash
+// decides, so that its share is exact and the chat stays with its version.
+func (x *exchange) versions() []string {
+	x.plan = x.e.shifts.Plan(x.service.Name)
+	if x.plan == nil {
+		return x.service.Versions
+	}
+	if candidate.Cohort(x.chat, x.plan.Salt, x.plan.Share) {
+		return []string{x.plan.To, x.plan.From}
+	}
+	if x.plan.Share == 0 {
+		return []string{x.plan.From}
+	}
+	return []string{x.plan.From, x.plan.To}
+}
+
+// observe notes the outcome of an attempt for the shift under way. Refusals and canceled requests say nothing of the version.
+func (x *exchange) observe(target platform.Instance, code result.Code, latency time.Duration) {
+	if x.plan == nil || code.Outcome() == result.NotRun || code == result.Canceled {
+		return
+	}
+	side := rollout.Old
+	if target.Version == x.plan.To {
+		side = rollout.New
+	}
+	x.e.shifts.Observe(shift.Outcome{Plan: x.plan, Observation: rollout.Observation{
+		Side: side, Route: x.route.Path, DataCentre: target.DataCentre, Failed: code != result.OK, Latency: latency, Step: x.plan.Step,
+	}})
+}
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -58,6 +58,7 @@
 func (c *control) tick(ctx context.Context) {
 	c.publishMembers(ctx)
 	now := time.Now()
+	c.n.opts.Role.Tick(now, c.n.Snapshot())
 	if now.Sub(c.lastGossip) >= settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS) {
 		c.lastGossip = now
 		c.n.opts.Role.Connect(c.n.Snapshot())
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -48,9 +48,13 @@
 	HandleOpen(ctx context.Context, c *link.Conn, open *wire.Open, r *link.Responder)
 	// Publish is called on the control goroutine before a new snapshot becomes visible. It must not block.
 	Publish(s *Snapshot)
+	// Tick advances what only time changes. It is called on the control goroutine several times a second and must not block.
+	Tick(now time.Time, s *Snapshot)
 	// Connect starts connections that the role keeps without traffic. It is called on the control goroutine with each gossip
 	// interval and must not block.
 	Connect(s *Snapshot)
+	// Evidence takes a peer's counted outcomes. It is called on a connection's reader goroutine and must not block.
+	Evidence(m *wire.Evidence)
 	// Gossip adds the role's digests to a message that is about to be sent. It is called on the control goroutine.
 	Gossip(g *wire.Gossip)
 	// Heard takes a peer's digests. It is called on a connection's reader goroutine and must not block.
@@ -88,12 +92,14 @@
 	admin    *http.Server
 	adminLn  net.Listener
 	work     sync.WaitGroup
+	ctx      context.Context
 	stop     context.CancelFunc
 }
 
 // New binds the listeners of a process and returns it, not yet running.
 func New(opts Options) (*Node, error) {
 	n := &Node{opts: opts, events: make(chan func(*control), eventQueue)}
+	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.snapshot.Store(&Snapshot{})
 	adopted := make(chan struct{})
 	n.adopted.Store(&adopted)
@@ -119,8 +125,7 @@
 
 // Start runs the node until Stop.
 func (n *Node) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
+	ctx := n.ctx
 	n.run(func() { newControl(n).run(ctx) })
 	n.run(func() { _ = n.server.Serve(n.listener) })
 	n.run(func() { _ = n.admin.Serve(n.adminLn) })
@@ -174,9 +179,7 @@
 
 // Stop ends all goroutines and connections and waits for them.
 func (n *Node) Stop() {
-	if n.stop != nil {
-		n.stop()
-	}
+	n.stop()
 	n.server.Close()
 	n.pool.close()
 	_ = n.admin.Close()
@@ -184,6 +187,15 @@
 	event.Log(event.ProcessStopped, "instance", n.opts.Settings.Instance)
 }
 
+// Post runs f on the control goroutine. It reports false when too many changes wait there; f is then dropped.
+func (n *Node) Post(f func()) bool { return n.post(func(*control) { f() }) }
+
+// Go runs f on a goroutine that Stop waits for. The context ends when the node stops.
+func (n *Node) Go(f func(ctx context.Context)) { n.run(func() { f(n.ctx) }) }
+
+// TellSome sends the present digests to some random peers at once. It is called on the control goroutine.
+func (n *Node) TellSome() { n.post(func(c *control) { c.tellSome(adoptFanout) }) }
+
 // post hands a change to the control goroutine. It reports false, and counts it, when the queue is full.
 func (n *Node) post(f func(*control)) bool {
 	select {
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -281,6 +281,8 @@
 		n.post(func(c *control) { c.answerPull(conn, *m) })
 	case *wire.ConfigPush:
 		n.post(func(c *control) { c.applyPush(conn, *m) })
+	case *wire.Evidence:
+		n.opts.Role.Evidence(m)
 	case *wire.Leaving:
 		n.post(func(c *control) { c.members.Leaving(time.Now(), conn.Remote().Instance) })
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -65,6 +65,8 @@
 	KV KV `json:"kv"`
 	// Instances is the platform's instance list.
 	Instances Instances `json:"instances"`
+	// Rollout sets the pace of shifts between versions. All entries of a fleet must have the same values.
+	Rollout Rollout `json:"rollout"`
 	// Seeds are peer addresses to learn the configuration from while the platform is down. Empty: only the instance list.
 	Seeds []string `json:"seeds" validate:"dive,tcp_addr"`
 	// GossipIntervalMS is the time between exchanges with a random peer, in milliseconds. Default 1000.
@@ -124,6 +126,21 @@
 	PollIntervalMS int `json:"poll_interval_ms" validate:"min=10,max=600000"`
 }
 
+// Rollout sets the pace of shifts between versions.
+type Rollout struct {
+	// WindowMS is the length of the time windows in which outcomes are counted, in milliseconds. Default 5000.
+	WindowMS int `json:"window_ms" validate:"min=100,max=600000"`
+	// LagMS is how long after a window's end its counts may arrive, in milliseconds. Default 5000; below 3000 counts of other
+	// data centres are lost.
+	LagMS int `json:"lag_ms" validate:"min=0,max=600000"`
+	// MinStepMS is the shortest stay at a share, in milliseconds. Default 30000.
+	MinStepMS int `json:"min_step_ms" validate:"min=100,max=86400000"`
+	// MonitorMS is how long the old version is kept after the new one has all traffic, in milliseconds. Default 1800000.
+	MonitorMS int `json:"monitor_ms" validate:"min=100,max=604800000"`
+	// SettleMS is how long a new lease holder waits for stops before its first advance, in milliseconds. Default 10000.
+	SettleMS int `json:"settle_ms" validate:"min=100,max=600000"`
+}
+
 // Defaults returns the settings that fields left out of a file have.
 func Defaults() Settings {
 	return Settings{
@@ -135,6 +152,7 @@
 			FirstTokenSlowMS:  1300,
 		},
 		KV:                KV{TimeoutMS: 1000, ReadsPerSecond: 20, WritesPerSecond: 20},
+		Rollout:           Rollout{WindowMS: 5000, LagMS: 5000, MinStepMS: 30_000, MonitorMS: 1_800_000, SettleMS: 10_000},
 		Instances:         Instances{PollIntervalMS: 1000},
 		GossipIntervalMS:  1000,
 		KeepaliveMS:       5000,
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -108,6 +108,9 @@
 	s := x.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.shiftStopped != nil {
+		return admission.Ticket{}, admission.Refusal{Code: result.VersionStopped}
+	}
 	s.mean.Hint(now, sender, x.open.MeanLoad)
 	if mean, ok := s.mean.Mean(now); ok {
 		s.admission.SetMean(now, mean)
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -47,6 +47,9 @@
 	admission *admission.Controller
 	mean      *load.MeanEstimator
 	crashes   crashes
+	// shift is the shift to this upstream's version, if there is one; shiftStopped is set when a peer knows it to be stopped.
+	shift        rules.Shift
+	shiftStopped *wire.RolloutStop
 
 	stop context.CancelFunc
 	work sync.WaitGroup
@@ -189,6 +192,7 @@
 	s.mu.Lock()
 	was := s.admission.State().Drained
 	s.admission.SetLimits(time.Now(), limits)
+	s.setShift(snapshot.Config.Rules)
 	s.mu.Unlock()
 	switch {
 	case limits.Drained && !was:
@@ -198,6 +202,18 @@
 	}
 }
 
+// setShift notes the shift to this upstream's version. The lock is held.
+func (s *Sidecar) setShift(set *rules.Set) {
+	shift, ok := set.Shift(s.opts.Settings.Service)
+	if !ok || shift.To != s.opts.Settings.Upstream.Version {
+		shift = rules.Shift{}
+	}
+	if shift.ID != s.shift.ID {
+		s.shift = shift
+		s.shiftStopped = nil
+	}
+}
+
 func (s *Sidecar) limits(set *rules.Set) (admission.Limits, rules.Drain) {
 	drain, drained := set.Drained(s.opts.Settings.DataCentre, s.opts.Settings.Instance)
 	limits := admission.Limits{
@@ -221,6 +237,12 @@
 	return teamShare{weight: float64(team.Weight), limit: team.Limit}
 }
 
+// Tick implements node.Role.
+func (s *Sidecar) Tick(time.Time, *node.Snapshot) {}
+
+// Evidence implements node.Role: sidecars judge no versions.
+func (s *Sidecar) Evidence(*wire.Evidence) {}
+
 // Connect implements node.Role: entries connect to sidecars, not the reverse.
 func (s *Sidecar) Connect(*node.Snapshot) {}
 
@@ -229,16 +251,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.Quarantine = s.crashes.list.Digest(time.Now(), digestEntries)
+	if s.shiftStopped != nil {
+		g.Stops = append(g.Stops, *s.shiftStopped)
+	}
 }
 
 // Heard implements node.Role.
 func (s *Sidecar) Heard(g *wire.Gossip) {
-	if len(g.Quarantine) == 0 {
+	if len(g.Quarantine)+len(g.Stops) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.list.Merge(time.Now(), g.Quarantine)
+	for _, stop := range g.Stops {
+		if stop.Rollout == s.shift.ID {
+			s.shiftStopped = &stop
+		}
+	}
 }
 
 // Status implements node.Role.
