assembly: property tests against mixed, repeated and truncated responses

Change: properties over two interleaved attempts whose frames are dropped, repeated, swapped, altered and cut; a table of errors; an allocation test. Ruled out: counting the loss of an empty chunk together with a count altered to match as a wrong answer, because the caller's bytes are the same and link sends no empty chunks.

--- /dev/null
+++ b/request/assembly/assembly_test.go
@@ -0,0 +1,193 @@
+package assembly
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/connection/wire"
+)
+
+// response returns the frames that a sidecar sends for the units of a response from number from on.
+func response(id wire.Identity, units []string, from uint32) (frames []wire.Message) {
+	digest := xxhash.New()
+	for i, unit := range units[from:] {
+		_, _ = digest.WriteString(unit)
+		frames = append(frames, &wire.Chunk{Identity: id, Sequence: from + uint32(i), Data: []byte(unit)})
+	}
+	return append(frames, &wire.End{Identity: id, Chunks: uint32(len(units)), Checksum: digest.Sum64()})
+}
+
+// deliver passes frames to a as an entry does. It returns what the caller gets, and stops when the response is incomplete.
+func deliver(a *Assembly, frames []wire.Message) (caller string) {
+	for _, m := range frames {
+		var data []byte
+		var err error
+		switch m := m.(type) {
+		case *wire.Chunk:
+			data, err = a.Chunk(m)
+		case *wire.End:
+			err = a.End(m)
+		}
+		if errors.Is(err, ErrIncomplete) {
+			break
+		}
+		caller += string(data)
+	}
+	return caller
+}
+
+// drawUnits draws chunks' data. Senders send no empty chunks; the checksum could not tell the loss of one from a count that
+// is altered to match.
+func drawUnits(t *rapid.T, label string) []string {
+	return rapid.SliceOfN(rapid.StringN(1, 4, 8), 0, 6).Draw(t, label)
+}
+
+// disturb drops, repeats, truncates, alters and mixes frames of two sequences, which keep their order mostly.
+func disturb(t *rapid.T, a, b []wire.Message) (frames []wire.Message) {
+	for len(a)+len(b) > 0 {
+		if len(a) == 0 || len(b) > 0 && rapid.Bool().Draw(t, "second") {
+			a, b = b, a
+		}
+		m := a[0]
+		a = a[1:]
+		switch rapid.SampledFrom([]string{"pass", "pass", "pass", "drop", "repeat", "swap", "alter", "cut"}).Draw(t, "what") {
+		case "pass":
+			frames = append(frames, m)
+		case "repeat":
+			frames = append(frames, m, m)
+		case "swap":
+			frames = append(frames, m)
+			if n := len(frames); n > 1 {
+				frames[n-1], frames[n-2] = frames[n-2], frames[n-1]
+			}
+		case "alter":
+			frames = append(frames, alter(m))
+		case "cut":
+			a = nil
+		}
+	}
+	return frames
+}
+
+// alter returns a frame whose data or count is wrong.
+func alter(m wire.Message) wire.Message {
+	if c, ok := m.(*wire.Chunk); ok {
+		return &wire.Chunk{Identity: c.Identity, Sequence: c.Sequence, Data: append([]byte("?"), c.Data...)}
+	}
+	end := *m.(*wire.End)
+	end.Chunks--
+	return &end
+}
+
+// A caller must never get another attempt's data, or a mixed or shortened response that ends well.
+func TestNoWrongResponseEndsWell(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := wire.Identity{Request: wire.RequestID{1}, Attempt: 2}
+		other := rapid.SampledFrom([]wire.Identity{
+			{Request: wire.RequestID{1}, Attempt: 1}, {Request: wire.RequestID{2}, Attempt: 2},
+		}).Draw(t, "other")
+		units := drawUnits(t, "units")
+		from := uint32(rapid.IntRange(0, len(units)).Draw(t, "from"))
+		frames := disturb(t, response(id, units, from), response(other, drawUnits(t, "other units"), 0))
+		a := New(id, from)
+		caller := deliver(a, frames)
+		if !a.Complete() {
+			return
+		}
+		want := ""
+		for _, unit := range units[from:] {
+			want += unit
+		}
+		must.Eq(t, want, caller)
+		must.EqOp(t, uint32(len(units)), a.Received())
+	})
+}
+
+// A response whose own frames arrive once and in order must end well, whatever other attempts' frames and duplicates arrive
+// between them; otherwise late frames of a first attempt would break every retry.
+func TestForeignAndDuplicateFramesDoNoHarm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := wire.Identity{Attempt: 2}
+		units := drawUnits(t, "units")
+		noise := response(wire.Identity{Attempt: 1}, drawUnits(t, "other units"), 0)
+		var frames []wire.Message
+		var foreign, repeated uint32
+		for _, m := range response(id, units, 0) {
+			for rapid.Bool().Draw(t, "noise") {
+				frames = append(frames, rapid.SampledFrom(noise).Draw(t, "foreign"))
+				foreign++
+			}
+			frames = append(frames, m)
+			if rapid.Bool().Draw(t, "repeat") {
+				frames = append(frames, m)
+				repeated++
+			}
+		}
+		a := New(id, 0)
+		caller := deliver(a, frames)
+		must.True(t, a.Complete())
+		want := ""
+		for _, unit := range units {
+			want += unit
+		}
+		must.Eq(t, want, caller)
+		must.EqOp(t, foreign, a.Dropped().Foreign)
+		must.EqOp(t, repeated, a.Dropped().Duplicate+a.Dropped().Late)
+	})
+}
+
+// An owner that confuses a frame to ignore with a broken response would cut good ones or pass on bad ones.
+func TestErrors(t *testing.T) {
+	id := wire.Identity{Attempt: 1}
+	chunk := func(n uint32) *wire.Chunk { return &wire.Chunk{Identity: id, Sequence: n, Data: []byte{byte(n)}} }
+	step := func(a *Assembly, m wire.Message) error {
+		if c, ok := m.(*wire.Chunk); ok {
+			_, err := a.Chunk(c)
+			return err
+		}
+		return a.End(m.(*wire.End))
+	}
+	good := response(id, []string{3: "\x03"}, 3)[1].(*wire.End)
+	for name, c := range map[string]struct {
+		m    wire.Message
+		want error
+	}{
+		"next":            {chunk(4), nil},
+		"duplicate":       {chunk(3), ErrDropped},
+		"earlier attempt": {chunk(2), ErrDropped},
+		"gap":             {chunk(5), ErrIncomplete},
+		"foreign chunk":   {&wire.Chunk{Sequence: 4}, ErrDropped},
+		"foreign end":     {&wire.End{Chunks: 4}, ErrDropped},
+		"count too low":   {&wire.End{Identity: id, Chunks: 3, Checksum: good.Checksum}, ErrIncomplete},
+		"count too high":  {&wire.End{Identity: id, Chunks: 5, Checksum: good.Checksum}, ErrIncomplete},
+		"wrong checksum":  {&wire.End{Identity: id, Chunks: 4, Checksum: good.Checksum + 1}, ErrIncomplete},
+		"good end":        {good, nil},
+	} {
+		a := New(id, 3)
+		must.NoError(t, step(a, chunk(3)), must.Sprint(name))
+		err := step(a, c.m)
+		must.ErrorIs(t, err, c.want, must.Sprint(name))
+		if errors.Is(err, ErrIncomplete) {
+			must.ErrorIs(t, step(a, chunk(4)), ErrIncomplete, must.Sprint(name))
+			must.ErrorIs(t, step(a, good), ErrIncomplete, must.Sprint(name))
+		}
+	}
+}
+
+// A token's way to the caller must not allocate: every chunk of every response passes here.
+func TestChunkDoesNotAllocate(t *testing.T) {
+	id := wire.Identity{Attempt: 1}
+	a := New(id, 0)
+	c := &wire.Chunk{Identity: id, Data: make([]byte, 100)}
+	stray := &wire.Chunk{}
+	must.EqOp(t, 0, testing.AllocsPerRun(100, func() {
+		_, _ = a.Chunk(c)
+		_, _ = a.Chunk(stray)
+		c.Sequence++
+	}))
+	must.EqOp(t, 101, a.Received())
+}
