--- a/connection/link/config.go
+++ b/connection/link/config.go
@@ -27,7 +27,8 @@
 	// WindowBytes is the flow-control window of a stream, in bytes: the most that is queued for a slow caller. The dialing
 	// side's value counts. At least MinWindowBytes. Default 256 KiB.
 	WindowBytes uint32
-	// KeepaliveInterval is the time without received frames after which a Ping is sent. Default 10 s.
+	// KeepaliveInterval is the time without received frames after which the dialing side sends a Ping. The serving side does
+	// so later, by a quarter of the time that is left to KeepaliveTimeout. Default 10 s.
 	KeepaliveInterval time.Duration
 	// KeepaliveTimeout is the time without received frames after which the connection is lost. It must be longer than
 	// KeepaliveInterval. Default 25 s, which leaves a paused peer 15 s to answer a Ping.
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -44,6 +44,7 @@
 	}
 	if err != nil {
 		connectionsRefused.Add(1)
+		c.reportBadFrame(err)
 		c.cancel()
 		_ = nc.Close()
 		return nil, trace.Wrap(err, "handshake with %s", nc.RemoteAddr())
--- a/connection/link/keepalive.go
+++ b/connection/link/keepalive.go
@@ -30,7 +30,8 @@
 		}
 		k.probing = true
 		k.pinged = now
-		return probePing, k.timeout - k.interval
+		// The answer may arrive at once, and the next silence then starts now.
+		return probePing, min(k.interval, k.timeout-k.interval)
 	}
 	if wait := k.pinged + k.timeout - k.interval - now; wait > 0 {
 		return probeWait, wait
--- /dev/null
+++ b/connection/link/link_test.go
@@ -0,0 +1,200 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// A caller that does not read must neither hold up the others of its connection nor make this process buffer its response.
+func TestSlowCallerStopsOnlyItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := DefaultConfig()
+		cfg.WindowBytes = MinWindowBytes
+		var written atomic.Int64
+		_, dial := serve(t, DefaultConfig(), &answers{open: func(ctx context.Context, open *wire.Open, r *Responder) {
+			if len(open.Body) > 0 {
+				echo(ctx, open, r)
+				return
+			}
+			for range 1000 {
+				if r.Write(ctx, make([]byte, 1000)) != nil {
+					return
+				}
+				written.Add(1000)
+			}
+			_ = r.End(wire.End{})
+		}})
+		c := client(t, dial(), cfg)
+		slow, err := c.Open(t.Context(), openOf(1, ""))
+		must.NoError(t, err)
+		synctest.Wait()
+		must.Between(t, MinWindowBytes/2, written.Load(), MinWindowBytes)
+		long := strings.Repeat("x", 3*MinWindowBytes+1)
+		data, _, err := request(c, openOf(2, long))
+		must.NoError(t, err)
+		must.True(t, data == long+"end")
+		must.Between(t, MinWindowBytes/2, written.Load(), MinWindowBytes)
+		data, _, err = collect(slow)
+		must.NoError(t, err)
+		must.EqOp(t, 1_000_000, len(data))
+	})
+}
+
+// A sender that ignored flow control could fill the memory of an entry.
+func TestChunksBeyondCreditCloseTheConnection(t *testing.T) {
+	s := &Stream{window: newReceiveWindow(MinWindowBytes), notify: make(chan struct{}, 1)}
+	must.NoError(t, s.chunk(&wire.Chunk{Data: make([]byte, MinWindowBytes-ChunkOverheadBytes)}))
+	must.ErrorIs(t, s.chunk(&wire.Chunk{}), errProtocol)
+}
+
+// Whatever the window and the chunks, a waiting sender must get credit once the caller took everything, and an honest sender
+// must never exceed the receiver's count.
+func TestFlowControlProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.Uint32Range(MinWindowBytes, 1<<20).Draw(t, "window")
+		w := newReceiveWindow(size)
+		var credit sendCredit
+		credit.grant(size)
+		var queue []int
+		for range 200 {
+			chunk := rapid.IntRange(0, MaxChunkBytes).Draw(t, "chunk")
+			for !credit.take(chunk) {
+				must.SliceNotEmpty(t, queue)
+				credit.grant(w.consume(queue[0]))
+				queue = queue[1:]
+			}
+			must.True(t, w.receive(chunk))
+			queue = append(queue, chunk)
+			must.LessEq(t, int64(size), credit.left+int64(len(queue))*ChunkOverheadBytes)
+		}
+	})
+}
+
+// A request that was canceled must end its handler, and one that still waits in the queue must never reach the peer.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var started atomic.Int32
+		_, dial := serve(t, DefaultConfig(), &answers{open: func(ctx context.Context, open *wire.Open, r *Responder) {
+			started.Add(1)
+			<-ctx.Done()
+			test.ErrorIs(t, r.Write(context.Background(), []byte("x")), ErrCanceled)
+			test.ErrorIs(t, r.End(wire.End{}), ErrCanceled)
+		}})
+		c := client(t, dial(), DefaultConfig())
+		first, err := c.Open(t.Context(), openOf(1, ""))
+		must.NoError(t, err)
+		synctest.Wait()
+		first.Cancel()
+		synctest.Wait()
+		must.EqOp(t, 1, started.Load())
+		must.True(t, first.Sent())
+
+		queued := &Conn{cfg: DefaultConfig(), out: newOutbox(DefaultConfig())}
+		var streams [3]*Stream
+		for i := range streams {
+			streams[i], err = queued.Open(t.Context(), openOf(byte(i), strings.Repeat("b", i)))
+			must.NoError(t, err)
+		}
+		streams[1].Cancel()
+		b, _ := queued.out.take()
+		must.Eq(t, []bool{true, false, true}, []bool{streams[0].Sent(), streams[1].Sent(), streams[2].Sent()})
+		frames := wire.NewReader(bytes.NewReader(b.traffic.buf))
+		for _, want := range []uint32{1, 1, 3, 3} {
+			f, err := frames.Next()
+			must.NoError(t, err)
+			must.EqOp(t, want, f.Stream)
+		}
+		must.EqOp(t, 4, b.traffic.frames)
+		must.EqOp(t, len(b.traffic.buf), b.opens[1].end)
+	})
+}
+
+// A missing, second or false end would leave a caller waiting, or tell it that a request may run again that has run.
+func TestEnds(t *testing.T) {
+	errs := make(chan error, 2)
+	_, dial := serve(t, DefaultConfig(), &answers{open: func(_ context.Context, open *wire.Open, r *Responder) {
+		switch string(open.Body) {
+		case "panic":
+			panic("fault in a handler")
+		case "not run":
+			errs <- r.End(wire.End{Result: uint8(result.Full), Reason: strings.Repeat("ä", wire.MaxFrameBytes)})
+			errs <- r.End(wire.End{})
+		case "not run after Accepted":
+			errs <- r.Accepted()
+			errs <- r.End(wire.End{Result: uint8(result.Full)})
+		}
+	}})
+	c := client(t, dial(), DefaultConfig())
+	for _, row := range []struct {
+		body   string
+		want   result.Code
+		errors []error
+	}{
+		{"nothing", result.InternalError, nil},
+		{"panic", result.InternalError, nil},
+		{"not run", result.Full, []error{nil, ErrEnded}},
+		{"not run after Accepted", result.InternalError, []error{nil, ErrNotRunAfterAccepted}},
+	} {
+		_, code, err := request(c, openOf(1, row.body))
+		must.NoError(t, err)
+		test.EqOp(t, row.want, code, test.Sprint(row.body))
+		for _, want := range row.errors {
+			test.True(t, errors.Is(<-errs, want), test.Sprint(row.body))
+		}
+	}
+}
+
+// A drain must lose no request: each is answered, refused as not run, or never sent.
+func TestDrainLosesNothing(t *testing.T) {
+	for round := range 20 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		server := NewServer(DefaultConfig(), helloOf("server"), &answers{open: echo})
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(ln) }()
+		var wg sync.WaitGroup
+		var answered atomic.Int32
+		busy := make(chan struct{})
+		for range 4 {
+			c, err := Dial(t.Context(), ln.Addr().String(), DefaultConfig(), helloOf("client"), &answers{})
+			must.NoError(t, err)
+			for range 4 {
+				wg.Go(func() {
+					for {
+						_, code, err := request(c, openOf(1, "x"))
+						if errors.Is(err, ErrPeerLeaving) {
+							break
+						}
+						if err != nil || code != result.OK && code != result.Leaving {
+							t.Errorf("round %d: %v, %v", round, code, err)
+							break
+						}
+						if answered.Add(1) == 50 {
+							close(busy)
+						}
+					}
+				})
+			}
+			wg.Go(func() { <-c.Done() })
+		}
+		<-busy
+		must.NoError(t, server.Drain(t.Context()))
+		wg.Wait()
+		must.NoError(t, <-served)
+		must.NoError(t, server.Close())
+	}
+}
--- /dev/null
+++ b/connection/link/protocol_test.go
@@ -0,0 +1,224 @@
+package link
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// A peer of another major version must be told apart from an unreachable one, at both ends, within the timeout.
+func TestHandshakeRefusals(t *testing.T) {
+	other := wire.Hello{Major: wire.MajorVersion + 1, Instance: "other"}
+	otherFrame, err := wire.Encode(0, &other)
+	must.NoError(t, err)
+	ping, err := wire.Encode(0, &wire.Ping{})
+	must.NoError(t, err)
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			sends []byte
+			want  error
+		}{
+			"other major version": {otherFrame, ErrProtocolVersion},
+			"no Hello":            {ping, errProtocol},
+			"silence":             {nil, context.DeadlineExceeded},
+			"not our protocol":    {[]byte("HTTP/1.1 400 Bad Request\r\n"), wire.ErrFrame},
+		} {
+			refused := counting(connectionsRefused)
+			near, far := net.Pipe()
+			go func() {
+				_, _ = wire.Read(far)
+				_, _ = far.Write(c.sends)
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := Client(ctx, near, DefaultConfig(), helloOf("client"), &answers{})
+			cancel()
+			must.Error(t, err, must.Sprint(name))
+			if c.sends != nil {
+				must.ErrorIs(t, err, c.want, must.Sprint(name))
+			}
+			_ = far.Close()
+			must.EqOp(t, 1, refused(), must.Sprint(name))
+		}
+		refused := counting(connectionsRefused)
+		_, dial := serve(t, DefaultConfig(), &answers{})
+		silent, refusedPeer := dial(), dial()
+		_, err := refusedPeer.Write(otherFrame)
+		must.NoError(t, err)
+		f, err := wire.Read(refusedPeer)
+		must.NoError(t, err)
+		must.EqOp(t, wire.MajorVersion, f.Message.(*wire.Hello).Major)
+		for _, nc := range []net.Conn{refusedPeer, silent} {
+			_, err = wire.Read(nc)
+			must.Error(t, err)
+		}
+		must.EqOp(t, 2, refused())
+	})
+}
+
+// A faulty or foreign sender must lose its own connection and no other, and be visible in the counters.
+func TestBadFramesCloseOnlyTheirConnection(t *testing.T) {
+	_, dial := serve(t, DefaultConfig(), &answers{open: func(ctx context.Context, open *wire.Open, r *Responder) {
+		if len(open.Body) == 0 {
+			<-ctx.Done()
+		}
+		echo(ctx, open, r)
+	}})
+	healthy := client(t, dial(), DefaultConfig())
+	open, excess := openOf(1, ""), &wire.Window{Identity: openOf(1, "").Identity, Bytes: 1<<32 - 1}
+	for name, send := range map[string]func(p *rawPeer){
+		"length":       func(p *rawPeer) { _, _ = p.Write(binary.BigEndian.AppendUint32(nil, wire.MaxFrameBytes+1)) },
+		"content":      func(p *rawPeer) { _, _ = p.Write([]byte{0, 0, 0, 6, byte(wire.TypePing), 0, 0, 0, 0, 0xc1}) },
+		"second Hello": func(p *rawPeer) { p.send(0, &wire.Hello{}) },
+		"direction":    func(p *rawPeer) { p.send(1, &wire.End{}) },
+		"same stream":  func(p *rawPeer) { p.send(1, open); p.send(1, openOf(2, "")) },
+		"older stream": func(p *rawPeer) { p.send(2, open); p.send(1, openOf(2, "")) },
+		"stream zero":  func(p *rawPeer) { p.send(0, open) },
+		"credit":       func(p *rawPeer) { p.send(1, open); p.send(1, excess); p.send(1, excess) },
+	} {
+		bad := counting(badFrames)
+		p := dialRaw(t, dial())
+		send(p)
+		_, err := p.frames.Next()
+		must.Error(t, err, must.Sprint(name))
+		must.EqOp(t, 1, bad(), must.Sprint(name))
+		data, _, err := request(healthy, openOf(9, name))
+		must.NoError(t, err)
+		must.Eq(t, name+"end", data)
+	}
+}
+
+// Late frames of an earlier attempt or of an ended stream must not reach a caller, and a newer peer's frames must not cut the
+// connection.
+func TestStrayFramesAreDropped(t *testing.T) {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = wire.Read(far)
+		hello := wire.Hello{Major: wire.MajorVersion}
+		frame, _ := wire.Encode(0, &hello)
+		_, _ = far.Write(frame)
+	}()
+	c := client(t, near, DefaultConfig())
+	s, err := c.Open(t.Context(), openOf(1, ""))
+	must.NoError(t, err)
+	peer := &rawPeer{t: t, Conn: far, frames: wire.NewReader(far)}
+	peer.receive()
+	peer.receive()
+	go func() { // Cancel and Close write too.
+		for _, err := peer.frames.Next(); err == nil; _, err = peer.frames.Next() {
+		}
+		_ = far.Close()
+	}()
+	unknown, identity, repeated, skipped := counting(droppedUnknownStream), counting(droppedIdentity), counting(droppedRepeated), counting(skippedTypes)
+	other := wire.Identity{Request: s.id.Request, Attempt: 2}
+	for _, m := range []wire.Message{&wire.Accepted{Identity: other}, &wire.Chunk{Identity: other, Data: []byte("x")}, &wire.End{Identity: other}} {
+		peer.send(1, m)
+		peer.send(99, m)
+	}
+	_, err = far.Write([]byte{0, 0, 0, 6, 200, 0, 0, 0, 1, 0x80})
+	must.NoError(t, err)
+	accepted := &wire.Accepted{Identity: s.id}
+	peer.send(1, accepted)
+	peer.send(1, accepted)
+	peer.send(1, &wire.Chunk{Identity: s.id, Data: []byte("y")})
+	m, err := s.Recv(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, wire.Message(accepted), m)
+	m, err = s.Recv(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, "y", string(m.(*wire.Chunk).Data))
+	s.Cancel()
+	s.Cancel()
+	_, err = s.Recv(t.Context())
+	must.ErrorIs(t, err, ErrCanceled)
+	must.True(t, s.Sent())
+	peer.send(1, &wire.End{Identity: s.id})
+	peer.send(0, &wire.Ping{})
+	must.EqOp(t, 4, unknown())
+	must.Eq(t, []int64{3, 1, 1}, []int64{identity(), repeated(), skipped()})
+}
+
+// A peer that could make a server run or queue without bound would fail it for all other peers.
+func TestServerBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := DefaultConfig()
+		cfg.MaxStreams = 2
+		cfg.QueueBytes = 1
+		cfg.ControlQueueBytes = 100
+		release := make(chan struct{})
+		server, dial := serve(t, cfg, &answers{open: func(ctx context.Context, open *wire.Open, r *Responder) {
+			<-release
+			echo(ctx, open, r)
+		}})
+		// Canceled requests count until their handlers return, so that a peer cannot start more by canceling.
+		p := dialRaw(t, dial())
+		for n := uint32(1); n <= 2; n++ {
+			p.send(n, openOf(byte(n), ""))
+			p.send(n, &wire.Cancel{Identity: openOf(byte(n), "").Identity})
+		}
+		p.send(3, openOf(3, ""))
+		end := p.receive().(*wire.End)
+		must.EqOp(t, result.Full, result.Code(end.Result))
+		must.EqOp(t, openOf(3, "").Identity, end.Identity)
+
+		// Requests whose answers are not read are refused only up to the hard limit of the queue.
+		frame, err := wire.Encode(0, openOf(4, ""))
+		must.NoError(t, err)
+		sent := uint32(4)
+		for ; err == nil && sent < 100_000; sent++ {
+			wire.SetStream(frame, sent)
+			_, err = p.Write(frame)
+		}
+		must.Less(t, 100_000, sent)
+		close(release)
+
+		// Control frames for a peer that does not read fail at their limit, and the peer is lost at the write timeout.
+		synctest.Wait()
+		dialRaw(t, dial())
+		synctest.Wait()
+		c := server.Conns()[0]
+		for err = nil; err == nil; {
+			err = c.Send(&wire.Leaving{Instance: "server"})
+		}
+		must.ErrorIs(t, err, ErrQueueFull)
+		began := time.Now()
+		<-c.Done()
+		must.EqOp(t, cfg.WriteTimeout, time.Since(began))
+		must.ErrorIs(t, c.Send(&wire.Leaving{}), ErrConnectionLost)
+	})
+}
+
+// An idle connection must be probed and a dead one noticed; a busy one must cost no probes.
+func TestKeepalive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := DefaultConfig()
+		pings := counting(pingsSent)
+		_, dial := serve(t, cfg, &answers{open: echo})
+		c := client(t, dial(), cfg)
+		for range 40 { // Traffic for 200 s.
+			time.Sleep(cfg.KeepaliveInterval / 2)
+			_, _, err := request(c, openOf(1, ""))
+			must.NoError(t, err)
+		}
+		must.EqOp(t, 0, pings())
+		time.Sleep(20*cfg.KeepaliveInterval + time.Second)
+		must.EqOp(t, 20, pings())
+		must.NoError(t, c.Err())
+
+		p := dialRaw(t, dial())
+		began := time.Now()
+		must.Eq(t, wire.Message(&wire.Ping{ConfigVersion: 7}), p.receive())
+		test.Between(t, cfg.KeepaliveInterval, time.Since(began), cfg.KeepaliveTimeout)
+		_, err := p.frames.Next()
+		must.Error(t, err)
+		test.EqOp(t, cfg.KeepaliveTimeout, time.Since(began))
+	})
+}
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -125,7 +125,10 @@
 	defer s.removeConn(c)
 	if err := s.greet(c); err != nil {
 		connectionsRefused.Add(1)
-		event.Log(event.PeerRefused, "peer", c.remote.Instance, "address", nc.RemoteAddr(), "error", err)
+		c.reportBadFrame(err)
+		if errors.Is(err, ErrProtocolVersion) {
+			event.Log(event.PeerRefused, "peer", c.remote.Instance, "address", nc.RemoteAddr(), "error", err)
+		}
 		_ = nc.Close()
 		return
 	}
--- a/connection/link/writer.go
+++ b/connection/link/writer.go
@@ -13,7 +13,7 @@
 // writeLoop writes queued frames, everything that is queued at once, and probes a silent peer. It returns nil after the
 // frames of an orderly close.
 func (c *Conn) writeLoop() error {
-	alive := keepalive{interval: c.cfg.KeepaliveInterval, timeout: c.cfg.KeepaliveTimeout}
+	alive := keepalive{interval: c.probeInterval(), timeout: c.cfg.KeepaliveTimeout}
 	timer := time.NewTimer(alive.interval)
 	defer timer.Stop()
 	for {
@@ -36,6 +36,16 @@
 	}
 }
 
+// probeInterval is longer on the serving side, by a quarter of the time to the timeout: both ends of an idle connection would
+// otherwise probe at the same moment, which doubles the control traffic.
+func (c *Conn) probeInterval() time.Duration {
+	interval := c.cfg.KeepaliveInterval
+	if c.server != nil {
+		interval += (c.cfg.KeepaliveTimeout - interval) / 4
+	}
+	return interval
+}
+
 // probe does what the keepalive decides and returns the time until it is to be asked again.
 func (c *Conn) probe(alive *keepalive) (time.Duration, error) {
 	what, wait := alive.next(time.Since(c.start), time.Duration(c.lastReceived.Load()))
