--- /dev/null
+++ b/version/rules/bench_test.go
@@ -0,0 +1,31 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// manyTeams is the design scale: 46,000 teams.
+func manyTeams() []byte {
+	var b strings.Builder
+	b.WriteString("service m kind=model versions=v1  # ops: the model\n")
+	for i := range 46_000 {
+		fmt.Fprintf(&b, "team team-%05d-%x weight=%d limit=%d    # person%d: asked in ticket %d for the office\n",
+			i, i*7919, 1+i%9, 1+i%500, i%300, i*31)
+	}
+	return []byte(b.String())
+}
+
+// The time is printed for the record; a process parses the file after each change.
+func BenchmarkParseTeams(b *testing.B) {
+	text := manyTeams()
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, faults := Parse("f", text)
+		must.NoError(b, faults.Err())
+	}
+}
--- a/version/rules/line.go
+++ b/version/rules/line.go
@@ -83,12 +83,11 @@
 			i++
 			continue
 		}
-		n := strings.IndexAny(rule[i:], blanks)
-		if n < 0 {
-			n = len(rule) - i
+		start := i
+		for i < len(rule) && rule[i] != ' ' && rule[i] != '\t' {
+			i++
 		}
-		p.line.fields = append(p.line.fields, field{text: rule[i : i+n], offset: i})
-		i += n
+		p.line.fields = append(p.line.fields, field{text: rule[start:i], offset: start})
 		p.line.end = i
 	}
 }
--- a/version/rules/parse.go
+++ b/version/rules/parse.go
@@ -27,16 +27,17 @@
 
 // Parse compiles the text of a rules file. If it returns any fault, the Set is nil. The name is used in faults only.
 func Parse(name string, text []byte) (*Set, Faults) {
+	whole := string(text)
 	p := &parser{
-		file: name, set: newSet(),
+		file: name, set: newSet(strings.Count(whole, "\nteam ")),
 		declared: map[string]bool{},
 		bounds:   map[string]Bound{}, coldStarts: map[string]ColdStart{},
 		drains: map[drainKey]drainChange{},
 	}
 	number := 0
-	for text := range strings.SplitSeq(string(text), "\n") {
+	for line := range strings.SplitSeq(whole, "\n") {
 		number++
-		if p.read(number, text) {
+		if p.read(number, line) {
 			p.rule()
 		}
 	}
--- a/version/rules/set.go
+++ b/version/rules/set.go
@@ -24,11 +24,13 @@
 	shiftIndex   map[string]int32
 }
 
-func newSet() *Set {
+// newSet returns an empty set with room for a number of teams, of which a file has tens of thousands.
+func newSet(teams int) *Set {
 	return &Set{
+		teams:        make([]Team, 0, teams),
 		serviceIndex: map[string]int32{},
 		routeIndex:   map[string]int32{},
-		teamIndex:    map[string]int32{},
+		teamIndex:    make(map[string]int32, teams),
 		dataCentres:  map[string]int32{},
 		upstreams:    map[string]int32{},
 		shiftIndex:   map[string]int32{},
