--- a/version/config/part.go
+++ b/version/config/part.go
@@ -65,11 +65,16 @@
 	return list
 }
 
+// maxCompression is more than rules files are compressed to. Larger values are not compressed to find out.
+const maxCompression = 32
+
 // store returns either the compressed value or, if that is too large, the parts of the value.
 func (l layout) store(value []byte, pieces [][]byte) ([]byte, []part) {
-	compressed := compress(value)
-	if len(compressed) <= l.inlineBytes {
-		return compressed, nil
+	if len(value) <= maxCompression*l.inlineBytes {
+		compressed := compress(value)
+		if len(compressed) <= l.inlineBytes {
+			return compressed, nil
+		}
 	}
 	parts := make([]part, len(pieces))
 	for i, piece := range pieces {
--- a/version/config/state_test.go
+++ b/version/config/state_test.go
@@ -61,6 +61,7 @@
 // Guards against accepted changes that get lost, texts that are not what their proposer wrote, outcomes that are not true, and
 // readers that go back, accept something else, or never catch up.
 func TestProposersAndReaders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		kv := newFakeKV(rapid.Uint64().Draw(t, "seed"))
 		kv.lost, kv.late, kv.arrive, kv.unavailable, kv.stale = 0.1, 0.1, 0.3, 0.05, 0.2
