Decide claims by an optimistic log per shard

Cause: a retry of a non-idempotent call must never run twice, whatever the key-value service, the network and the other stores do.

Claims are appended to the active segment by compare-and-swap, many in one write. A lost write is settled by reading and, if the revision is unchanged, by sending the same write again. A claim that ended before it was decided is never granted; its record is released once it is found. Ruled out: sealing segments by size alone (two configurations would disagree on which segment is the last), and dropping a lost write and sending another batch (safe, but leaves keys in doubt that nobody ran).

The property test found two faults on the way, both across the retention: a late Finish of an expired grant released the same store's newer grant of the key. Releases and responses now name the batch of their claim, expired entries take none, and a grant beside an unfinished older one takes none.

--- /dev/null
+++ b/request/claim/event.go
@@ -0,0 +1,104 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Event is an input of a Log.
+type Event interface{ event() }
+
+// ClaimSubmitted asks for a key. ID is unique among the log's claims.
+type ClaimSubmitted struct {
+	ID          uint64
+	Key         Key
+	Fingerprint uint64
+}
+
+// ClaimCanceled ends a claim. If the claim has no answer yet it gets one at once, which is not a grant.
+type ClaimCanceled struct{ ID uint64 }
+
+// FinishSubmitted stores the response of a granted claim.
+type FinishSubmitted struct {
+	Key      Key
+	Response Response
+}
+
+// ReadResult is the result of a Read. Err is nil, or wraps platform.ErrNotFound or the reason why nothing was read.
+type ReadResult struct {
+	Op       uint64
+	Value    []byte
+	Revision platform.Revision
+	Err      error
+}
+
+// WriteResult is the result of a Write. Err is nil, or wraps one of the errors of platform.KV's CompareAndSwap; any other
+// error counts as an unknown outcome.
+type WriteResult struct {
+	Op       uint64
+	Revision platform.Revision
+	Err      error
+}
+
+// BodyResult is the result of a ReadBodies.
+type BodyResult struct {
+	Segment uint64
+	Value   []byte
+	Err     error
+}
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Closing refuses all claims that are not granted yet and writes what is left to write. The log is done when Idle.
+type Closing struct{}
+
+func (ClaimSubmitted) event()  {}
+func (ClaimCanceled) event()   {}
+func (FinishSubmitted) event() {}
+func (ReadResult) event()      {}
+func (WriteResult) event()     {}
+func (BodyResult) event()      {}
+func (Tick) event()            {}
+func (Closing) event()         {}
+
+// Effect is an output of a Log.
+type Effect interface{ effect() }
+
+// Read asks for a segment. Its result has the same Op.
+type Read struct {
+	Op      uint64
+	Segment uint64
+}
+
+// Write asks for a compare-and-swap of a segment. Its result has the same Op.
+type Write struct {
+	Op      uint64
+	Segment uint64
+	Prev    platform.Revision
+	Value   []byte
+}
+
+// ReadBodies asks for a sealed or older state of a segment that holds responses.
+type ReadBodies struct{ Segment uint64 }
+
+// Grant gives a claim its key. It is the claim's only answer.
+type Grant struct{ ID uint64 }
+
+// Answer ends a claim that is not granted. Err is set if the decision is Unavailable.
+type Answer struct {
+	ID       uint64
+	Decision Decision
+	Err      error
+}
+
+// Wake asks for a Tick at a time. A later Wake replaces it.
+type Wake struct{ At time.Time }
+
+func (Read) effect()       {}
+func (Write) effect()      {}
+func (ReadBodies) effect() {}
+func (Grant) effect()      {}
+func (Answer) effect()     {}
+func (Wake) effect()       {}
--- /dev/null
+++ b/request/claim/log.go
@@ -0,0 +1,218 @@
+package claim
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/jayridge/jayridge/platform"
+)
+
+// Reasons for which a claim is unavailable, besides the errors of the key-value service.
+var (
+	// ErrClosed means that the store is closed.
+	ErrClosed = errors.New("claim store is closed")
+	// ErrCanceled means that the claim's context ended before the claim was decided.
+	ErrCanceled = errors.New("claim ended before it was decided")
+	// ErrTooLate means that the claim's write was settled only after the retention.
+	ErrTooLate = errors.New("claim was decided after the retention")
+)
+
+// patience is the number of calls in a row that must fail before waiting claims are refused. The first failure may be one
+// broken connection.
+const patience = 2
+
+// Log is the state machine of one shard in one store. It has at most one Read or Write in progress.
+type Log struct {
+	cfg    Config
+	writer WriterID
+	random *rand.Rand
+	out    []Effect
+
+	// now is the latest time seen; it never decreases.
+	now time.Time
+
+	// The position: every batch before active's end in the log has been applied to index.
+	segment  uint64
+	revision platform.Revision
+	active   []byte
+	timeMS   int64
+	index    index
+
+	// started says that a claim has arrived; located that the first segment to read is known, which search finds; synced that no
+	// later batch than the position is known to exist.
+	started bool
+	located bool
+	search  *search
+	synced  bool
+	fault   error
+
+	// lastOp numbers reads and writes; fresh is the last one that reached the end of the log.
+	lastOp    uint64
+	fresh     uint64
+	op        uint64
+	probing   uint64
+	flight    flight
+	write     *pendingWrite
+	sequence  uint64
+	nextWrite time.Time
+	retryAt   time.Time
+	failures  int
+	lastErr   error
+
+	waiters map[uint64]*waiter
+	pending []*waiter
+	stale   []*waiter
+	// held counts the grants of each key that are not finished; more than one is possible only across the retention.
+	held      map[Key]int
+	releases  []record
+	finishes  []record
+	finishDue time.Time
+	closing   bool
+
+	bodies  *simplelru.LRU[Key, []byte]
+	fetches map[uint64][]*waiter
+}
+
+// flight is what kind of call is in progress.
+type flight uint8
+
+const (
+	flightNone flight = iota
+	flightRead
+	flightProbe
+	flightWrite
+)
+
+// NewLog returns the state machine of one shard. writer is unique to this run of the process. random draws the waits after
+// failures; the log is its only user.
+func NewLog(cfg Config, writer WriterID, random *rand.Rand) (*Log, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	bodies, err := simplelru.NewLRU[Key, []byte](cfg.CachedBodies, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Log{
+		cfg:     cfg,
+		writer:  writer,
+		random:  random,
+		index:   newIndex(cfg.Retention, writer),
+		waiters: map[uint64]*waiter{},
+		held:    map[Key]int{},
+		bodies:  bodies,
+		fetches: map[uint64][]*waiter{},
+	}, nil
+}
+
+// Step takes an event and returns what is to be done about it. The effects are valid until the next call.
+func (l *Log) Step(now time.Time, ev Event) []Effect {
+	l.out = l.out[:0]
+	if now.After(l.now) {
+		l.now = now
+	}
+	switch ev := ev.(type) {
+	case ClaimSubmitted:
+		l.submit(ev)
+	case ClaimCanceled:
+		l.cancel(ev.ID)
+	case FinishSubmitted:
+		l.finish(ev)
+	case ReadResult:
+		l.readResult(ev)
+	case WriteResult:
+		l.writeResult(ev)
+	case BodyResult:
+		l.bodyResult(ev)
+	case Closing:
+		l.close()
+	case Tick:
+	}
+	l.index.expire(l.horizonMS())
+	l.advance()
+	return l.out
+}
+
+// Idle says whether the log has nothing left to write, or can write nothing because its segments are not readable.
+func (l *Log) Idle() bool {
+	return l.fault != nil || l.flight == flightNone && l.write == nil && len(l.releases) == 0 && len(l.finishes) == 0
+}
+
+// Settled says whether no write is in doubt.
+func (l *Log) Settled() bool { return l.write == nil || !l.write.lost }
+
+func (l *Log) emit(e Effect) { l.out = append(l.out, e) }
+
+// nextMS is the earliest time of the batch that the log would write next.
+func (l *Log) nextMS() int64 { return max(l.now.UnixMilli(), l.timeMS) }
+
+// horizonMS is the earliest time of any own batch that is not applied yet.
+func (l *Log) horizonMS() int64 {
+	if l.write != nil {
+		return max(l.timeMS, l.write.batch.TimeMS)
+	}
+	return l.nextMS()
+}
+
+// advance starts the next call to the key-value service if one is wanted and allowed.
+func (l *Log) advance() {
+	if l.flight != flightNone || !l.wanted() {
+		return
+	}
+	if l.now.Before(l.retryAt) {
+		l.emit(Wake{At: l.retryAt})
+		return
+	}
+	switch {
+	case l.write != nil && !l.write.resend:
+		l.startRead()
+	case l.write != nil:
+		l.paced(l.sendWrite)
+	case !l.synced:
+		l.startRead()
+	case l.writable():
+		l.paced(l.startWrite)
+	case len(l.stale) > 0:
+		l.startRead()
+	default:
+		l.emit(Wake{At: l.finishDue})
+	}
+}
+
+// wanted says whether there is anything to call the service for. Reading a shard goes on once it has begun, even if the claims
+// that began it have given up, so that a long log is read in the end.
+func (l *Log) wanted() bool {
+	return l.fault == nil && (l.started && !l.synced && !l.closing || l.write != nil ||
+		len(l.pending)+len(l.stale)+len(l.releases)+len(l.finishes) > 0)
+}
+
+// writable says whether a batch should be written as soon as the rate allows. Responses alone wait for FlushInterval.
+func (l *Log) writable() bool {
+	return len(l.pending) > 0 || len(l.releases) > 0 ||
+		len(l.finishes) > 0 && (l.closing || !l.now.Before(l.finishDue))
+}
+
+// paced runs start if the rate allows a write now, else asks to be woken when it does.
+func (l *Log) paced(start func()) {
+	if l.now.Before(l.nextWrite) {
+		l.emit(Wake{At: l.nextWrite})
+		return
+	}
+	l.nextWrite = l.now.Add(l.cfg.writeInterval())
+	start()
+}
+
+func (l *Log) startFlight(kind flight) uint64 {
+	l.lastOp++
+	l.op = l.lastOp
+	l.flight = kind
+	return l.op
+}
+
+func (l *Log) close() {
+	l.closing = true
+	l.endAll(ErrClosed)
+}
