Verify candidate lists: moved chats, updates, allocations

Cause: cache reuse depends on a departure moving only its own chats, and on all entries choosing alike after different histories of small changes.

Slot tables combine two xxhash64 values by the final mix of xxhash64 instead of hashing 16 bytes for each pair, and the inner loop of a build is written out.

--- /dev/null
+++ b/request/candidate/candidate_test.go
@@ -0,0 +1,275 @@
+package candidate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// fleet returns n upstreams spread evenly over data centres.
+func fleet(n, dataCentres int) []Upstream {
+	ups := make([]Upstream, n)
+	for i := range ups {
+		ups[i] = Upstream{ID: fmt.Sprintf("r%d", i), DataCentre: fmt.Sprintf("dc%d", i%dataCentres), Service: "model", Version: "v1"}
+	}
+	return ups
+}
+
+func without(ups []Upstream, i int) []Upstream {
+	return append(append([]Upstream(nil), ups[:i]...), ups[i+1:]...)
+}
+
+func (v *View) first(chat uint64) Candidate {
+	var buf [1]Candidate
+	return v.Candidates("model", "v1", nil, chat, buf[:0])[0]
+}
+
+// movedShare returns the share of all chats whose first candidate differs between two views with equal data-centre weights.
+func movedShare(t *testing.T, a, b *View) float64 {
+	key := groupKey{"model", "v1"}
+	moved, total := 0.0, 0.0
+	for i, from := range a.groups[key].sites {
+		to := b.groups[key].sites[i]
+		must.Eq(t, from.weight, to.weight)
+		total += from.weight
+		for slot := 0; from.table != to.table && slot < SlotCount; slot++ {
+			if from.table.members[from.table.slot(slot)[0]].id != to.table.members[to.table.slot(slot)[0]].id {
+				moved += from.weight / SlotCount
+			}
+		}
+	}
+	return moved / total
+}
+
+// Guards against a leave or join that moves chats of other upstreams, by the tables or by a data-centre weight that shifts.
+func TestLeaveAndJoinMoveOnlyOneShare(t *testing.T) {
+	for _, size := range []struct{ upstreams, dataCentres int }{{12, 3}, {9, 3}, {435, 1}, {435, 3}} {
+		random := rand.New(rand.NewPCG(1, uint64(size.upstreams)))
+		ups := fleet(size.upstreams, size.dataCentres)
+		full := Build(nil, ups, DefaultConfig())
+		rounds := min(size.upstreams, 30)
+		left, joined := 0.0, 0.0
+		for _, i := range random.Perm(size.upstreams)[:rounds] {
+			extra := Upstream{ID: fmt.Sprintf("new%d", i), DataCentre: ups[i].DataCentre, Service: "model", Version: "v1"}
+			fewer := Build(full, without(ups, i), DefaultConfig())
+			more := Build(full, append(ups[:len(ups):len(ups)], extra), DefaultConfig())
+			again := Build(fewer, ups, DefaultConfig())
+			left += movedShare(t, full, fewer) / float64(rounds)
+			joined += movedShare(t, full, more) / float64(rounds)
+			must.Zero(t, movedShare(t, full, again))
+			for range 1000 {
+				chat := random.Uint64()
+				before, afterLeave, afterJoin := full.first(chat), fewer.first(chat), more.first(chat)
+				must.True(t, before == afterLeave || before.ID == ups[i].ID && before.DataCentre == afterLeave.DataCentre)
+				must.True(t, before == afterJoin || afterJoin.ID == extra.ID && before.DataCentre == afterJoin.DataCentre)
+			}
+		}
+		n := float64(size.upstreams)
+		t.Logf("%d upstreams, %d data centres: a leave moves %.3f/n, a join %.3f/n of the chats", size.upstreams, size.dataCentres, left*n, joined*n)
+		must.LessEq(t, 1.05/n, left)
+		must.LessEq(t, 1.05/n, joined)
+	}
+}
+
+// Guards against an incremental update that differs from a build from scratch, by which two entries would disagree for good.
+func TestUpdateEqualsBuild(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.SampledFrom([]float64{-1, 1, 1, 1, 1, 1, 1, 1, 2.5}), 24, 24)
+		const slots = 512
+		var last *table
+		for range 4 {
+			var members []member
+			for i, w := range weights.Draw(t, "weights") {
+				if w > 0 {
+					members = append(members, member{id: fmt.Sprintf("r%02d", i), hash: uint64(i) * 7919, weight: w})
+				}
+			}
+			scratch := buildTable("dc", members, slots)
+			last = updateTable(last, "dc", members, slots)
+			must.True(t, slices.Equal(scratch.members, last.members) && slices.Equal(scratch.slots, last.slots))
+		}
+	})
+}
+
+// Guards against a small change that takes the path of a full build, and against unchanged tables that are not shared.
+func TestUpdateReusesTables(t *testing.T) {
+	ups := fleet(40, 2)
+	v := Build(nil, ups, DefaultConfig())
+	next := Build(v, without(ups, 0), DefaultConfig())
+	key := siteKey{groupKey{"model", "v1"}, "dc1"}
+	must.True(t, v.site(key).table == next.site(key).table)
+	for changes, wantIncremental := range map[int]bool{1: true, 3: true, 30: false} {
+		c := change{joined: make([]uint16, changes)}
+		must.Eq(t, wantIncremental, c.small(20))
+	}
+}
+
+// Guards against shares of the chats that do not follow upstream weights and data-centre sizes.
+func TestSharesFollowWeights(t *testing.T) {
+	ups := fleet(8, 1)
+	for i := range 24 {
+		ups = append(ups, Upstream{ID: fmt.Sprintf("big%d", i), DataCentre: "large", Service: "model", Version: "v1", Weight: 1})
+	}
+	ups[0].Weight = 3
+	v := Build(nil, ups, DefaultConfig())
+	random := rand.New(rand.NewPCG(2, 2))
+	const chats = 200_000
+	heavy, small := 0, 0
+	for range chats {
+		c := v.first(random.Uint64())
+		if c.DataCentre == "dc0" {
+			small++
+		}
+		if c.ID == "r0" {
+			heavy++
+		}
+	}
+	must.InDelta(t, levelOf(8, v.cfg).weight()/(levelOf(8, v.cfg).weight()+levelOf(24, v.cfg).weight()), float64(small)/chats, 0.01)
+	must.InDelta(t, 3.0/(3+7), float64(heavy)/float64(small), 0.02)
+}
+
+// Guards against lists in a wrong order, out of reach, beyond the capacity of dst, or that end a scan at a small data centre.
+func TestCandidateOrder(t *testing.T) {
+	ups := append(fleet(30, 3), Upstream{ID: "lone", DataCentre: "dc9", Service: "model", Version: "v1", Weight: 1})
+	v := Build(nil, ups, DefaultConfig())
+	for chat := range uint64(2000) {
+		list := v.Candidates("model", "v1", nil, chat, make([]Candidate, 0, 16))
+		counts := map[string]int{}
+		seen := map[Candidate]bool{}
+		for i, c := range list {
+			must.True(t, counts[c.DataCentre] == 0 || list[i-1].DataCentre == c.DataCentre)
+			must.False(t, seen[c])
+			counts[c.DataCentre]++
+			seen[c] = true
+		}
+		first := list[0].DataCentre
+		for dataCentre, n := range counts {
+			want := 2
+			if dataCentre == first {
+				want = 4
+			}
+			if dataCentre == "dc9" {
+				want = 1
+			}
+			must.Eq(t, want, n)
+		}
+		near := v.Candidates("model", "v1", NewReach("dc1", "dc9"), chat, make([]Candidate, 0, 16))
+		must.False(t, slices.ContainsFunc(near, func(c Candidate) bool { return c.DataCentre != "dc1" && c.DataCentre != "dc9" }))
+		must.Eq(t, list[:3], v.Candidates("model", "v1", nil, chat, make([]Candidate, 0, 3)))
+	}
+	must.SliceEmpty(t, v.Candidates("model", "v2", nil, 1, make([]Candidate, 0, 4)))
+	must.SliceEmpty(t, v.Candidates("model", "v1", NewReach("elsewhere"), 1, make([]Candidate, 0, 4)))
+	must.SliceEmpty(t, (*View)(nil).Candidates("model", "v1", nil, 1, make([]Candidate, 0, 4)))
+}
+
+// Guards against a data-centre weight that a single departure moves, and against one that stays wrong after a return.
+func TestLevelHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		n := rapid.IntRange(2, 5000).Draw(t, "upstreams")
+		l := levelOf(n, cfg)
+		must.True(t, l.low <= n && n < l.low+l.width)
+		must.LessEq(t, max(1, 0.06*float64(n)), math.Abs(l.weight()-float64(n)))
+		held := nextLevel(l, n-1, cfg)
+		must.Eq(t, l, held)
+		must.Eq(t, l, nextLevel(held, n, cfg))
+		if n >= 6 {
+			must.Eq(t, levelOf(n/3, cfg), nextLevel(l, n/3, cfg))
+		}
+	})
+}
+
+// Guards against cohorts that lose chats while a share grows, or that miss their share.
+func TestCohort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chat, salt := rapid.Uint64().Draw(t, "chat"), rapid.Uint64().Draw(t, "salt")
+		a, b := rapid.Float64Range(0, 1).Draw(t, "a"), rapid.Float64Range(0, 1).Draw(t, "b")
+		must.True(t, !Cohort(chat, salt, min(a, b)) || Cohort(chat, salt, max(a, b)))
+		must.True(t, Cohort(chat, salt, 1) && !Cohort(chat, salt, 0) && !Cohort(chat, salt, math.NaN()))
+	})
+	for _, share := range []float64{0.01, 0.05, 0.2, 0.5} {
+		in, both := 0, 0
+		for chat := range uint64(200_000) {
+			if Cohort(chat, 1, share) {
+				in++
+				if Cohort(chat, 2, share) {
+					both++
+				}
+			}
+		}
+		must.InDelta(t, share, float64(in)/200_000, 0.004)
+		must.InDelta(t, share, float64(both)/float64(in), 0.05)
+	}
+}
+
+// Guards against a Validate that passes a faulty field or does not name it.
+func TestValidateNamesFields(t *testing.T) {
+	must.NoError(t, DefaultConfig().Validate())
+	for field, c := range map[string]Config{
+		"FirstDataCentre":  {FirstDataCentre: 5, WeightMinStep: 1},
+		"OtherDataCentres": {FirstDataCentre: 1, OtherDataCentres: -1, WeightMinStep: 1},
+		"WeightStep":       {FirstDataCentre: 1, WeightStep: math.NaN(), WeightMinStep: 1},
+		"WeightMinStep":    {FirstDataCentre: 1},
+	} {
+		must.ErrorContains(t, c.Validate(), field)
+	}
+}
+
+// Guards against decisions that allocate, or that do more work with more upstreams: ten times the upstreams must leave the
+// number of scores (data centres) and the size of the tables (slots) as they are.
+func TestDecisionCost(t *testing.T) {
+	small, large := build(nil, fleet(1000, 23), DefaultConfig(), 512), build(nil, fleet(10_000, 23), DefaultConfig(), 512)
+	reach := NewReach("dc1", "dc2", "dc3")
+	buf := make([]Candidate, 0, 8)
+	chat := uint64(0)
+	must.Zero(t, testing.AllocsPerRun(1000, func() {
+		chat++
+		large.Candidates("model", "v1", nil, chat, buf)
+		large.Candidates("model", "v1", reach, chat, buf)
+	}))
+	key := groupKey{"model", "v1"}
+	must.Eq(t, len(small.groups[key].sites), len(large.groups[key].sites))
+	must.Eq(t, len(small.groups[key].sites[0].table.slots), len(large.groups[key].sites[0].table.slots))
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range []int{1000, 10_000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			v := Build(nil, fleet(n, 23), DefaultConfig())
+			buf := make([]Candidate, 0, 8)
+			random := rand.New(rand.NewPCG(3, 3))
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Candidates("model", "v1", nil, random.Uint64(), buf)
+			}
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	ups := fleet(435, 1)
+	full, fewer := Build(nil, ups, DefaultConfig()), Build(nil, ups[1:], DefaultConfig())
+	for name, run := range map[string]func(){
+		"leave": func() { Build(full, ups[1:], DefaultConfig()) },
+		"join":  func() { Build(fewer, ups, DefaultConfig()) },
+		"full":  func() { Build(nil, ups, DefaultConfig()) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				run()
+			}
+		})
+	}
+	many := fleet(10_000, 23)
+	all := Build(nil, many, DefaultConfig())
+	b.Run("leave-of-10000", func(b *testing.B) {
+		for b.Loop() {
+			Build(all, many[1:], DefaultConfig())
+		}
+	})
+}
--- a/request/candidate/hash.go
+++ b/request/candidate/hash.go
@@ -15,9 +15,21 @@
 	return xxhash.Sum64(buf[:])
 }
 
-// unit maps a hash to the open interval (0, 1) with 53 bits.
+// combine hashes the pair of two xxhash64 values by the final mix of xxhash64. It serves the slot tables, whose build takes one
+// hash for each slot and upstream; hashPair takes several times as long there.
+func combine(a, b uint64) uint64 {
+	const prime2, prime3 = 14029467366897019727, 1609587929392839161
+	h := a ^ b
+	h ^= h >> 33
+	h *= prime2
+	h ^= h >> 29
+	h *= prime3
+	return h ^ h>>32
+}
+
+// unit maps a hash to the open interval (0, 1) with 53 bits. The conversion from a signed number takes one instruction.
 func unit(hash uint64) float64 {
-	return (float64(hash>>11) + 0.5) / (1 << 53)
+	return (float64(int64(hash>>11)) + 0.5) / (1 << 53)
 }
 
 // cost is the weighted rendezvous cost of a hash: an exponential variable with rate weight, the lowest cost wins. The winner
--- a/request/candidate/rank.go
+++ b/request/candidate/rank.go
@@ -8,9 +8,9 @@
 // stackSites is the number of data centres up to which a decision does not allocate.
 const stackSites = 64
 
-// slotOf returns the slot of a chat. It hashes the number again, so that callers need not pass a uniform one.
-func slotOf(chat uint64) int {
-	return int(hashPair(chat, slotSeed) >> 48)
+// slotOf returns the slot of a chat in tables with a power of two of slots. It hashes the number again, so that callers need not pass a uniform one.
+func slotOf(chat uint64, slotCount int) int {
+	return int(hashPair(chat, slotSeed)) & (slotCount - 1)
 }
 
 // Candidates appends the candidates of a chat to dst, the preferred one first, until dst is full: it never grows dst, and
@@ -27,7 +27,7 @@
 	}
 	var buf [stackSites]float64
 	costs := g.costs(home, chat, buf[:0])
-	slot := slotOf(chat)
+	slot := slotOf(chat, v.slotCount)
 	take := v.cfg.FirstDataCentre
 	for len(dst) < cap(dst) && take > 0 {
 		best := lowest(costs)
--- a/request/candidate/table.go
+++ b/request/candidate/table.go
@@ -48,14 +48,17 @@
 	return r
 }
 
-// offer inserts a member unless the ranking is full of better ones. Equal costs are ordered by index, so that the result does
-// not depend on the order of the offers.
-func (r *ranking) offer(index uint16, m *member, slot uint64) {
-	hash := hashPair(slot, m.hash)
-	if !mayBeat(hash, m.weight, r.cost[SlotDepth-1]) {
-		return
+// offer inserts a member unless the ranking is full of better ones.
+func (r *ranking) offer(index uint16, m *member, slotHash uint64) {
+	hash := combine(slotHash, m.hash)
+	if mayBeat(hash, m.weight, r.cost[SlotDepth-1]) {
+		r.insert(index, cost(hash, m.weight))
 	}
-	c := cost(hash, m.weight)
+}
+
+// insert puts a member at its place. Equal costs are ordered by index, so that the result does not depend on the order of the
+// calls.
+func (r *ranking) insert(index uint16, c float64) {
 	at := SlotDepth
 	for at > 0 && (c < r.cost[at-1] || c == r.cost[at-1] && index < r.index[at-1]) {
 		at--
@@ -68,10 +71,15 @@
 	r.index[at], r.cost[at] = index, c
 }
 
+// newTable returns a table with empty slots.
+func newTable(dataCentre string, members []member, slotCount int) *table {
+	return &table{dataCentre: dataCentre, members: members, slots: make([]uint16, slotCount*SlotDepth)}
+}
+
 // buildTable ranks all members for all slots.
-func buildTable(dataCentre string, members []member) *table {
-	t := &table{dataCentre: dataCentre, members: members, slots: make([]uint16, SlotCount*SlotDepth)}
-	for slot := range SlotCount {
+func buildTable(dataCentre string, members []member, slotCount int) *table {
+	t := newTable(dataCentre, members, slotCount)
+	for slot := range slotCount {
 		t.rankSlot(slot)
 	}
 	return t
@@ -81,10 +89,17 @@
 	return t.slots[slot*SlotDepth : (slot+1)*SlotDepth]
 }
 
+// slotHash is the slot's part of the rendezvous hashes.
+func slotHash(slot int) uint64 { return hashPair(uint64(slot), slotSeed) }
+
 func (t *table) rankSlot(slot int) {
-	r := emptyRanking()
+	r, hash := emptyRanking(), slotHash(slot)
 	for i := range t.members {
-		r.offer(uint16(i), &t.members[i], uint64(slot))
+		m := &t.members[i]
+		// The same as offer, which the compiler does not inline: a build of 435 members took 1.5 times as long with the call.
+		if h := combine(hash, m.hash); mayBeat(h, m.weight, r.cost[SlotDepth-1]) {
+			r.insert(uint16(i), cost(h, m.weight))
+		}
 	}
 	copy(t.slot(slot), r.index[:])
 }
@@ -99,6 +114,10 @@
 	joined []uint16
 }
 
+// small says whether an update of a table that now has n members costs fewer scores than a build. A join costs one score for
+// each slot, a leave all n scores of the SlotDepth/n of the slots that list the member.
+func (c change) small(n int) bool { return len(c.joined)+SlotDepth*c.left < n }
+
 // diff compares two ascending lists of members.
 func diff(prev, next []member) change {
 	c := change{newIndex: make([]uint16, len(prev))}
@@ -123,22 +142,21 @@
 	return c
 }
 
-// updateTable returns the table of members. It reuses prev, which may be nil: unchanged members give prev itself, and a small
+// updateTable returns the table of members. It reuses prev, which may be nil and has the same number of slots: unchanged members give prev itself, and a small
 // change recomputes only the slots that it touches.
-func updateTable(prev *table, dataCentre string, members []member) *table {
+func updateTable(prev *table, dataCentre string, members []member, slotCount int) *table {
 	if prev == nil {
-		return buildTable(dataCentre, members)
+		return buildTable(dataCentre, members, slotCount)
 	}
 	c := diff(prev.members, members)
 	if c.left == 0 && len(c.joined) == 0 {
 		return prev
 	}
-	// A join costs one score for each slot, a leave all scores of the SlotDepth/n of the slots that list the member.
-	if len(c.joined)+SlotDepth*c.left >= len(members) {
-		return buildTable(dataCentre, members)
+	if !c.small(len(members)) {
+		return buildTable(dataCentre, members, slotCount)
 	}
-	t := &table{dataCentre: dataCentre, members: members, slots: make([]uint16, SlotCount*SlotDepth)}
-	for slot := range SlotCount {
+	t := newTable(dataCentre, members, slotCount)
+	for slot := range slotCount {
 		t.updateSlot(prev, slot, c)
 	}
 	return t
@@ -167,27 +185,27 @@
 	if len(indexes) == 0 {
 		return false
 	}
-	limit := math.Inf(1)
+	hash, limit := slotHash(slot), math.Inf(1)
 	if last := t.slot(slot)[SlotDepth-1]; last != noMember {
 		m := &t.members[last]
-		limit = cost(hashPair(uint64(slot), m.hash), m.weight)
+		limit = cost(combine(hash, m.hash), m.weight)
 	}
 	return slices.ContainsFunc(indexes, func(i uint16) bool {
 		m := &t.members[i]
-		return mayBeat(hashPair(uint64(slot), m.hash), m.weight, limit)
+		return mayBeat(combine(hash, m.hash), m.weight, limit)
 	})
 }
 
 // mergeSlot ranks the members that the slot lists together with the given ones.
 func (t *table) mergeSlot(slot int, indexes []uint16) {
-	r := emptyRanking()
+	r, hash := emptyRanking(), slotHash(slot)
 	for _, i := range t.slot(slot) {
 		if i != noMember {
-			r.offer(i, &t.members[i], uint64(slot))
+			r.offer(i, &t.members[i], hash)
 		}
 	}
 	for _, i := range indexes {
-		r.offer(i, &t.members[i], uint64(slot))
+		r.offer(i, &t.members[i], hash)
 	}
 	copy(t.slot(slot), r.index[:])
 }
--- a/request/candidate/view.go
+++ b/request/candidate/view.go
@@ -80,8 +80,10 @@
 
 // View holds the candidates of all chats for one set of upstreams. A nil View has no candidates.
 type View struct {
-	cfg    Config
-	groups map[groupKey]*group
+	cfg Config
+	// slotCount is a power of two up to SlotCount.
+	slotCount int
+	groups    map[groupKey]*group
 }
 
 type siteKey struct {
@@ -92,14 +94,19 @@
 // Build returns the view of the given upstreams. It reuses the tables of prev, which may be nil, and holds the data-centre
 // weights of prev against single departures. cfg must be valid. Build does not keep ups.
 func Build(prev *View, ups []Upstream, cfg Config) *View {
-	v := &View{cfg: cfg, groups: make(map[groupKey]*group)}
+	return build(prev, ups, cfg, SlotCount)
+}
+
+// build is Build with smaller tables, which tests use to save time; prev must have the same number of slots.
+func build(prev *View, ups []Upstream, cfg Config, slotCount int) *View {
+	v := &View{cfg: cfg, slotCount: slotCount, groups: make(map[groupKey]*group)}
 	for key, members := range collect(ups) {
 		g := v.groups[key.groupKey]
 		if g == nil {
 			g = &group{}
 			v.groups[key.groupKey] = g
 		}
-		g.sites = append(g.sites, buildSite(prev.site(key), key.dataCentre, normalise(members), cfg))
+		g.sites = append(g.sites, v.buildSite(prev.site(key), key.dataCentre, normalise(members)))
 	}
 	for _, g := range v.groups {
 		slices.SortFunc(g.sites, func(a, b site) int { return cmp.Compare(a.name, b.name) })
@@ -141,15 +148,15 @@
 	return members[:min(len(members), MaxTableUpstreams)]
 }
 
-func buildSite(prev *site, dataCentre string, members []member, cfg Config) site {
+func (v *View) buildSite(prev *site, dataCentre string, members []member) site {
 	s := site{name: dataCentre, hash: xxhash.Sum64String(dataCentre)}
 	var prevLevel level
 	var prevTable *table
 	if prev != nil {
 		prevLevel, prevTable = prev.level, prev.table
 	}
-	s.level = nextLevel(prevLevel, len(members), cfg)
+	s.level = nextLevel(prevLevel, len(members), v.cfg)
 	s.weight = s.level.weight()
-	s.table = updateTable(prevTable, dataCentre, members)
+	s.table = updateTable(prevTable, dataCentre, members, v.slotCount)
 	return s
 }
