Verify the retry policy and bound reruns

Cause: a request that crashes every upstream that runs it must not be rerun on each candidate, and a caller must never be told "not run" of a request of which an earlier attempt may have run.

Change: MaxReruns (1) bounds attempts after one that may have run; delivered chunks count as a run. Table test over all 255 numbers, property test over several attempts, amplification test, example. Ruled out: resuming without a limit, because a stream that crashes its engine would visit every candidate.

--- a/request/retry/config.go
+++ b/request/retry/config.go
@@ -12,6 +12,9 @@
 	// MaxAttempts bounds the attempts of one request, the first one included. Default 8, the length of a candidate list: four
 	// in the first data centre and two in each of the next two. Zero is invalid; 1 turns retries off.
 	MaxAttempts int
+	// MaxReruns bounds the attempts after one that may have run. Default 1: a request that crashes upstreams is rerun at most
+	// once before its fingerprint is quarantined. Zero turns reruns and resumes off.
+	MaxReruns int
 	// ImmediateRefusals is the number of refusals after which a request moves on to its next candidate without a backoff.
 	// Default 4, so that overflow from a full first data centre reaches the next one at once. Zero backs off after each.
 	ImmediateRefusals int
@@ -47,6 +50,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxAttempts:          8,
+		MaxReruns:            1,
 		ImmediateRefusals:    4,
 		BaseBackoff:          10 * time.Millisecond,
 		MaxBackoff:           time.Second,
@@ -69,6 +73,7 @@
 		}
 	}
 	check(c.MaxAttempts >= 1 && c.MaxAttempts <= math.MaxUint8, "MaxAttempts", c.MaxAttempts)
+	check(c.MaxReruns >= 0, "MaxReruns", c.MaxReruns)
 	check(c.ImmediateRefusals >= 0, "ImmediateRefusals", c.ImmediateRefusals)
 	check(c.BaseBackoff >= 0, "BaseBackoff", c.BaseBackoff)
 	check(c.MaxBackoff >= 0, "MaxBackoff", c.MaxBackoff)
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -126,8 +126,7 @@
 	if len(r.Attempts) == 0 || len(r.Attempts) >= p.cfg.MaxAttempts || r.CandidatesLeft <= 0 || r.Left <= 0 {
 		return GiveUp
 	}
-	ran := anyMayHaveRun(r.Attempts)
-	if ran && !r.Idempotent {
+	if ran := runs(r); ran > 0 && (!r.Idempotent || ran > p.cfg.MaxReruns) {
 		return GiveUp
 	}
 	if !mayHelp(r.Attempts[len(r.Attempts)-1]) {
@@ -142,13 +141,18 @@
 	return GiveUp
 }
 
-func anyMayHaveRun(attempts []Attempt) bool {
-	for _, a := range attempts {
+// runs counts the attempts that may have run, at least one if a chunk was delivered.
+func runs(r Request) int {
+	n := 0
+	for _, a := range r.Attempts {
 		if a.mayHaveRun() {
-			return true
+			n++
 		}
 	}
-	return false
+	if n == 0 && r.Delivered > 0 {
+		return 1
+	}
+	return n
 }
 
 // mayHelp says whether another upstream may give a better result than the attempt's. For attempts that may have run, that
@@ -173,6 +177,9 @@
 			return r.Attempts[i].verdict()
 		}
 	}
+	if r.Delivered > 0 {
+		return result.UpstreamBroken
+	}
 	if r.Left <= 0 {
 		return result.DeadlineBeforeRun
 	}
--- /dev/null
+++ b/request/retry/retry_test.go
@@ -0,0 +1,181 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/request/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func decide(cfg Config, r Request) Decision {
+	return NewPolicy(cfg).Decide(start, r, NewBudget(start, cfg), rand.New(rand.NewPCG(1, 1)))
+}
+
+// request is one whose latest attempt may be followed by another as far as time and candidates go.
+func request(attempts ...Attempt) Request {
+	return Request{Attempts: attempts, Left: time.Minute, CandidatesLeft: 5}
+}
+
+// Guards against a second run of a call that is not idempotent, and against a retry that cannot help, over all numbers that a
+// sidecar may send, registered or not.
+func TestEveryCode(t *testing.T) {
+	rerun := map[result.Code]bool{result.UpstreamError: true, result.UpstreamBroken: true, result.ConnectionLost: true, result.BadAnswer: true}
+	for n := 1; n < 256; n++ {
+		code := result.Code(n)
+		notRun, elsewhere := code.Outcome() == result.NotRun, code.Info().Elsewhere
+		for _, accepted := range []bool{false, true} {
+			r := request(Attempt{Code: code, Accepted: accepted})
+			d := decide(DefaultConfig(), r)
+			must.Eq(t, notRun && elsewhere && !accepted, d.Action == Retry, must.Sprint(code, accepted))
+			must.True(t, d.Action != Resume)
+			if d.Action == GiveUp {
+				must.Eq(t, notRun && !accepted, d.Code.Outcome() == result.NotRun, must.Sprint(code, accepted))
+			}
+
+			r.Idempotent = true
+			want := notRun && (elsewhere || accepted) || rerun[code]
+			must.Eq(t, want, decide(DefaultConfig(), r).Action == Retry, must.Sprint(code, accepted))
+
+			r.Delivered = 7
+			must.Eq(t, GiveUp, decide(DefaultConfig(), r).Action)
+			r.Resumable = true
+			d = decide(DefaultConfig(), r)
+			must.Eq(t, want, d.Action == Resume, must.Sprint(code, accepted))
+			must.True(t, d.Action == GiveUp || d.Offset == 7)
+		}
+	}
+}
+
+// Guards against a decision over several attempts that runs a call twice, repeats delivered chunks, tells "not run" of a
+// request that may have run, or exceeds the deadline, the candidates or the attempts.
+func TestDecisionsAreSafe(t *testing.T) {
+	attempt := rapid.Custom(func(t *rapid.T) Attempt {
+		code := rapid.SampledFrom(result.All()[1:]).Draw(t, "info").Code
+		return Attempt{Code: code, Accepted: rapid.Bool().Draw(t, "accepted"), DataCentre: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "dc")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.MaxAttempts = rapid.IntRange(1, 6).Draw(t, "max")
+		r := Request{
+			Attempts:       rapid.SliceOfN(attempt, 0, 6).Draw(t, "attempts"),
+			Idempotent:     rapid.Bool().Draw(t, "idempotent"),
+			Resumable:      rapid.Bool().Draw(t, "resumable"),
+			Delivered:      rapid.Uint32Range(0, 2).Draw(t, "delivered"),
+			Left:           time.Duration(rapid.IntRange(-5, 50).Draw(t, "left")) * time.Millisecond,
+			CandidatesLeft: rapid.IntRange(0, 2).Draw(t, "candidates"),
+		}
+		d := decide(cfg, r)
+		ran := runs(r) > 0
+		if d.Action == GiveUp {
+			must.Eq(t, !ran, d.Code.Outcome() == result.NotRun)
+			return
+		}
+		must.True(t, !ran || r.Idempotent && runs(r) <= cfg.MaxReruns)
+		must.Eq(t, r.Delivered > 0, d.Action == Resume)
+		must.True(t, len(r.Attempts) < cfg.MaxAttempts && r.CandidatesLeft > 0)
+		must.LessEq(t, r.Left-cfg.MinTimeLeft, d.Backoff)
+	})
+}
+
+// Guards against backoffs that do not grow, are not jittered, exceed their limit, or delay overflow to the next candidate.
+func TestBackoff(t *testing.T) {
+	cfg := DefaultConfig()
+	p := NewPolicy(cfg)
+	random := rand.New(rand.NewPCG(2, 2))
+	refusal, failure := Attempt{Code: result.OverBound}, Attempt{Code: result.UpstreamBroken}
+	var attempts []Attempt
+	for range cfg.ImmediateRefusals {
+		attempts = append(attempts, refusal)
+		must.Zero(t, p.backoff(attempts, random))
+	}
+	for step, limit := range []time.Duration{10, 20, 40, 80, 160, 320, 640, 1000, 1000, 1000} {
+		attempts = append(attempts, failure)
+		limit *= time.Millisecond
+		var highest, sum time.Duration
+		for range 1000 {
+			b := p.backoff(attempts, random)
+			highest, sum = max(highest, b), sum+b
+		}
+		must.Between(t, limit*9/10, highest, limit, must.Sprint(step))
+		must.Between(t, limit*9/20, sum/1000, limit*11/20, must.Sprint(step))
+	}
+	must.Eq(t, p.backoff(attempts, rand.New(rand.NewPCG(3, 3))), p.backoff(attempts, rand.New(rand.NewPCG(3, 3))))
+	cfg.BaseBackoff, cfg.MaxBackoff = 1<<62, 1<<63-1
+	must.Positive(t, int64(NewPolicy(cfg).backoffLimit(200)))
+}
+
+// Guards against a fleet that refuses or fails as a whole and so receives a multiple of the load.
+func TestBudgetBoundsAmplification(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempt Attempt
+		cost    float64
+	}{
+		"refusals": {Attempt{Code: result.OverBound}, DefaultConfig().RefusalCost},
+		"failures": {Attempt{Code: result.UpstreamBroken, Accepted: true}, DefaultConfig().FailureCost},
+	} {
+		cfg := DefaultConfig()
+		p, b, random := NewPolicy(cfg), NewBudget(start, cfg), rand.New(rand.NewPCG(4, 4))
+		const requests, perSecond = 50_000, 500
+		retries := 0
+		for n := range requests {
+			now := start.Add(time.Duration(n) * time.Second / perSecond)
+			b.Request(now)
+			r := request(c.attempt)
+			r.Idempotent = true
+			for p.Decide(now, r, b, random).Action == Retry {
+				r.Attempts = append(r.Attempts, c.attempt)
+				retries++
+			}
+		}
+		allowed := (requests*cfg.BudgetShare + requests/perSecond*cfg.BudgetPerSecond + cfg.BudgetBurst) / c.cost
+		t.Logf("%s: %.2f retries a request, at most %.2f", name, float64(retries)/requests, allowed/requests)
+		must.Between(t, allowed*0.99, float64(retries), allowed)
+		must.LessEq(t, cfg.BudgetBurst, b.Tokens(start.Add(time.Hour)))
+	}
+}
+
+// Guards against requests that try every candidate of a data centre that is out of service.
+func TestSkipsDataCentreOutOfService(t *testing.T) {
+	for _, c := range []struct {
+		attempts []Attempt
+		skip     bool
+	}{
+		{[]Attempt{{Code: result.Unreachable, DataCentre: "a"}}, false},
+		{[]Attempt{{Code: result.Unreachable, DataCentre: "a"}, {Code: result.Draining, DataCentre: "a"}}, true},
+		{[]Attempt{{Code: result.Unreachable, DataCentre: "a"}, {Code: result.Leaving, DataCentre: "b"}}, false},
+		{[]Attempt{{Code: result.Unreachable, DataCentre: "a"}, {Code: result.OverBound, DataCentre: "a"}}, false},
+	} {
+		d := decide(DefaultConfig(), request(c.attempts...))
+		must.Eq(t, Retry, d.Action)
+		must.Eq(t, c.skip, d.SkipDataCentre)
+	}
+}
+
+// Guards against a Validate that passes a faulty field or does not name it.
+func TestValidateNamesFields(t *testing.T) {
+	must.NoError(t, DefaultConfig().Validate())
+	for field, change := range map[string]func(*Config){
+		"MaxAttempts":          func(c *Config) { c.MaxAttempts = 256 },
+		"MaxReruns":            func(c *Config) { c.MaxReruns = -1 },
+		"ImmediateRefusals":    func(c *Config) { c.ImmediateRefusals = -1 },
+		"BaseBackoff":          func(c *Config) { c.BaseBackoff = -1 },
+		"MaxBackoff":           func(c *Config) { c.MaxBackoff = -1 },
+		"MinTimeLeft":          func(c *Config) { c.MinTimeLeft = -1 },
+		"LeaveDataCentreAfter": func(c *Config) { c.LeaveDataCentreAfter = -1 },
+		"BudgetShare":          func(c *Config) { c.BudgetShare = -1 },
+		"BudgetPerSecond":      func(c *Config) { c.BudgetPerSecond = -1 },
+		"BudgetBurst":          func(c *Config) { c.BudgetBurst = -1 },
+		"FailureCost":          func(c *Config) { c.FailureCost = 0 },
+		"RefusalCost":          func(c *Config) { c.RefusalCost = 0 },
+	} {
+		c := DefaultConfig()
+		change(&c)
+		must.ErrorContains(t, c.Validate(), field)
+	}
+}
