--- /dev/null
+++ b/process/admission/bound_test.go
@@ -0,0 +1,224 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// warm returns a controller of a warm engine without cold-start rule.
+func warm(cfg Config, capacity uint64, limits Limits) *Controller {
+	c := New(cfg)
+	c.SetLimits(start, limits)
+	c.Report(start, platform.EngineLoad{StartID: "a", Capacity: capacity, CachedPrefixes: 100})
+	return c
+}
+
+// service is a model of the upstreams of one service whose sidecars all know the true mean.
+type service struct {
+	runners []*Controller
+	work    []uint64
+	total   uint64
+	open    []struct {
+		runner int
+		units  uint32
+		ticket Ticket
+	}
+}
+
+// offer tells the true mean to a runner and offers it a request.
+func (s *service) offer(runner int, units uint32) result.Code {
+	s.runners[runner].SetMean(start, uint32(s.total/uint64(len(s.runners))))
+	ticket, refusal := s.runners[runner].Admit(start, Request{Team: "t", WorkUnits: units})
+	if !refusal.Refused() {
+		s.work[runner] += uint64(units)
+		s.total += uint64(units)
+		s.open = append(s.open, struct {
+			runner int
+			units  uint32
+			ticket Ticket
+		}{runner, units, ticket})
+	}
+	return refusal.Code
+}
+
+func (s *service) finish(i int) {
+	o := s.open[i]
+	s.open = append(s.open[:i], s.open[i+1:]...)
+	s.runners[o.runner].Done(start, o.ticket, Completion{OK: true})
+	s.work[o.runner] -= uint64(o.units)
+	s.total -= uint64(o.units)
+}
+
+// Guards against a load above the bound, and against a floor so strict that every runner refuses work. With the floor of an
+// idle runner only (FloorSlack -1) no admission exceeds max(bound x mean, one request). With the default, none exceeds
+// max(bound x mean, 1.05 x mean + one request), none exceeds bound x mean from a mean of 5 such requests on, and the runner
+// with the least load never refuses.
+func TestBoundHoldsAndServiceProgresses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		if rapid.Bool().Draw(t, "strict") {
+			cfg.FloorSlack = -1
+		}
+		k := rapid.IntRange(1, 15).Draw(t, "runners")
+		s := &service{work: make([]uint64, k)}
+		for range k {
+			s.runners = append(s.runners, warm(cfg, 1<<40, Limits{}))
+		}
+		// From a loaded start, both small and large means are reached.
+		size := rapid.Uint32Range(20, 4000)
+		for range rapid.IntRange(0, 8).Draw(t, "start") {
+			units := size.Draw(t, "units")
+			for runner := range k {
+				s.offer(runner, units)
+			}
+		}
+		for range 200 {
+			if len(s.open) > 0 && rapid.IntRange(0, 2).Draw(t, "done") == 0 {
+				s.finish(rapid.IntRange(0, len(s.open)-1).Draw(t, "which"))
+				continue
+			}
+			runner, units := rapid.IntRange(0, k-1).Draw(t, "runner"), size.Draw(t, "units")
+			before, least := float64(s.total)/float64(k), s.work[runner]
+			for _, w := range s.work {
+				least = min(least, w)
+			}
+			code := s.offer(runner, units)
+			must.True(t, code == result.OK || code == result.OverBound)
+			if code == result.OverBound {
+				must.True(t, s.work[runner] > least || cfg.FloorSlack < 0)
+				continue
+			}
+			load, one := float64(s.work[runner]), float64(units)
+			bound := cfg.DefaultBound * float64(s.total) / float64(k)
+			if cfg.FloorSlack < 0 {
+				must.LessEq(t, max(bound, one), load)
+				continue
+			}
+			must.LessEq(t, max(bound, (1+cfg.FloorSlack)*before+one), load)
+			if before >= one/(cfg.DefaultBound-1-cfg.FloorSlack) {
+				must.LessEq(t, bound, load)
+			}
+		}
+	})
+}
+
+// Guards against a floor without slack for a low mean: 12 runners with one equal request each must take a 13th and so on, while
+// a floor of one request on an idle runner only would stop the service at one request per runner.
+func TestFloorLetsLowMeanGrow(t *testing.T) {
+	for slack, want := range map[float64]int{0.05: 12 * 20, -1: 12} {
+		cfg := DefaultConfig()
+		cfg.FloorSlack = slack
+		s := &service{work: make([]uint64, 12)}
+		for range s.work {
+			s.runners = append(s.runners, warm(cfg, 1<<40, Limits{}))
+		}
+		for range 20 {
+			for runner := range s.runners {
+				s.offer(runner, 100)
+			}
+		}
+		must.Eq(t, want, len(s.open))
+	}
+}
+
+// Guards against an uncapped upstream when the mean is stale or was never seen, against work beyond the engine's capacity, and
+// against a refusal of the one request that an idle upstream may always take.
+func TestCaps(t *testing.T) {
+	mean := func(units uint32) func(*Controller) { return func(c *Controller) { c.SetMean(start, units) } }
+	unforeseen := func(c *Controller) {
+		c.SetMean(start, 10_000)
+		c.Report(start, platform.EngineLoad{StartID: "a", Capacity: 10_000, CachedPrefixes: 100, WorkUnits: 8100})
+	}
+	for name, c := range map[string]struct {
+		setup    func(*Controller)
+		capacity uint64
+		after    time.Duration
+		priority int8
+		want     uint64
+		code     result.Code
+	}{
+		"fresh mean":          {mean(1000), 10_000, 3 * time.Second, 0, 1200, result.OverBound},
+		"stale mean":          {mean(1000), 10_000, 3*time.Second + 1, 0, 1000, result.OverBound},
+		"low stale mean":      {mean(50), 10_000, time.Hour, 0, 100, result.OverBound},
+		"no mean":             {func(*Controller) {}, 10_000, 0, 0, 2200, result.Full},
+		"no mean, high":       {func(*Controller) {}, 10_000, 0, 1, 2500, result.Full},
+		"capacity":            {mean(1 << 31), 10_000, 0, 0, 9000, result.Full},
+		"capacity, high":      {mean(1 << 31), 10_000, 0, 1, 10_000, result.Full},
+		"unknown capacity":    {mean(1 << 31), 0, 0, 1, 65_500, result.Full},
+		"idle beyond it":      {mean(10), 50, 0, 0, 100, result.Full},
+		"unforeseen work":     {unforeseen, 10_000, 0, 0, 900, result.Full},
+		"old unforeseen work": {unforeseen, 10_000, time.Minute, 0, 9000, result.Full},
+	} {
+		ctl := warm(DefaultConfig(), c.capacity, Limits{TeamWeight: func(string) float64 { return -1 }})
+		c.setup(ctl)
+		var refusal Refusal
+		for !refusal.Refused() {
+			_, refusal = ctl.Admit(start.Add(c.after), Request{Team: "t", WorkUnits: 100, Priority: c.priority})
+		}
+		must.Eq(t, c.code, refusal.Code, must.Sprint(name))
+		must.Eq(t, uint32(c.want), ctl.Load().WorkUnits, must.Sprint(name))
+		must.Positive(t, refusal.RetryAfter)
+	}
+}
+
+// Guards against new work on an upstream that leaves, is drained, or has no configuration, and against work that is cut off.
+func TestUnavailable(t *testing.T) {
+	c := New(DefaultConfig())
+	admit := func() (Ticket, result.Code) {
+		ticket, refusal := c.Admit(start, Request{Team: "t"})
+		return ticket, refusal.Code
+	}
+	_, code := admit()
+	must.Eq(t, result.NoConfiguration, code)
+	c.SetLimits(start, Limits{})
+	ticket, code := admit()
+	must.Eq(t, result.OK, code)
+	c.SetLimits(start, Limits{Drained: true})
+	_, code = admit()
+	must.Eq(t, result.Draining, code)
+	c.SetLeaving()
+	c.SetLimits(start, Limits{})
+	_, code = admit()
+	must.Eq(t, result.Leaving, code)
+	must.Eq(t, 1, c.State().InFlight)
+	c.Done(start, ticket, Completion{OK: true})
+	must.Eq(t, map[result.Code]uint64{result.NoConfiguration: 1, result.Draining: 1, result.Leaving: 1}, c.State().Refused)
+}
+
+// Guards against load that drifts when a ticket is done twice, is unknown, or its place was given to another request.
+func TestTicketsAreDoneOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := warm(DefaultConfig(), 1<<40, Limits{})
+		c.SetMean(start, 1<<31)
+		open := map[Ticket]uint32{}
+		all := []Ticket{{}, {place: 3, serial: 1}, {place: 0, serial: 1 << 40}}
+		for range 100 {
+			if rapid.Bool().Draw(t, "admit") {
+				units := rapid.Uint32Range(1, 100).Draw(t, "units")
+				ticket, refusal := c.Admit(start, Request{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), WorkUnits: units})
+				must.False(t, refusal.Refused())
+				open[ticket] = units
+				all = append(all, ticket)
+				continue
+			}
+			ticket := rapid.SampledFrom(all).Draw(t, "ticket")
+			c.FirstByte(start, ticket)
+			c.Done(start, ticket, Completion{OK: true})
+			delete(open, ticket)
+			var work uint32
+			for _, units := range open {
+				work += units
+			}
+			must.Eq(t, work, c.Load().WorkUnits)
+			must.Eq(t, uint32(len(open)), c.Load().InFlight)
+		}
+	})
+}
--- a/process/admission/coldstart.go
+++ b/process/admission/coldstart.go
@@ -43,7 +43,7 @@
 }
 
 // report reads the signs of a cold engine from its report.
-func (c *coldStart) report(load platform.EngineLoad, limits *Limits, cfg *Config) {
+func (c *coldStart) report(load platform.EngineLoad, cfg *Config) {
 	switch {
 	case !c.seen:
 		// A sidecar that restarts beside a warm engine finds prefixes in its cache.
@@ -55,7 +55,6 @@
 	if load.StartID != "" {
 		c.start = load.StartID
 	}
-	c.warmUp(limits)
 }
 
 func (c *coldStart) restarted(load platform.EngineLoad) bool {
@@ -74,7 +73,8 @@
 	return min(limits.ColdInitial+c.earned, max(limits.ColdLimit, limits.ColdInitial))
 }
 
-// warmUp ends the cold start when the limit has reached its end and the engine does not call itself cold.
+// warmUp ends the cold start when the limit has reached its end and the engine does not call itself cold. It must not be called
+// before the rules are known, which say where the limit ends.
 func (c *coldStart) warmUp(limits *Limits) {
 	if c.cold && !c.flag && c.limit(limits) >= limits.ColdLimit {
 		c.cold = false
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -110,7 +110,10 @@
 // Report takes over the engine's own report.
 func (c *Controller) Report(now time.Time, load platform.EngineLoad) {
 	c.engine.report(now, load, c.work)
-	c.cold.report(load, &c.limits, &c.cfg)
+	c.cold.report(load, &c.cfg)
+	if c.configured {
+		c.cold.warmUp(&c.limits)
+	}
 }
 
 // Admit decides on a request. If the Refusal is zero, the request is admitted, and Done must be called with the ticket.
--- /dev/null
+++ b/process/admission/teams_test.go
@@ -0,0 +1,195 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/request/result"
+)
+
+var weights = map[string]float64{"a": 1, "b": 1, "c": 2, "d": 4}
+
+func teamLimits() Limits {
+	return Limits{TeamWeight: func(team string) float64 { return weights[team] }}
+}
+
+// Guards against a team that takes more than its share under contention, against shares that count inactive teams, and
+// against refusals for a share while there is no contention.
+func TestTeamShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		const capacity = 10_000
+		c := warm(cfg, capacity, teamLimits())
+		now := start
+		seen := map[string]time.Time{}
+		work := map[string]float64{}
+		type request struct {
+			team   string
+			units  float64
+			ticket Ticket
+		}
+		var open []request
+		total := 0.0
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if len(open) > 0 && rapid.IntRange(0, 4).Draw(t, "done") == 0 {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				c.Done(now, open[i].ticket, Completion{OK: true})
+				work[open[i].team] -= open[i].units
+				total -= open[i].units
+				open = append(open[:i], open[i+1:]...)
+				continue
+			}
+			c.SetMean(now, 1<<31)
+			team, units := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "team"), rapid.Uint32Range(50, 1500).Draw(t, "units")
+			seen[team] = now
+			ticket, refusal := c.Admit(now, Request{Team: team, WorkUnits: units, Priority: 1})
+			// The sum of active weights is at most that of the teams seen within twice the time: a team with work counts
+			// from then on again. It is at least that of the teams with work or seen within the time.
+			least, most := 0.0, 0.0
+			for name, at := range seen {
+				if work[name] > 0 || now.Sub(at) <= cfg.TeamActiveFor {
+					least += weights[name]
+				}
+				most += weights[name]
+			}
+			after, held := total+float64(units), work[team]+float64(units)
+			contended := after > cfg.ContentionShare*capacity
+			if refusal.Code == result.TeamLimit {
+				must.True(t, contended && held > weights[team]/most*capacity)
+				continue
+			}
+			if refusal.Refused() {
+				must.Eq(t, result.Full, refusal.Code)
+				must.Greater(t, capacity, after)
+				continue
+			}
+			if contended && work[team] > 0 {
+				must.LessEq(t, weights[team]/least*capacity+1e-6, held)
+			}
+			work[team], total = held, after
+			open = append(open, request{team, float64(units), ticket})
+		}
+	})
+}
+
+// Guards against a surging team that keeps a full upstream to itself, and against idle capacity that a lone team cannot use.
+func TestSurgingTeamGivesWay(t *testing.T) {
+	c := warm(DefaultConfig(), 10_000, teamLimits())
+	now := start
+	var surge []Ticket
+	step := func() {
+		now = now.Add(100 * time.Millisecond)
+		c.SetMean(now, 1<<31)
+		for {
+			ticket, refusal := c.Admit(now, Request{Team: "a", WorkUnits: 100})
+			if refusal.Refused() {
+				return
+			}
+			surge = append(surge, ticket)
+		}
+	}
+	step()
+	must.Len(t, 90, surge)
+	small := 0
+	for range 60 {
+		if _, refusal := c.Admit(now, Request{Team: "b", WorkUnits: 100}); !refusal.Refused() {
+			small++
+		}
+		c.Done(now, surge[0], Completion{OK: true})
+		surge = surge[1:]
+		step()
+	}
+	must.Between(t, 38, small, 50)
+	must.Between(t, 40, len(surge), 52)
+}
+
+// Guards against a rate limit that is off, counts refused requests, or does not follow changed rules.
+func TestTeamRateLimit(t *testing.T) {
+	limit := 10.0
+	c := warm(DefaultConfig(), 1<<40, Limits{TeamLimit: func(string) float64 { return limit }})
+	count := func(seconds int) (admitted int) {
+		for ms := range seconds * 1000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			ticket, refusal := c.Admit(now, Request{Team: "a"})
+			if refusal.Refused() {
+				must.Eq(t, result.TeamLimit, refusal.Code)
+				must.Between(t, 0, refusal.RetryAfter, time.Second/10)
+				continue
+			}
+			admitted++
+			c.Done(now, ticket, Completion{OK: true})
+		}
+		return admitted
+	}
+	must.Between(t, 108, count(10), 110)
+	limit = 0
+	c.SetLimits(start.Add(time.Minute), c.limits)
+	must.Eq(t, 1000, count(1))
+}
+
+// Guards against memory that grows with the number of teams, and against weights that stay after their teams left.
+func TestTeamsAreForgotten(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxTeams = 50
+	c := warm(cfg, 1<<40, Limits{})
+	for i := range 1000 {
+		ticket, refusal := c.Admit(start, Request{Team: fmt.Sprint("team", i)})
+		must.False(t, refusal.Refused())
+		if i != 7 {
+			c.Done(start, ticket, Completion{OK: true})
+		}
+	}
+	must.Len(t, 51, c.State().Teams)
+	c.Admit(start.Add(cfg.TeamActiveFor+1), Request{Team: "next"})
+	teams := c.State().Teams
+	must.Len(t, 2, teams)
+	must.Eq(t, TeamState{Name: "team7", WorkUnits: 1, InFlight: 1, Share: 0.5}, teams[0])
+}
+
+// steady returns a function that admits and ends one request of ten teams in turn, on a loaded upstream.
+func steady() func() {
+	c := warm(DefaultConfig(), 100_000, Limits{TeamLimit: func(string) float64 { return 1e6 }})
+	names := make([]string, 10)
+	for i := range names {
+		names[i] = fmt.Sprint("team", i)
+	}
+	now := start
+	next := func() Ticket {
+		now = now.Add(time.Millisecond)
+		c.SetMean(now, 60_000)
+		ticket, refusal := c.Admit(now, Request{Team: names[now.UnixMilli()%10], WorkUnits: 1000})
+		if refusal.Refused() {
+			panic(refusal.Code)
+		}
+		return ticket
+	}
+	open := make([]Ticket, 50)
+	for i := range open {
+		open[i] = next()
+	}
+	i := 0
+	return func() {
+		c.FirstByte(now, open[i])
+		c.Done(now, open[i], Completion{WorkUnits: 900, OK: true})
+		open[i] = next()
+		i = (i + 1) % len(open)
+	}
+}
+
+// Guards against allocations on the path of every request.
+func TestAdmitDoesNotAllocate(t *testing.T) {
+	must.Zero(t, testing.AllocsPerRun(1000, steady()))
+}
+
+func BenchmarkAdmitDone(b *testing.B) {
+	run := steady()
+	b.ReportAllocs()
+	for b.Loop() {
+		run()
+	}
+}
