--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -126,8 +126,7 @@
 	if len(r.Attempts) == 0 || len(r.Attempts) >= p.cfg.MaxAttempts || r.CandidatesLeft <= 0 || r.Left <= 0 {
 		return GiveUp
 	}
-	runs := mayHaveRun(r.Attempts)
-	if runs > 0 && !r.Idempotent || runs >= p.cfg.MaxRuns {
+	if ran := runs(r); ran > 0 && (!r.Idempotent || ran > p.cfg.MaxReruns) {
 		return GiveUp
 	}
 	if !mayHelp(r.Attempts[len(r.Attempts)-1]) {
@@ -142,14 +141,17 @@
 	return GiveUp
 }
 
-// mayHaveRun counts the attempts that were or may have been handed to an upstream.
-func mayHaveRun(attempts []Attempt) int {
+// runs counts the attempts that may have run, at least one if a chunk was delivered.
+func runs(r Request) int {
 	n := 0
-	for _, a := range attempts {
+	for _, a := range r.Attempts {
 		if a.mayHaveRun() {
 			n++
 		}
 	}
+	if n == 0 && r.Delivered > 0 {
+		return 1
+	}
 	return n
 }
 
@@ -175,6 +177,9 @@
 			return r.Attempts[i].verdict()
 		}
 	}
+	if r.Delivered > 0 {
+		return result.UpstreamBroken
+	}
 	if r.Left <= 0 {
 		return result.DeadlineBeforeRun
 	}
