Prove that bookings run at most once with real processes

Change: a sidecar waits a while for the result of an earlier call with the same key before it answers in doubt: at once when the call ends in the same process, else by asking the log again up to five times. Tests: sent twice at once to two entries, sidecar killed after the effect, frozen and thawed, lost answers and stale reads of the platform, platform down, calls without a key. Ruled out: waiting until the deadline, which would hold callers for calls whose owner is dead.

--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -7,15 +7,12 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/node"
-	"github.com/jayridge/jayridge/request/claim"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/rules"
 )
@@ -136,67 +133,6 @@
 	x.s.mu.Unlock()
 }
 
-// claimAndRun runs the request, after a claim if the rules do not call its route idempotent and it has a key.
-func (x *exchange) claimAndRun(ctx context.Context, route rules.Route) wire.End {
-	if route.Idempotent || x.open.IdempotencyKey == "" {
-		end, _ := x.run(ctx)
-		return end
-	}
-	if x.s.claims == nil {
-		return wire.End{Result: uint8(result.ClaimUnavailable)}
-	}
-	key := claim.KeyOf(x.open.Team, x.open.IdempotencyKey)
-	decision, err := x.s.claims.Claim(ctx, key, x.fingerprint())
-	switch decision.Kind {
-	case claim.Granted:
-		return x.runClaimed(ctx, key)
-	case claim.Finished:
-		return x.replay(ctx, decision.Response)
-	case claim.InDoubt:
-		return wire.End{Result: uint8(result.AlreadyClaimed)}
-	case claim.KeyReused:
-		return wire.End{Result: uint8(result.BadRequest), Reason: "the idempotency key belongs to another request"}
-	default:
-		reason := ""
-		if err != nil {
-			reason = err.Error()
-		}
-		return wire.End{Result: uint8(result.ClaimUnavailable), Reason: reason}
-	}
-}
-
-// fingerprint tells two requests with the same idempotency key apart.
-func (x *exchange) fingerprint() uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(x.open.Method)
-	_, _ = d.WriteString(" " + x.open.Path + "\n")
-	_, _ = d.Write(x.open.Body)
-	return d.Sum64()
-}
-
-// runClaimed runs a call whose key was granted to it and stores its result.
-func (x *exchange) runClaimed(ctx context.Context, key claim.Key) wire.End {
-	end, body := x.run(ctx)
-	code := result.Code(end.Result)
-	if code.Outcome() != result.Unknown {
-		x.s.claims.Finish(key, claim.Response{Code: code, Status: end.Status, Body: body})
-	}
-	return end
-}
-
-// replay answers with the stored result of an earlier call with the same key. A caller that sent the key before learns that its
-// call did not run a second time from the code alone when the answer is not kept.
-func (x *exchange) replay(ctx context.Context, response claim.Response) wire.End {
-	metrics.Add("claims_replayed", 1)
-	if response.Truncated {
-		return wire.End{Result: uint8(result.AlreadyRun), Status: response.Status}
-	}
-	if err := x.r.Write(ctx, response.Body); err != nil {
-		return wire.End{Result: uint8(interrupted(ctx, err))}
-	}
-	return wire.End{Result: uint8(response.Code), Status: response.Status}
-}
-
 // run hands the request to the upstream. The body is returned for calls to plain services only.
 func (x *exchange) run(ctx context.Context) (wire.End, []byte) {
 	if ctx.Err() != nil {
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	opts   Options
 	node   *node.Node
 	claims *claim.Store
+	calls  claimedCalls
 
 	// mu guards the decisions below. It is never held across I/O.
 	mu        sync.Mutex
--- /dev/null
+++ b/test/claim_test.go
@@ -0,0 +1,162 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/internal/standin/service"
+)
+
+// bookings starts two entries and three upstreams of the plain service.
+func bookings(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.startEntry("entry-1", "suva")
+	f.startEntry("entry-2", "nadi")
+	for i, dc := range []string{"suva", "nadi", "lautoka"} {
+		f.startUpstream(fmt.Sprintf("basket-%d", i+1), dc)
+	}
+	f.awaitVersion(f.apply(baseRules))
+	f.awaitSidecars("entry-1", 3)
+	f.awaitSidecars("entry-2", 3)
+	return f
+}
+
+// book sends a booking; the id is the idempotency key too.
+func (f *fleet) book(entry, id string) reply {
+	return f.post(entry, "/bookings", "", id, fmt.Sprintf(`{"id":%q}`, id))
+}
+
+// bookUntilSettled sends a booking again as long as it is refused as not run, and checks that its answer is true.
+func (f *fleet) bookUntilSettled(entry, id string) reply {
+	f.t.Helper()
+	var last reply
+	f.await("booking "+id+" is settled", func() bool {
+		last = f.book(entry, id)
+		return last.err == nil && last.outcome != "not-run"
+	})
+	if last.outcome == "run" {
+		must.Eq(f.t, 1, f.effects(id), must.Sprint(id))
+	}
+	return last
+}
+
+// Guards against a booking that runs twice when a caller sends it to two entries at the same time, again and again.
+func TestClaim_SentTwiceAtOnce(t *testing.T) {
+	f := bookings(t)
+	for i := range 20 {
+		id := fmt.Sprintf("b-%d", i)
+		var callers sync.WaitGroup
+		for n := range 4 {
+			callers.Go(func() { f.bookUntilSettled(f.entries[n%2], id) })
+		}
+		callers.Wait()
+		must.Eq(t, 1, f.effects(id))
+	}
+}
+
+// Guards against a second run when the sidecar is killed after the effect and before its answer, and against "not run" for that call.
+func TestClaim_SidecarKilledAfterEffect(t *testing.T) {
+	f := bookings(t)
+	first := f.holdOne("b-held")
+	for name := range f.services {
+		if f.services[name].Counters().InFlight > 0 {
+			f.kill(name)
+		}
+	}
+	r := <-first
+	must.Eq(t, "unknown", r.outcome)
+	for _, s := range f.services {
+		s.SetFaults(service.Faults{})
+	}
+	again := f.bookUntilSettled("entry-2", "b-held")
+	must.Eq(t, "unknown", again.outcome)
+	must.Eq(t, 1, f.effects("b-held"))
+}
+
+// holdOne sends a booking whose effect takes place and whose answer is held back.
+func (f *fleet) holdOne(id string) <-chan reply {
+	for _, s := range f.services {
+		s.SetFaults(service.Faults{HoldRequests: true})
+	}
+	first := make(chan reply, 1)
+	go func() { first <- f.book("entry-1", id) }()
+	f.await("the effect took place", func() bool { return f.effects(id) == 1 })
+	return first
+}
+
+// Guards against a second run when a sidecar is frozen between claim and answer while the caller tries elsewhere, and then goes on.
+func TestClaim_SidecarFrozenThenThawed(t *testing.T) {
+	f := bookings(t)
+	// Slow claims make it likely that the freeze comes between the claim and the call; the invariant holds wherever it comes.
+	for i := range 12 {
+		id := fmt.Sprintf("b-frozen-%d", i)
+		f.kv.SetFaults(kv.Faults{SlowMS: 5 * (i % 4)})
+		first := make(chan reply, 1)
+		go func() { first <- f.post("entry-1", "/bookings", "", id, fmt.Sprintf(`{"id":%q}`, id), "Jayridge-Deadline-Ms", "1500") }()
+		frozen := fmt.Sprintf("basket-%d", i%3+1)
+		f.signal(frozen, syscall.SIGSTOP)
+		elsewhere := f.post("entry-2", "/bookings", "", id, fmt.Sprintf(`{"id":%q}`, id), "Jayridge-Deadline-Ms", "500")
+		f.signal(frozen, syscall.SIGCONT)
+		r := <-first
+		for _, answer := range []reply{r, elsewhere} {
+			if answer.status == http.StatusOK {
+				must.Eq(t, 1, f.effects(id))
+			}
+		}
+		f.kv.SetFaults(kv.Faults{})
+		f.bookUntilSettled("entry-2", id)
+		must.LessEq(t, 1, f.effects(id))
+	}
+}
+
+// Guards against a second run, and against a wrong "not run", when the platform's answers are lost after the write has taken effect.
+func TestClaim_LostAnswersOfThePlatform(t *testing.T) {
+	f := bookings(t)
+	for i := range 20 {
+		id := fmt.Sprintf("b-lost-%d", i)
+		f.kv.SetFaults(kv.Faults{LoseWrites: 1 + i%3, StaleReads: i % 3})
+		r := f.bookUntilSettled(f.entries[i%2], id)
+		must.Eq(t, "run", r.outcome)
+		must.Eq(t, http.StatusOK, f.bookUntilSettled(f.entries[(i+1)%2], id).status)
+		must.Eq(t, 1, f.effects(id))
+	}
+}
+
+// Guards against calls that run without a claim while the platform is down.
+func TestClaim_PlatformDown(t *testing.T) {
+	f := bookings(t)
+	for _, p := range f.procs {
+		p.gate.cut.Store(true)
+	}
+	for i := range 5 {
+		r := f.post("entry-1", "/bookings", "", fmt.Sprintf("b-down-%d", i), fmt.Sprintf(`{"id":"b-down-%d"}`, i), "Jayridge-Deadline-Ms", "2000")
+		must.Eq(t, "not-run", r.outcome)
+		must.Zero(t, f.effects(fmt.Sprintf("b-down-%d", i)))
+	}
+	for _, p := range f.procs {
+		p.gate.cut.Store(false)
+	}
+	for i := range 5 {
+		must.Eq(t, http.StatusOK, f.bookUntilSettled("entry-2", fmt.Sprintf("b-down-%d", i)).status)
+	}
+}
+
+// Guards against a second run of a call without a key when its connection breaks after the effect.
+func TestNoKey_NotRetriedAfterHandOver(t *testing.T) {
+	f := bookings(t)
+	for i := range 6 {
+		for _, s := range f.services {
+			s.SetFaults(service.Faults{DropAnswers: 1})
+		}
+		id := fmt.Sprintf("b-nokey-%d", i)
+		r := f.post("entry-1", "/bookings", "", "", fmt.Sprintf(`{"id":%q}`, id))
+		must.Eq(t, "unknown", r.outcome)
+		must.Eq(t, 1, f.effects(id))
+	}
+}
