link: test drains in progress, orderly close and the keepalive's pause

Cause: two guards could be removed without a failing test: the wait for requests in progress during a drain, and the refusal of Open after the peer's Leaving.

Change: a drain in fake time with a request that outlasts every timeout; an orderly close with 1,000 queued frames against a peer that keeps sending; the keepalive after a pause; names of faulty fields. abort closes the network connection after it released its lock.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -152,11 +152,11 @@
 // abort ends the connection at once.
 func (c *Conn) abort(cause error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.cause == nil {
 		c.cause = cause
 	}
 	c.out.close(lost(c.cause), true)
+	c.mu.Unlock()
 	c.cancel()
 	// The error of closing a connection that is given up has no consequence.
 	_ = c.nc.Close()
--- a/connection/link/cut_test.go
+++ b/connection/link/cut_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -58,22 +59,15 @@
 
 // boundaries returns the offsets at which the frames of data start and end.
 func boundaries(t *testing.T, data []byte) (offsets []int) {
-	offsets = []int{0}
-	for at := 0; at < len(data); {
-		_, err := wire.Read(&sliceReader{data[at:]})
-		must.NoError(t, err)
-		at += 4 + int(data[at])<<24 + int(data[at+1])<<16 + int(data[at+2])<<8 + int(data[at+3])
+	frames := wire.NewReader(bytes.NewReader(data))
+	at := 0
+	for at < len(data) {
 		offsets = append(offsets, at)
+		f, err := frames.Next()
+		must.NoError(t, err)
+		at += f.Bytes
 	}
-	return offsets
-}
-
-type sliceReader struct{ rest []byte }
-
-func (r *sliceReader) Read(p []byte) (int, error) {
-	n := copy(p, r.rest)
-	r.rest = r.rest[n:]
-	return n, nil
+	return append(offsets, at)
 }
 
 const unlimited = 1 << 30
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -198,3 +199,61 @@
 		must.NoError(t, server.Close())
 	}
 }
+
+// A drain must not cut a request that takes longer than everything else, and must start no more.
+func TestDrainWaitsForRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, dial := serve(t, DefaultConfig(), &answers{open: func(ctx context.Context, open *wire.Open, r *Responder) {
+			time.Sleep(time.Minute)
+			echo(ctx, open, r)
+		}})
+		p := dialRaw(t, dial())
+		c := client(t, dial(), DefaultConfig())
+		s, err := c.Open(t.Context(), openOf(1, "x"))
+		must.NoError(t, err)
+		synctest.Wait()
+		drained := make(chan error)
+		go func() { drained <- server.Drain(t.Context()) }()
+		must.Eq(t, wire.Message(&wire.Leaving{Instance: "server"}), p.receive())
+		synctest.Wait()
+		_, err = c.Open(t.Context(), openOf(2, ""))
+		must.ErrorIs(t, err, ErrPeerLeaving)
+		must.NoError(t, c.Err())
+		p.send(1, openOf(3, ""))
+		must.EqOp(t, result.Leaving, result.Code(p.receive().(*wire.End).Result))
+		data, _, err := collect(s)
+		must.NoError(t, err)
+		must.Eq(t, "xend", data)
+		synctest.Wait()
+		must.ErrorIs(t, c.Err(), ErrPeerLeaving)
+		must.NoError(t, <-drained)
+		must.SliceEmpty(t, server.Conns())
+	})
+}
+
+// Frames that were queued before an orderly close, such as the last End, must arrive although the peer still sends.
+func TestCloseWritesWhatIsQueued(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer(DefaultConfig(), helloOf("server"), &closer{})
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(ln) }()
+	h := &answers{}
+	c, err := Dial(t.Context(), ln.Addr().String(), DefaultConfig(), helloOf("client"), h)
+	must.NoError(t, err)
+	for c.Err() == nil {
+		_ = c.Send(&wire.Gossip{})
+	}
+	<-c.Done()
+	must.Len(t, 1000, h.controls)
+}
+
+// closer sends frames on a new connection and closes it.
+type closer struct{ answers }
+
+func (*closer) HandleConnect(c *Conn) {
+	for range 1000 {
+		_ = c.Send(&wire.Gossip{})
+	}
+	_ = c.Close()
+}
--- a/connection/link/protocol_test.go
+++ b/connection/link/protocol_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -222,3 +223,33 @@
 		test.EqOp(t, cfg.KeepaliveTimeout, time.Since(began))
 	})
 }
+
+// A process that was paused for longer than the timeout must first read what arrived meanwhile, and not cut its connections.
+func TestKeepaliveAfterPause(t *testing.T) {
+	k := keepalive{interval: 10 * time.Second, timeout: 25 * time.Second}
+	for _, step := range []struct {
+		now, received time.Duration
+		want          probe
+		wait          time.Duration
+	}{
+		{4, 3, probeWait, 9},
+		{100, 3, probePing, 10}, // After a pause.
+		{110, 100, probePing, 10},
+		{120, 100, probeWait, 5},
+		{125, 100, probeLost, 0},
+	} {
+		got, wait := k.next(step.now*time.Second, step.received*time.Second)
+		must.EqOp(t, step.want, got)
+		must.EqOp(t, step.wait*time.Second, wait)
+	}
+}
+
+// A faulty setting that is not named costs an operator the search for it.
+func TestConfigValidateNamesTheField(t *testing.T) {
+	must.NoError(t, DefaultConfig().Validate())
+	err := Config{}.Validate()
+	fields := reflect.TypeFor[Config]()
+	for i := range fields.NumField() {
+		must.StrContains(t, err.Error(), fields.Field(i).Name)
+	}
+}
