Never let a broken attempt's text precede the next one's

Cause: when a sidecar's connection was lost after parts of an answer that is not streamed, the entry retried an idempotent call and appended the next attempt's parts: "the the whole answer". The reset came only after an End.

Change: each attempt starts with an empty answer. A claimed call goes on until its deadline when its caller leaves, because the caller will ask for the result with the same key. readyz is false for a drained instance, so that the balancer sends callers elsewhere. The new test breaks the first attempt at every frame of the exchange, for a route that may be repeated and for one that may not.

Conclusion: answers are whole or failed at every point where they can break.

--- /dev/null
+++ b/process/entry/entry_test.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/instances"
+	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+const testRules = `service press-model kind=model versions=v1 # losana: the model
+service basket-app kind=plain versions=v1 # josefa: bookings
+route /chat service=press-model deadline=20s # losana: chats
+route /bookings service=basket-app idempotent=no deadline=20s # josefa: bookings
+`
+
+// script answers one attempt in a sidecar's place; the connection is closed after it if cut is set.
+type script struct {
+	frames func(r *link.Responder)
+	cut    bool
+}
+
+// sidecars is two fake sidecars of each service, which share one list of scripts: the n-th attempt gets the n-th script.
+type sidecars struct {
+	scripts  chan script
+	attempts chan *wire.Open
+}
+
+func (s *sidecars) HandleOpen(_ context.Context, c *link.Conn, open *wire.Open, r *link.Responder) {
+	s.attempts <- open
+	script := <-s.scripts
+	script.frames(r)
+	if script.cut {
+		_ = c.Close()
+	}
+}
+
+func (s *sidecars) HandleControl(*link.Conn, wire.Message) {}
+
+func (s *sidecars) HandleClose(*link.Conn, error) {}
+
+// newTestEntry starts an entry beside fake sidecars.
+func newTestEntry(t *testing.T) (*sidecars, string) {
+	fakes := &sidecars{scripts: make(chan script, 16), attempts: make(chan *wire.Open, 16)}
+	list := instances.New(nil)
+	for _, service := range []string{"press-model", "basket-app"} {
+		for i := range 2 {
+			row := platform.Instance{
+				ID: fmt.Sprintf("%s-%d", service, i), Role: settings.RoleSidecar, DataCentre: "suva", Service: service, Version: "v1", State: platform.InstanceLive,
+			}
+			row.Address = serveFake(t, fakes, row)
+			list.Put(row)
+		}
+	}
+	store := httptest.NewServer(kv.New())
+	t.Cleanup(store.Close)
+	listServer := httptest.NewServer(list)
+	t.Cleanup(listServer.Close)
+	client, err := httpkv.New(httpkv.DefaultConfig(store.URL))
+	must.NoError(t, err)
+	_, err = config.Propose(t.Context(), client, config.Proposal{File: "rules", Text: testRules, ChangeID: "c", Author: "t", Time: time.Now()})
+	must.NoError(t, err)
+
+	s := settings.Defaults()
+	s.Instance, s.Role, s.DataCentre = "entry-1", settings.RoleEntry, "suva"
+	s.PeerAddress, s.AdminAddress, s.HTTPAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	e, err := New(Options{Settings: &s, KV: client, List: httplist.New(listServer.URL, time.Second)})
+	must.NoError(t, err)
+	e.Start()
+	t.Cleanup(e.Stop)
+	for e.Node().Snapshot().Config == nil || len(e.Node().Snapshot().Sidecars) < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	return fakes, "http://" + e.ln.Addr().String()
+}
+
+func serveFake(t *testing.T, fakes *sidecars, row platform.Instance) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	hello := func() wire.Hello {
+		return wire.Hello{
+			Major: wire.MajorVersion, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: "v1", Address: ln.Addr().String(),
+		}
+	}
+	server := link.NewServer(link.DefaultConfig(), hello, fakes)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
+// caller is what a caller sees of an answer.
+type caller struct {
+	status  int
+	outcome string
+	body    string
+}
+
+func send(t *testing.T, url, path string) caller {
+	req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(`{"id":"x"}`))
+	must.NoError(t, err)
+	req.Header.Set(HeaderTeam, "drivers")
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return caller{resp.StatusCode, resp.Header.Get(HeaderOutcome), string(body)}
+}
+
+func write(r *link.Responder, parts ...string) {
+	for _, part := range parts {
+		_ = r.Write(context.Background(), []byte(part))
+	}
+}
+
+func whole(r *link.Responder) {
+	_ = r.Accepted()
+	write(r, "the ", "whole ", "answer")
+	_ = r.End(wire.End{Result: uint8(result.OK), Status: http.StatusOK})
+}
+
+// Each case breaks the first attempt at another point of the exchange. It guards against "not run" for a call that may have run, a second
+// run of a call that must not run twice, and an answer that is cut short or mixed from two attempts.
+func TestExchange_CutAtEveryFrame(t *testing.T) {
+	refuse := func(code result.Code) func(r *link.Responder) {
+		return func(r *link.Responder) { _ = r.End(wire.End{Result: uint8(code)}) }
+	}
+	cases := []struct {
+		name  string
+		first script
+		// booking is the outcome of a call that is not idempotent if the first attempt is its only one; empty if it is retried.
+		booking string
+	}{
+		{"nothing, then lost", script{func(*link.Responder) {}, true}, "unknown"},
+		{"refused as leaving", script{refuse(result.Leaving), false}, ""},
+		{"refused over the bound", script{refuse(result.OverBound), false}, ""},
+		{"accepted, then lost", script{func(r *link.Responder) { _ = r.Accepted() }, true}, "unknown"},
+		{"accepted, upstream broke", script{func(r *link.Responder) { _ = r.Accepted(); refuse(result.UpstreamBroken)(r) }, false}, "unknown"},
+		{"one part, then lost", script{func(r *link.Responder) { _ = r.Accepted(); write(r, "the ") }, true}, "unknown"},
+		{"all parts, then lost", script{func(r *link.Responder) { _ = r.Accepted(); write(r, "the ", "whole ", "answer") }, true}, "unknown"},
+		{"parts, then broken", script{func(r *link.Responder) { _ = r.Accepted(); write(r, "a ", "b "); refuse(result.UpstreamBroken)(r) }, false}, "unknown"},
+	}
+	fakes, url := newTestEntry(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fakes.scripts <- c.first
+			fakes.scripts <- script{whole, false}
+			must.Eq(t, caller{200, "run", "the whole answer"}, send(t, url, "/chat"))
+			first, second := <-fakes.attempts, <-fakes.attempts
+			must.Eq(t, first.Request, second.Request)
+			must.NotEq(t, first.Attempt, second.Attempt)
+
+			fakes.scripts <- c.first
+			if c.booking == "" {
+				fakes.scripts <- script{whole, false}
+				must.Eq(t, 200, send(t, url, "/bookings").status)
+				<-fakes.attempts
+			} else {
+				answer := send(t, url, "/bookings")
+				must.Eq(t, c.booking, answer.outcome)
+				must.True(t, json.Valid([]byte(answer.body)))
+			}
+			<-fakes.attempts
+			must.Eq(t, 0, len(fakes.attempts))
+		})
+	}
+}
+
+// Guards against a refusal that says "not run" when no attempt was made, or that does not say how long to wait.
+func TestRefusals(t *testing.T) {
+	fakes, url := newTestEntry(t)
+	for path, want := range map[string]int{"/nowhere": 404, "/bookings": 503} {
+		for range 8 {
+			fakes.scripts <- script{func(r *link.Responder) { _ = r.End(wire.End{Result: uint8(result.OverBound), RetryAfterMS: 1500}) }, false}
+		}
+		req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("{}"))
+		must.NoError(t, err)
+		req.Header.Set(HeaderTeam, "drivers")
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.Eq(t, want, resp.StatusCode)
+		must.Eq(t, "not-run", resp.Header.Get(HeaderOutcome))
+		if want == http.StatusServiceUnavailable {
+			must.Eq(t, "2", resp.Header.Get("Retry-After"))
+		}
+		resp.Body.Close()
+		for len(fakes.scripts) > 0 {
+			<-fakes.scripts
+		}
+	}
+}
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -188,6 +188,10 @@
 
 // try makes one attempt and records it.
 func (x *exchange) try(ctx context.Context, target platform.Instance) outcome {
+	if !x.answer.streams() {
+		// What an earlier attempt left must not precede the answer of this one.
+		x.answer.reset()
+	}
 	a := attempt{x: x, target: target, start: time.Now()}
 	o := a.run(ctx)
 	o.upstream = target.ID
@@ -354,9 +358,5 @@
 		o.code = result.BadAnswer
 		o.reason = err.Error()
 	}
-	if o.code != result.OK && !x.answer.streams() {
-		// A failed attempt's body must not precede that of the next one.
-		x.answer.reset()
-	}
 	return o
 }
--- a/process/node/admin.go
+++ b/process/node/admin.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 // Status is the body of the admin server's /status page.
@@ -47,12 +48,20 @@
 
 // readyz says whether the platform's balancer should send work here.
 func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	accepted := n.Snapshot().Config
 	switch {
 	case n.Leaving():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case n.Snapshot().Config == nil:
+	case accepted == nil:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case n.drained(accepted.Rules):
+		http.Error(w, "drained by a rule", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
 }
+
+func (n *Node) drained(set *rules.Set) bool {
+	_, drained := set.Drained(n.opts.Settings.DataCentre, n.opts.Settings.Instance)
+	return drained
+}
--- a/process/sidecar/claim.go
+++ b/process/sidecar/claim.go
@@ -117,10 +117,14 @@
 	return d.Sum64()
 }
 
-// runClaimed runs a call whose key was granted to it and stores its result.
+// runClaimed runs a call whose key was granted to it and stores its result. The call goes on until its deadline when the caller leaves or
+// its connection breaks: the caller will ask for the result with the same key.
 func (x *exchange) runClaimed(ctx context.Context, key claim.Key) wire.End {
 	done := x.s.calls.start(key)
 	defer done()
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
 	end, body := x.run(ctx)
 	code := result.Code(end.Result)
 	if code.Outcome() != result.Unknown {
