--- a/request/claim/log.go
+++ b/request/claim/log.go
@@ -58,9 +58,15 @@
 	write     *pendingWrite
 	sequence  uint64
 	nextWrite time.Time
-	retryAt   time.Time
-	failures  int
-	lastErr   error
+	// atOnce lets the write after a conflict go ahead of nextWrite: a store with few claims would seldom get one in if each
+	// attempt had to wait for its turn. nextWrite still moves on by an interval, so the rate holds in the long run.
+	atOnce bool
+	pace   pace
+	// freshAt is when fresh was set.
+	freshAt  time.Time
+	retryAt  time.Time
+	failures int
+	lastErr  error
 
 	waiters map[uint64]*waiter
 	pending []*waiter
@@ -101,6 +107,7 @@
 		writer:  writer,
 		random:  random,
 		index:   newIndex(cfg.Retention, writer),
+		pace:    newPace(cfg.writeInterval()),
 		waiters: map[uint64]*waiter{},
 		held:    map[Key]int{},
 		bodies:  bodies,
@@ -173,6 +180,8 @@
 		l.paced(l.sendWrite)
 	case !l.synced:
 		l.startRead()
+	case l.writable() && l.overtaken():
+		l.startRead()
 	case l.writable():
 		l.paced(l.startWrite)
 	case len(l.stale) > 0:
@@ -197,14 +206,31 @@
 
 // paced runs start if the rate allows a write now, else asks to be woken when it does.
 func (l *Log) paced(start func()) {
-	if l.now.Before(l.nextWrite) {
+	if !l.mayWrite() {
 		l.emit(Wake{At: l.nextWrite})
 		return
 	}
-	l.nextWrite = l.now.Add(l.cfg.writeInterval())
+	interval := l.pace.interval(l.now, len(l.pending))
+	from := l.now
+	if l.atOnce && l.nextWrite.After(from) {
+		from = l.nextWrite
+	}
+	l.nextWrite = from.Add(interval)
+	if limit := l.now.Add(paceLongest * l.pace.base); l.nextWrite.After(limit) {
+		l.nextWrite = limit
+	}
+	l.atOnce = false
 	start()
 }
 
+func (l *Log) mayWrite() bool { return l.atOnce || !l.now.Before(l.nextWrite) }
+
+// overtaken says whether another store has probably written since the log was last read, when the rate allows a write. A read
+// then costs less than a write that conflicts.
+func (l *Log) overtaken() bool {
+	return l.mayWrite() && l.now.Sub(l.freshAt) >= l.pace.base && l.pace.shared(l.now)
+}
+
 func (l *Log) startFlight(kind flight) uint64 {
 	l.lastOp++
 	l.op = l.lastOp
--- a/request/claim/read.go
+++ b/request/claim/read.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if l.synced {
-		l.fresh = ev.Op
+		l.fresh, l.freshAt = ev.Op, l.now
 	}
 	l.placeAll()
 }
@@ -123,6 +123,7 @@
 		w.found = true
 		claims = w.claims
 	}
+	l.pace.saw(l.now, owner, b.claims())
 	for i := range b.Records {
 		r := &b.Records[i]
 		switch r.Kind {
@@ -168,6 +169,7 @@
 	case w.found:
 		l.write = nil
 	case l.revision > w.prev:
+		l.atOnce = true
 		l.discardWrite()
 	}
 }
--- a/request/claim/record.go
+++ b/request/claim/record.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// claims returns the number of claims in the batch.
+func (b *batch) claims() int {
+	n := 0
+	for i := range b.Records {
+		if b.Records[i].Kind == recordClaim {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *batch) check() error {
 	if b.Format != formatVersion {
 		return fmt.Errorf("%w: format %d", errCorrupt, b.Format)
--- a/request/claim/write.go
+++ b/request/claim/write.go
@@ -103,7 +103,7 @@
 	switch {
 	case ev.Err == nil:
 		l.succeed()
-		l.fresh = ev.Op
+		l.fresh, l.freshAt = ev.Op, l.now
 		l.apply(w.value, ev.Revision)
 		l.placeAll()
 	case errors.Is(ev.Err, platform.ErrConflict):
