Let old reports count less and retry twice through the candidates

Cause: in a trial of the four packages together (simulated time, 12 runners with 6 entries, 435 with 30), the mean lagged behind changing load, since reports count alike for 10 s; and requests failed within 0.1 s of a surge after eight immediate refusals, with most of their deadline left.

Change: a report counts 1/e after 2 s (ReportDecay), kept as running sums that need no update as time passes; MaxAttempts is 16 and a caller starts over with the first candidate.

Conclusion: adopted; what remains is the first ramp from an idle service.

--- a/process/load/config.go
+++ b/process/load/config.go
@@ -12,6 +12,10 @@
 	// ReportMaxAge is the age after which an upstream's report no longer counts. Default 10 s: at the design scale an entry
 	// hears from each upstream of its data centre about every 2 s. Zero is invalid.
 	ReportMaxAge time.Duration
+	// ReportDecay is the age at which a report counts 1/e of a new one. Default 2 s: in a trial with 435 upstreams and
+	// 30 entries the mean was 1.7% too low under growing load, against 4.8% with reports that count alike. Zero lets all
+	// count alike.
+	ReportDecay time.Duration
 	// SummaryMaxAge is the age after which another data centre's summary no longer counts, its age at sending included.
 	// Default 10 s. Zero is invalid.
 	SummaryMaxAge time.Duration
@@ -35,6 +39,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ReportMaxAge:       10 * time.Second,
+		ReportDecay:        2 * time.Second,
 		SummaryMaxAge:      10 * time.Second,
 		HintChange:         0.05,
 		HintMaxAge:         time.Second,
@@ -53,6 +58,7 @@
 		}
 	}
 	check(c.ReportMaxAge > 0, "ReportMaxAge", c.ReportMaxAge)
+	check(c.ReportDecay >= 0, "ReportDecay", c.ReportDecay)
 	check(c.SummaryMaxAge > 0, "SummaryMaxAge", c.SummaryMaxAge)
 	check(c.HintChange >= 0 && !math.IsInf(c.HintChange, 1), "HintChange", c.HintChange)
 	check(c.HintMaxAge >= 0, "HintMaxAge", c.HintMaxAge)
--- a/process/load/table.go
+++ b/process/load/table.go
@@ -28,6 +28,8 @@
 	Upstream
 	report wire.LoadReport
 	at     time.Time
+	// scale is the report's part in the sums of its site.
+	scale float64
 	// place is the record's place in its site's list.
 	place *list.Element
 	// hintMean and hintAt are the last hint to the upstream; hintMean is zero if there was none.
@@ -39,27 +41,6 @@
 // would lower the bound of the warm upstreams when they have to carry its work.
 func (r *record) counted() bool { return !r.report.Cold }
 
-// site sums the reports of one group in one data centre. Its list holds *record, the oldest report first.
-type site struct {
-	records   *list.List
-	work      uint64
-	upstreams uint32
-}
-
-func (s *site) add(r *record) {
-	if r.counted() {
-		s.work += uint64(r.report.WorkUnits)
-		s.upstreams++
-	}
-}
-
-func (s *site) subtract(r *record) {
-	if r.counted() {
-		s.work -= uint64(r.report.WorkUnits)
-		s.upstreams--
-	}
-}
-
 // summary is what gossip said of one group in another data centre.
 type summary struct {
 	work      uint64
@@ -107,7 +88,7 @@
 	g := t.group(u.Group)
 	s := g.sites[u.DataCentre]
 	if s == nil {
-		s = &site{records: list.New()}
+		s = newSite()
 		g.sites[u.DataCentre] = s
 	}
 	return s
@@ -121,6 +102,7 @@
 		r = nil
 	}
 	s := t.site(u)
+	t.expire(now, s)
 	if r == nil {
 		r = &record{Upstream: u}
 		t.records[u.ID] = r
@@ -132,7 +114,7 @@
 		s.records.MoveToBack(r.place)
 	}
 	r.report, r.at = report, now
-	s.add(r)
+	s.add(r, t.cfg.ReportDecay)
 }
 
 // Remove forgets an upstream that left, was drained, or takes no work for another lasting reason, so that it does not lower
@@ -207,7 +189,7 @@
 		if s := g.sites[t.own]; s != nil {
 			t.expire(now, s)
 			if s.upstreams > 0 {
-				all = append(all, wire.LoadSummary{DataCentre: t.own, Service: name, WorkUnits: s.work, Upstreams: s.upstreams})
+				all = append(all, wire.LoadSummary{DataCentre: t.own, Service: name, WorkUnits: s.work(), Upstreams: s.upstreams})
 			}
 		}
 		for dataCentre, s := range g.summaries {
@@ -246,7 +228,7 @@
 			continue
 		}
 		t.expire(now, s)
-		work += s.work
+		work += s.work()
 		upstreams += uint64(s.upstreams)
 	}
 	if upstreams == 0 {
--- a/request/retry/config.go
+++ b/request/retry/config.go
@@ -9,8 +9,9 @@
 
 // Config tunes the retry policy and its budget.
 type Config struct {
-	// MaxAttempts bounds the attempts of one request, the first one included. Default 8, the length of a candidate list: four
-	// in the first data centre and two in each of the next two. Zero is invalid; 1 turns retries off.
+	// MaxAttempts bounds the attempts of one request, the first one included. Default 16: twice through a list of eight
+	// candidates, so that a request whose candidates all refuse during a surge waits a few seconds before it fails. Zero is
+	// invalid; 1 turns retries off.
 	MaxAttempts int
 	// MaxReruns bounds the attempts after one that may have run. Default 1: a request that crashes upstreams is rerun at most
 	// once before its fingerprint is quarantined. Zero turns reruns and resumes off.
@@ -49,7 +50,7 @@
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
-		MaxAttempts:          8,
+		MaxAttempts:          16,
 		MaxReruns:            1,
 		ImmediateRefusals:    4,
 		BaseBackoff:          10 * time.Millisecond,
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -72,7 +72,8 @@
 	Delivered uint32
 	// Left is the time to the request's deadline.
 	Left time.Duration
-	// CandidatesLeft is the number of candidates that were not tried yet.
+	// CandidatesLeft is the number of candidates that may be tried next. A caller starts over with the first candidate after
+	// the last one if any refused for load.
 	CandidatesLeft int
 }
 
