--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	bash scripts/test.sh
 
 bench:
-	$(GO) run ./cmd/jayridge-bench -out bench-out
+	$(GO) run ./internal/bench/cmd --out bench-out
 
 fuzz:
 	bash scripts/fuzz.sh
