Test sidecar, node and entry at their borders; show that guards are noticed

Cause: several guards had no test that fails without them: the sidecar's wait for the configuration that an entry already has, its refusal while it leaves, the pull from peers, count and checksum of answers.

Change: tests of one role in process against a peer made by hand, and scripts/guards.sh, which removes each guard in a scratch copy and expects the named test to fail. Ruled out: switches in the product that turn guards off.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/connection/link"
@@ -58,7 +59,7 @@
 func (s *sidecars) HandleClose(*link.Conn, error) {}
 
 // newTestEntry starts an entry beside fake sidecars.
-func newTestEntry(t *testing.T) (*sidecars, string) {
+func newTestEntry(t *testing.T, raw *rawSidecar) (*sidecars, string) {
 	fakes := &sidecars{scripts: make(chan script, 16), attempts: make(chan *wire.Open, 16)}
 	list := instances.New(nil)
 	for _, service := range []string{"press-model", "basket-app"} {
@@ -66,7 +67,7 @@
 			row := platform.Instance{
 				ID: fmt.Sprintf("%s-%d", service, i), Role: settings.RoleSidecar, DataCentre: "suva", Service: service, Version: "v1", State: platform.InstanceLive,
 			}
-			row.Address = serveFake(t, fakes, row)
+			row.Address = serveFake(t, fakes, raw, row)
 			list.Put(row)
 		}
 	}
@@ -92,9 +93,23 @@
 	return fakes, "http://" + e.ln.Addr().String()
 }
 
-func serveFake(t *testing.T, fakes *sidecars, row platform.Instance) string {
+func serveFake(t *testing.T, fakes *sidecars, raw *rawSidecar, row platform.Instance) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	if raw != nil {
+		row.Address = ln.Addr().String()
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go raw.serve(nc, row)
+			}
+		}()
+		return row.Address
+	}
 	hello := func() wire.Hello {
 		return wire.Hello{
 			Major: wire.MajorVersion, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: "v1", Address: ln.Addr().String(),
@@ -158,7 +173,7 @@
 		{"all parts, then lost", script{func(r *link.Responder) { _ = r.Accepted(); write(r, "the ", "whole ", "answer") }, true}, "unknown"},
 		{"parts, then broken", script{func(r *link.Responder) { _ = r.Accepted(); write(r, "a ", "b "); refuse(result.UpstreamBroken)(r) }, false}, "unknown"},
 	}
-	fakes, url := newTestEntry(t)
+	fakes, url := newTestEntry(t, nil)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fakes.scripts <- c.first
@@ -184,9 +199,104 @@
 	}
 }
 
+// rawSidecar answers every attempt with frames of its own making, which a sidecar of ours would never send.
+type rawSidecar struct {
+	frames func(open *wire.Open) []wire.Message
+}
+
+// serve speaks the protocol on one connection.
+func (s *rawSidecar) serve(nc net.Conn, row platform.Instance) {
+	defer nc.Close()
+	hello := &wire.Hello{Major: wire.MajorVersion, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version, Address: row.Address}
+	sendFrame(nc, 0, hello)
+	for {
+		f, err := wire.Read(nc)
+		if err != nil {
+			return
+		}
+		open, ok := f.Message.(*wire.Open)
+		if !ok {
+			continue
+		}
+		for _, m := range s.frames(open) {
+			sendFrame(nc, f.Stream, m)
+		}
+	}
+}
+
+func sendFrame(nc net.Conn, stream uint32, m wire.Message) {
+	frame, err := wire.Encode(stream, m)
+	if err == nil {
+		_, _ = nc.Write(frame)
+	}
+}
+
+// Each case damages an answer in another way. It guards against an answer that is passed on although parts are missing, doubled, from
+// another request or another attempt.
+func TestExchange_DamagedAnswers(t *testing.T) {
+	sum := xxhash.Sum64String("the whole answer")
+	chunk := func(open *wire.Open, n uint32, text string) wire.Message {
+		return &wire.Chunk{Identity: open.Identity, Sequence: n, Data: []byte(text)}
+	}
+	end := func(open *wire.Open, chunks uint32, checksum uint64) wire.Message {
+		return &wire.End{Identity: open.Identity, Status: 200, Chunks: chunks, Checksum: checksum}
+	}
+	other := func(open *wire.Open) *wire.Open {
+		copied := *open
+		copied.Request[0]++
+		return &copied
+	}
+	older := func(open *wire.Open) *wire.Open {
+		copied := *open
+		copied.Attempt += 3
+		return &copied
+	}
+	cases := map[string]struct {
+		frames func(o *wire.Open) []wire.Message
+		whole  bool
+	}{
+		"whole": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the whole "), chunk(o, 1, "answer"), end(o, 2, sum)}
+		}, true},
+		"part doubled": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the whole "), chunk(o, 0, "the whole "), chunk(o, 1, "answer"), end(o, 2, sum)}
+		}, true},
+		"part of another request": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the whole "), chunk(other(o), 1, "fraud"), chunk(o, 1, "answer"), end(o, 2, sum)}
+		}, true},
+		"part of another attempt": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(older(o), 0, "old "), chunk(o, 0, "the whole "), chunk(o, 1, "answer"), end(o, 2, sum)}
+		}, true},
+		"last part missing": {func(o *wire.Open) []wire.Message { return []wire.Message{chunk(o, 0, "the whole "), end(o, 2, sum)} }, false},
+		"part changed": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the false "), chunk(o, 1, "answer"), end(o, 2, sum)}
+		}, false},
+		"count wrong": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the whole "), chunk(o, 1, "answer"), end(o, 3, sum)}
+		}, false},
+		"part skipped": {func(o *wire.Open) []wire.Message {
+			return []wire.Message{chunk(o, 0, "the whole "), chunk(o, 2, "answer"), end(o, 2, sum)}
+		}, false},
+	}
+	raw := &rawSidecar{}
+	_, url := newTestEntry(t, raw)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			raw.frames = c.frames
+			answer := send(t, url, "/bookings")
+			if c.whole {
+				must.Eq(t, caller{200, "run", "the whole answer"}, answer)
+				return
+			}
+			must.Eq(t, "unknown", answer.outcome)
+			must.StrNotContains(t, answer.body, "the whole ")
+		})
+	}
+}
+
 // Guards against a refusal that says "not run" when no attempt was made, or that does not say how long to wait.
 func TestRefusals(t *testing.T) {
-	fakes, url := newTestEntry(t)
+	fakes, url := newTestEntry(t, nil)
 	for path, want := range map[string]int{"/nowhere": 404, "/bookings": 503} {
 		for range 8 {
 			fakes.scripts <- script{func(r *link.Responder) { _ = r.End(wire.End{Result: uint8(result.OverBound), RetryAfterMS: 1500}) }, false}
--- /dev/null
+++ b/process/node/node_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// idleRole does nothing.
+type idleRole struct{}
+
+func (idleRole) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
+func (idleRole) Publish(*Snapshot)                                                   {}
+func (idleRole) Tick(time.Time, *Snapshot)                                           {}
+func (idleRole) Connect(*Snapshot)                                                   {}
+func (idleRole) Evidence(*wire.Evidence)                                             {}
+func (idleRole) Order(context.Context, *wire.Order) (result.Code, error)             { return result.NotFound, nil }
+func (idleRole) Gossip(*wire.Gossip)                                                 {}
+func (idleRole) Heard(*wire.Gossip)                                                  {}
+func (idleRole) Status() any                                                         { return nil }
+
+// startNode starts an entry that knows its seeds only, or the key-value service.
+func startNode(t *testing.T, name string, store platform.KV, seeds ...string) *Node {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := settings.Defaults()
+	s.Instance, s.Role, s.DataCentre = name, settings.RoleEntry, "suva"
+	s.PeerAddress, s.AdminAddress = ln.Addr().String(), "127.0.0.1:0"
+	s.GossipIntervalMS, s.Seeds = 10, seeds
+	must.NoError(t, ln.Close())
+	n, err := New(Options{Settings: &s, KV: store, Link: link.DefaultConfig(), Member: membership.DefaultConfig(), Role: idleRole{}})
+	must.NoError(t, err)
+	n.Start()
+	t.Cleanup(n.Stop)
+	return n
+}
+
+// Guards against an instance that learns the configuration from the platform only: a chain of seeds spreads a change while one of them
+// alone reaches the platform.
+func TestConfig_PulledFromPeer(t *testing.T) {
+	standin := kv.New()
+	server := httptest.NewServer(standin)
+	defer server.Close()
+	// Ends the watches before the server waits for them.
+	defer server.CloseClientConnections()
+	store, err := httpkv.New(httpkv.DefaultConfig(server.URL))
+	must.NoError(t, err)
+	defer store.Close()
+	first := startNode(t, "first", store)
+	second := startNode(t, "second", nil, first.opts.Settings.PeerAddress)
+	third := startNode(t, "third", nil, second.opts.Settings.PeerAddress)
+	for version := uint64(1); version <= 3; version++ {
+		_, err := config.Propose(t.Context(), store, config.Proposal{
+			File: "rules", Text: fmt.Sprintf("service s kind=plain versions=v%d # ops: test\n", version), Base: version - 1, ChangeID: fmt.Sprint(version), Author: "test", Time: time.Now(),
+		})
+		must.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		for _, n := range []*Node{first, second, third} {
+			must.Eq(t, version, n.AwaitVersion(ctx, version).Version())
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/process/sidecar/sidecar_test.go
@@ -0,0 +1,168 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/engine"
+	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/platform/httpengine"
+	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/config"
+)
+
+const testRules = `service press-model kind=model versions=v1,v2 # losana: the model
+route /chat service=press-model deadline=20s # losana: chats
+`
+
+// fakeEntry has a configuration and answers pulls for it, unless it is silent.
+type fakeEntry struct {
+	mu     sync.Mutex
+	config *config.State
+	silent bool
+}
+
+func (e *fakeEntry) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
+
+func (e *fakeEntry) HandleControl(c *link.Conn, m wire.Message) {
+	pull, ok := m.(*wire.ConfigPull)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !ok || e.silent {
+		return
+	}
+	for _, push := range e.config.Answer(*pull) {
+		_ = c.Send(&push)
+	}
+}
+
+func (e *fakeEntry) HandleClose(*link.Conn, error) {}
+
+// fixture is a sidecar with an engine, and an entry that is connected to it.
+type fixture struct {
+	t       *testing.T
+	sidecar *Sidecar
+	engine  *engine.Server
+	entry   *fakeEntry
+	conn    *link.Conn
+}
+
+// newFixture starts a sidecar whose entry has accepted the given texts in turn.
+func newFixture(t *testing.T, silent bool, texts ...string) *fixture {
+	f := &fixture{t: t, engine: engine.New(engine.Config{}), entry: &fakeEntry{config: config.New(config.DefaultConfig()), silent: silent}}
+	upstream := httptest.NewServer(f.engine)
+	t.Cleanup(upstream.Close)
+	f.accept(texts...)
+	s := settings.Defaults()
+	s.Instance, s.Role, s.DataCentre, s.Service = "press-1", settings.RoleSidecar, "nadi", "press-model"
+	s.PeerAddress, s.AdminAddress = freeAddress(t), "127.0.0.1:0"
+	s.Upstream.LoadIntervalMS = 10
+	sidecar, err := New(Options{Settings: &s, Engine: httpengine.New(httpengine.Config{URL: upstream.URL})})
+	must.NoError(t, err)
+	f.sidecar = sidecar
+	sidecar.Start()
+	t.Cleanup(func() { sidecar.Stop(context.Background()) })
+	hello := func() wire.Hello {
+		return wire.Hello{Major: wire.MajorVersion, Instance: "entry-1", Role: settings.RoleEntry, DataCentre: "suva"}
+	}
+	f.conn, err = link.Dial(t.Context(), s.PeerAddress, link.DefaultConfig(), hello, f.entry)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = f.conn.Close() })
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// accept makes the entry's configuration go through the given texts.
+func (f *fixture) accept(texts ...string) {
+	server := httptest.NewServer(kv.New())
+	defer server.Close()
+	store, err := httpkv.New(httpkv.DefaultConfig(server.URL))
+	must.NoError(f.t, err)
+	for i, text := range texts {
+		_, err := config.Propose(f.t.Context(), store, config.Proposal{
+			File: "rules", Text: text, Base: uint64(i), ChangeID: fmt.Sprint(i), Author: "test", Time: time.Now(),
+		})
+		must.NoError(f.t, err)
+	}
+	head, _, err := config.ReadHead(f.t.Context(), store, nil)
+	must.NoError(f.t, err)
+	if len(texts) > 0 {
+		_, err = f.entry.config.AdoptHead(head)
+		must.NoError(f.t, err)
+	}
+}
+
+// open sends a request that carries a configuration version and returns its result.
+func (f *fixture) open(version uint64, deadline time.Duration) result.Code {
+	f.t.Helper()
+	open := &wire.Open{
+		Identity: wire.Identity{Attempt: 1}, Service: "press-model", Route: "/chat", Path: "/chat", Method: "POST", Team: "drivers",
+		DeadlineMS: uint32(deadline.Milliseconds()), WorkUnits: 10, Body: []byte("{}"), ConfigVersion: version,
+	}
+	stream, err := f.conn.Open(f.t.Context(), open)
+	must.NoError(f.t, err)
+	for {
+		m, err := stream.Recv(f.t.Context())
+		must.NoError(f.t, err)
+		if end, ok := m.(*wire.End); ok {
+			return result.Code(end.Result)
+		}
+	}
+}
+
+// Guards against a request that a newer rule forbids, sent by an entry that has the rule to a sidecar that has not heard of it.
+func TestServe_DrainedByNewerConfiguration(t *testing.T) {
+	f := newFixture(t, false, testRules, testRules+"drain datacentre nadi # ops: power work\n")
+	must.Eq(t, result.Draining, f.open(2, time.Minute))
+	must.Zero(t, f.engine.Counters().Received)
+	must.True(t, result.Draining.Outcome() == result.NotRun)
+}
+
+// Guards against a sidecar that guesses: it knows that a newer configuration exists and cannot get it.
+func TestServe_UnknownNewerConfiguration(t *testing.T) {
+	f := newFixture(t, false, testRules)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+	f.entry.mu.Lock()
+	f.entry.silent = true
+	f.entry.mu.Unlock()
+	received := f.engine.Counters().Received
+	must.Eq(t, result.NoConfiguration, f.open(7, time.Minute))
+	must.Eq(t, received, f.engine.Counters().Received)
+}
+
+// Guards against a sidecar that serves before it has any configuration, or after the deadline.
+func TestServe_RefusesBeforeHandOver(t *testing.T) {
+	f := newFixture(t, true)
+	must.Eq(t, result.NoConfiguration, f.open(0, time.Minute))
+	f = newFixture(t, false, testRules)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+	must.Eq(t, result.DeadlineBeforeRun, f.open(1, 0))
+	must.Eq(t, 1, f.engine.Counters().Received)
+}
+
+// Guards against a sidecar that still admits requests which were on their way when it announced that it leaves.
+func TestServe_Leaving(t *testing.T) {
+	f := newFixture(t, false, testRules)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+	f.sidecar.Leave()
+	x := exchange{s: f.sidecar, open: &wire.Open{Team: "drivers", WorkUnits: 1}}
+	_, refusal := x.admit("entry-1")
+	must.Eq(t, result.Leaving, refusal.Code)
+}
--- /dev/null
+++ b/scripts/guards.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Shows that the tests notice when a guard is missing: for each guard, removes it in a scratch copy and expects the named test to fail.
+# Usage: guards.sh [NAME], all guards by default. Prints the first lines of each failure; docs/PROOFS.md quotes them.
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+only=${1:-}
+missed=0
+
+# guard NAME FILE PERL-SUBSTITUTION PACKAGE TEST
+guard() {
+  local name=$1 file=$2 change=$3 package=$4 test=$5
+  [ -z "$only" ] || [ "$only" = "$name" ] || return 0
+  rm -rf "$scratch/tree"
+  mkdir -p "$scratch/tree"
+  (cd "$root" && git ls-files -c -o --exclude-standard | tar -cf - -T -) | tar -xf - -C "$scratch/tree"
+  local before=$scratch/before
+  cp "$scratch/tree/$file" "$before"
+  perl -0pi -e "$change" "$scratch/tree/$file"
+  if cmp -s "$before" "$scratch/tree/$file"; then
+    echo "$name: the guard was not found in $file"
+    missed=1
+    return
+  fi
+  local output
+  if output=$(cd "$scratch/tree" && go test -count 1 -run "$test" "$package" 2>&1); then
+    echo "$name: NOT NOTICED by $test"
+    missed=1
+    return
+  fi
+  echo "== $name: noticed by $test"
+  echo "$output" | grep -vE '^\s*$|^[IWE][0-9]{4} |log of |^\s+[IWE][0-9]{4} |^\s+\S+_test.go:[0-9]+:\s*$' | grep -m 4 -E '_test.go|FAIL:|expected|never happened|value|panic|↪|build failed|undefined|declared|imported'
+}
+
+guard claim process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test 'TestClaim_SentTwiceAtOnce$'
+guard unknown-after-send process/entry/exchange.go 's/case !sent:/case true:/' ./process/entry TestExchange_CutAtEveryFrame
+guard fresh-answer process/entry/exchange.go 's/x\.answer\.reset\(\)/_ = x/' ./process/entry TestExchange_CutAtEveryFrame
+guard whole-answer process/entry/exchange.go 's/if err := body\.End\(m\); err != nil/if err := body.End(m); false \&\& err != nil/' ./process/entry TestExchange_DamagedAnswers
+guard broken-stream process/entry/answer.go 's/_ = s\.event\("error", o\.terminal\(\)\)\n\tpanic\(http\.ErrAbortHandler\)/_ = s.event("end", o.terminal())/' ./test TestStream_BrokenNeverLooksEnded
+guard config-pull process/node/peers.go 's/if version > n\.Snapshot\(\)\.Version\(\)/if false/' ./process/node TestConfig_PulledFromPeer
+guard drain-sidecar process/sidecar/sidecar.go 's/Drained:    drained,/Drained:    drained \&\& false,/' ./process/sidecar TestServe_DrainedByNewerConfiguration
+guard newer-config process/sidecar/serve.go 's/snapshot\.Version\(\) < x\.open\.ConfigVersion/false/' ./process/sidecar TestServe_UnknownNewerConfiguration
+guard finish-requests cmd/jayridge/role.go 's/if err := r\.Drain\(ctx\); err != nil/if err := error(nil); err != nil/' ./test TestLeave_SidecarCutsNothing
+guard refuse-when-leaving process/sidecar/sidecar.go 's/s\.admission\.SetLeaving\(\)//' ./process/sidecar TestServe_Leaving
+guard shift-stop process/shift/driver.go 's/Share: r\.machine\.Share\(\), Step/Share: 0.1, Step/' ./test TestShift_BadVersionIsTakenBack
+guard order-token process/order/order.go 's/if fence < highest/if false/' ./process/order TestPass_TokensNeverFall
+guard order-pause process/order/order.go 's/g\.now\(\)\.Sub\(checked\) > g\.cfg\.Freshness/false/' ./process/order TestPass_PausedAfterCheck
+guard quarantine process/sidecar/crash.go 's/s\.crashes\.list\.Add\(now, suspect\.Fingerprint\)//' ./test TestCrash_PoisonRequestIsQuarantined
+guard control-messages connection/link/conn.go 's/if !isControl\(m\) \|\| m\.Type\(\) == wire\.TypeHello/if m.Type() != wire.TypeGossip/' ./connection/link TestSend_AllControlMessagesArrive
+exit $missed
