--- a/version/config/diff_test.go
+++ b/version/config/diff_test.go
@@ -58,6 +58,7 @@
 func FuzzPatch(f *testing.F) {
 	f.Add("a\nb\nc", uint32(1), uint32(1), uint32(2), uint32(1))
 	f.Add("a\nb\nc", uint32(0), uint32(4), uint32(0), uint32(0))
+	f.Add("a\nb\nc", uint32(0), uint32(3), uint32(1), uint32(1))
 	f.Add("", uint32(1<<32-1), uint32(1<<32-1), uint32(0), uint32(1))
 	f.Fuzz(func(t *testing.T, text string, line1, removed1, line2, removed2 uint32) {
 		edits := Diff([]string{"x"}, []string{"y"})
--- a/version/config/part.go
+++ b/version/config/part.go
@@ -84,7 +84,7 @@
 }
 
 // cut splits a text behind lines whose hash is a multiple of partLines. The cuts depend on the lines around them alone, so a
-// change in one line leaves all parts but one or two as they were.
+// change in one line leaves all parts but its own as they were, or all but three if a cut moves.
 func (l layout) cut(text string) [][]byte {
 	var pieces [][]byte
 	start, end := 0, 0
--- a/version/config/propose_test.go
+++ b/version/config/propose_test.go
@@ -61,6 +61,9 @@
 	must.Eq(t, 2, conflict.Head)
 	must.StrContains(t, conflict.Diff, "-"+teamLine("a", 1)+"+"+teamLine("a", 2))
 
+	_, err = Propose(t.Context(), kv, proposal(1, "c3", serviceLine))
+	must.ErrorIs(t, err, ErrProposal, must.Sprint("the change id of another text"))
+
 	must.MapLen(t, 2, kv.values, must.Sprint("the head and one audit record"))
 	must.Len(t, 2, kv.values[HeadKey])
 }
@@ -155,6 +158,14 @@
 		last := added[len(added)-1]
 		test.Eq(t, rules.Comment{Who: "ops", Why: "share of t30"}, last.Comment)
 		must.Len(t, len(added)-1, records[0].Removed())
+		head, _, err := s.head(t.Context())
+		must.NoError(t, err)
+		must.NoError(t, s.loadText(t.Context(), &head, ""))
+		kv.stale, kv.unavailable = 0.4, 0.1
+		text, err := s.textAt(t.Context(), &head, 1)
+		must.NoError(t, err, must.Sprint("reads that miss a written key are repeated"))
+		must.EqOp(t, texts[0], text)
+		kv.settleAll()
 		records, err = Audit(t.Context(), kv, 3)
 		must.NoError(t, err)
 		must.Len(t, 3, records)
--- a/version/config/scale_test.go
+++ b/version/config/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -76,6 +77,26 @@
 	checkReplaced(t, kv, changes+1, text)
 }
 
+// Guards against parts that all change when a line is inserted before them.
+func TestCutIsLocal(t *testing.T) {
+	lines := Lines(manyTeams())[:10_000]
+	old := newFakeKV(0).values
+	for _, piece := range defaultLayout.cut(Join(lines)) {
+		old[string(newPart(piece).id)] = nil
+	}
+	inserted := "# " + strings.Repeat("x", 3000)
+	for _, at := range []int{0, 1, 777, 5000, 9999} {
+		changed := 0
+		for _, piece := range defaultLayout.cut(Join(slices.Insert(slices.Clone(lines), at, inserted))) {
+			if _, found := old[string(newPart(piece).id)]; !found {
+				changed++
+			}
+		}
+		// A part that grows may be split, and the part behind it may start elsewhere.
+		must.LessEq(t, 3, changed)
+	}
+}
+
 func checkPushes(t *testing.T, source *State) {
 	for _, since := range []uint64{0, 1, 3} {
 		total := 0
--- a/version/config/state_test.go
+++ b/version/config/state_test.go
@@ -130,9 +130,13 @@
 	}
 	pushes = append(pushes, pushes...)
 	for _, push := range rapid.Permutation(pushes).Draw(t, "order") {
-		if _, err := r.ApplyPush(push); err != nil {
+		before := r.Version()
+		changed, err := r.ApplyPush(push)
+		if err != nil {
 			must.ErrorIs(t, err, ErrGap)
 		}
+		must.EqOp(t, changed, r.Version() > before)
+		must.True(t, r.Version() >= before, must.Sprint("a version never reverts"))
 	}
 }
 
@@ -217,6 +221,57 @@
 	pushes := source.Answer(wire.ConfigPull{Since: 2})
 	must.Len(t, 1, pushes)
 	must.Len(t, 4, pushes[0].Changes)
+	all, _ := source.history.since(0)
+	mixed := append(slices.Clone(all), all...)
+	slices.Reverse(mixed)
+	changed, err := New(smallConfig).ApplyPush(wire.ConfigPush{Changes: mixed})
+	must.NoError(t, err, must.Sprint("changes in reverse order, each twice"))
+	must.True(t, changed)
+}
+
+// Guards against answers with changes that do not connect, when the process itself skipped versions.
+func TestAnswerAfterSkippedVersions(t *testing.T) {
+	adopt := func(s *State, version uint64, changes ...uint64) {
+		text := serviceLine + teamLine("a", int(version))
+		h := Head{Version: version, Text: text, Loaded: true, TextHash: Hash(text)}
+		for _, v := range changes {
+			h.Changes = append(h.Changes, wire.ConfigChange{Version: v, TextHash: v})
+		}
+		_, err := s.AdoptHead(h)
+		must.NoError(t, err)
+	}
+	s := New(smallConfig)
+	adopt(s, 2, 1, 2)
+	adopt(s, 9, 8, 9)
+	must.NotNil(t, s.Answer(wire.ConfigPull{Since: 2})[0].Snapshot)
+	must.NotNil(t, s.Answer(wire.ConfigPull{Since: 6})[0].Snapshot)
+	must.Len(t, 2, s.Answer(wire.ConfigPull{Since: 7})[0].Changes)
+	adopt(s, 11, 9, 10, 11)
+	must.Len(t, 3, s.Answer(wire.ConfigPull{Since: 8})[0].Changes)
+	must.NotNil(t, s.Answer(wire.ConfigPull{Since: 7})[0].Snapshot, must.Sprint("only three changes are kept"))
+	adopt(s, 12)
+	must.NotNil(t, s.Answer(wire.ConfigPull{Since: 11})[0].Snapshot, must.Sprint("the head brought no changes"))
+}
+
+// Guards against parts of different texts that are put together, and against an unfinished snapshot that blocks others.
+func TestSnapshotsInterleaved(t *testing.T) {
+	source := func(weight int, version uint64) []wire.ConfigPush {
+		text := serviceLine + strings.Repeat("# filler\n", 20) + teamLine("a", weight)
+		return snapshot(&Accepted{Version: version, Text: text, TextHash: Hash(text)}, smallConfig.PartBytes)
+	}
+	s := New(smallConfig)
+	one, other, later := source(1, 3), source(2, 3), source(3, 4)
+	for _, push := range []wire.ConfigPush{one[0], other[0], later[0], one[0], other[1]} {
+		changed, err := s.ApplyPush(push)
+		must.NoError(t, err)
+		must.False(t, changed)
+	}
+	for _, push := range append(later[1:], later...) {
+		_, err := s.ApplyPush(push)
+		must.NoError(t, err)
+	}
+	must.EqOp(t, 4, s.Version())
+	must.SliceEmpty(t, s.assemblies)
 }
 
 // Guards against a state that moves although a push is wrong.
@@ -260,6 +315,7 @@
 	_, err = s.AdoptHead(Head{Version: 9})
 	must.ErrorIs(t, err, ErrNeedText)
 	must.True(t, s.Current() == was)
+	must.SliceEmpty(t, s.assemblies, must.Sprint("a wrong snapshot is not kept"))
 	must.Eq(t, Stats{Adopted: 1, Refused: 9}, s.Stats())
 	changed, err := s.ApplyPush(change(6, 1, comment))
 	must.NoError(t, err)
