--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -49,6 +49,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	// Watches that are waiting see a new outage.
+	s.wake()
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/kv/handlers.go
+++ b/internal/standin/kv/handlers.go
@@ -87,9 +87,14 @@
 	if err != nil {
 		return 0, false, err
 	}
+	s.wake()
+	return revision, s.takeLoss(), nil
+}
+
+// wake lets all watches look again. The caller holds mu.
+func (s *Server) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return revision, s.takeLoss(), nil
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -15,8 +15,8 @@
 //	GET    /counters                           200 {Counters}
 //
 // Revisions come from one counter for all keys, so a key that is deleted and created again gets a higher one. A write with
-// prev zero creates the key. A response with status 503 and the header Kv-Applied: no was sent before anything was done; any
-// other failure of a write leaves its outcome open.
+// prev zero creates the key. Nothing was done if the status is 4xx, or 503 with the header Kv-Applied: no; any other failure of a
+// write leaves its outcome open.
 package kv
 
 import (
