--- a/process/lease/acquire.go
+++ b/process/lease/acquire.go
@@ -45,8 +45,8 @@
 	lease  platform.LeaseID
 }
 
-// run creates the lease key with the next token, raises the counter to it, and reads the lease key back. A failure at any point
-// leaves at most a token that nobody uses and a lease that ends by itself.
+// run creates the lease key with the next token and raises the counter to it. A failure at any point leaves at most a token that
+// nobody uses and a lease that ends by itself.
 func (a *attempt) run(ctx context.Context) (uint64, error) {
 	last, revision, err := a.read(ctx, fenceKey(a.name))
 	if err != nil {
@@ -59,13 +59,6 @@
 	if err := a.write(ctx, fenceKey(a.name), revision, own, 0); err != nil {
 		return 0, err
 	}
-	current, _, err := a.read(ctx, leaseKey(a.name))
-	if err != nil {
-		return 0, err
-	}
-	if current != own {
-		return 0, trace.Wrap(errTaken)
-	}
 	return own.Fence, nil
 }
 
--- a/process/lease/config.go
+++ b/process/lease/config.go
@@ -1,9 +1,10 @@
 // Package lease holds a named lease of the key-value service with a fencing token.
 //
 // The key lease/NAME exists while somebody holds the lease; the platform deletes it when the holder's platform lease ends. The
-// key fence/NAME is never deleted and counts the fencing tokens. Its counter is separate because the revision of a key that was
-// deleted may begin again, which would repeat tokens. A token is used only after the lease key was read back as the process's own
-// after the counter was raised. The lease key then existed all the time in between, so tokens grow in the order of the holders.
+// key fence/NAME is never deleted and counts the fencing tokens. It is separate because the revision of a key that was deleted may
+// begin again, which would repeat tokens. The counter is read before the lease key is created and raised by compare-and-swap
+// after, so nobody else was given a token in between. A process that was paused before it raised the counter may be given a token
+// without the lease, but its own clock, which runs from before the lease was requested, then says that the lease has ended.
 package lease
 
 import (
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -45,7 +45,8 @@
 }
 
 // Held returns the fencing token if the lease is held at time now, which carries a monotonic clock reading as time.Now returns.
-// Callers ask again before each use, because the process may have been paused since the last answer.
+// Callers ask again before each use, because the process may have been paused since the last answer. A pause between the answer and
+// the use, or a suspended machine whose monotonic clock stood still, is caught by the receiver's check of the token.
 func (k *Keeper) Held(now time.Time) (fence uint64, ok bool) {
 	g := k.current.Load()
 	if g == nil || !now.Before(g.until) {
