version/rollout: choose the test, compare at 100%, test whole shifts

Rates near one half made the binomial bound useless, so the hypergeometric mean is exact above 10% of bad outcomes.

--- a/version/rollout/config.go
+++ b/version/rollout/config.go
@@ -7,8 +7,12 @@
 	"github.com/gravitational/trace"
 )
 
-// maxSteps bounds the number of shares of a shift; the test reserves error rate for a fresh start at each.
-const maxSteps = 16
+// maxSteps bounds the steps of a shift; the test reserves error rate for a fresh start at each. The planned ones leave room for a
+// comparison after 100% and the return from it.
+const (
+	maxSteps   = 16
+	maxPlanned = maxSteps - 3
+)
 
 // Config holds the constants of the test and of the pace. All processes of a fleet use the same values, because counts of
 // windows of different lengths do not add up. No field may be zero unless its comment says so.
@@ -32,8 +36,8 @@
 	SlowDifference float64
 	// SlowQuantile is the quantile of the old version's latency above which a request counts as slow. Default 0.95.
 	SlowQuantile float64
-	// OddsRatios are the odds ratios of a bad outcome, new to old, that the test weighs against equality, each above 1. A
-	// difference well below the smallest is never blamed. Default 2, 4, 16, 64.
+	// OddsRatios are the odds ratios of a bad outcome, new to old, that the test weighs against equality, each above 1, at
+	// most 8. A difference well below the smallest is never blamed. Default 2, 4, 16, 64.
 	OddsRatios []float64
 	// Starts is the number of evenly spaced times from which a late fault is looked for. Default 64.
 	Starts int
@@ -46,8 +50,8 @@
 
 	// Growth is the factor between two shares, above 1. Default 3.
 	Growth float64
-	// MaxPartial is the largest share below 1. Above one half the old version's traffic is too small to compare with.
-	// Default 0.5.
+	// MaxPartial is the largest share below 1, and the one at which the versions are compared again when the new one looks worse
+	// at 100% than the old one did before. Above one half the old version's traffic is too small to compare with. Default 0.5.
 	MaxPartial float64
 	// MinStep is the shortest stay at a share. Default 30 s.
 	MinStep time.Duration
@@ -131,5 +135,5 @@
 			return false
 		}
 	}
-	return len(ratios) > 0
+	return len(ratios) > 0 && len(ratios) <= maxOddsRatios
 }
--- a/version/rollout/detector.go
+++ b/version/rollout/detector.go
@@ -41,3 +41,9 @@
 	}
 	return sum/float64(len(d.scores)) >= d.threshold
 }
+
+// logThreshold returns what the logarithm of the largest likelihood ratio must reach for a blame, from a start at the beginning of
+// a step.
+func (d *detector) logThreshold() float64 {
+	return math.Log(d.threshold * float64(len(d.scores)) / stepWeight)
+}
--- a/version/rollout/evidence.go
+++ b/version/rollout/evidence.go
@@ -74,6 +74,12 @@
 	New Counts
 }
 
+// add adds the counts of another cell.
+func (c *Cell) add(d Cell) {
+	c.Old = c.Old.plus(d.Old)
+	c.New = c.New.plus(d.New)
+}
+
 func (c Cell) total() uint64 { return uint64(c.Old.Total()) + uint64(c.New.Total()) }
 
 // Evidence is a set of cells of one shift. Its zero value is empty and ready for use.
@@ -106,8 +112,7 @@
 	}
 	sum := e.cells[c.Key]
 	sum.Key = c.Key
-	sum.Old = sum.Old.plus(c.Old)
-	sum.New = sum.New.plus(c.New)
+	sum.add(c)
 	e.cells[c.Key] = sum
 }
 
--- /dev/null
+++ b/version/rollout/evidence_test.go
@@ -0,0 +1,168 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var anyCell = rapid.Custom(func(t *rapid.T) Cell {
+	return Cell{
+		Key: Key{
+			DataCentre: rapid.SampledFrom(simCentres).Draw(t, "centre"),
+			Route:      rapid.SampledFrom(simRoutes).Draw(t, "route"),
+			Window:     rapid.Int64Range(1, 3).Draw(t, "window"),
+			Step:       rapid.Uint8Range(0, 2).Draw(t, "step"),
+		},
+		Old: Counts{OK: rapid.Uint32Range(0, 9).Draw(t, "old"), Slow: 1},
+		New: Counts{Failed: rapid.Uint32Range(0, 9).Draw(t, "new")},
+	}
+})
+
+func evidenceOf(cells []Cell) (e Evidence) {
+	for _, c := range cells {
+		e.AddCell(c)
+	}
+	return e
+}
+
+// Guards against counts that depend on the order of merging or are changed by the encoding.
+func TestEvidenceMergesAndEncodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := evidenceOf(rapid.SliceOf(anyCell).Draw(t, "a"))
+		b := evidenceOf(rapid.SliceOf(anyCell).Draw(t, "b"))
+		ab, ba := evidenceOf(a.Cells()), evidenceOf(b.Cells())
+		ab.Merge(b)
+		ba.Merge(a)
+		must.Eq(t, ab.Cells(), ba.Cells())
+		data, err := ab.Encode()
+		must.NoError(t, err)
+		decoded, err := DecodeEvidence(data)
+		must.NoError(t, err)
+		must.Eq(t, ab.Cells(), decoded.Cells())
+	})
+}
+
+// Guards the control budget of 2 KB/s per node: a report of one window of 10 routes and 3 data centres, the most that a chat's
+// candidates span, sent once per second.
+func TestReportIsSmall(t *testing.T) {
+	var e Evidence
+	for route := range 10 {
+		for _, dc := range simCentres {
+			key := Key{DataCentre: dc, Route: fmt.Sprintf("/chat/route-%d", route), Window: 358_000_000, Step: 1}
+			e.AddCell(Cell{Key: key, Old: Counts{OK: 900, Failed: 3, Slow: 50}, New: Counts{OK: 50, Failed: 1, Slow: 3}})
+		}
+	}
+	data, err := e.Encode()
+	must.NoError(t, err)
+	t.Logf("%d bytes for %d cells", len(data), e.Len())
+	must.Less(t, 2048, len(data))
+}
+
+// Guards against counts that are added twice when a report is repeated or overtaken, lost, or added after their window was judged.
+func TestAggregatorCountsEachRequestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := simConfig()
+		now := simStart
+		a := NewAggregator(config, now)
+		window := config.WindowOf(now)
+		want := uint32(0)
+		for source := range rapid.IntRange(1, 5).Draw(t, "sources") {
+			total := uint32(0)
+			var reports []Evidence
+			for range rapid.IntRange(1, 4).Draw(t, "reports") {
+				total += rapid.Uint32Range(0, 9).Draw(t, "more")
+				var e Evidence
+				e.Add(Key{DataCentre: "suva", Route: "/bookings", Window: window}, New, Failed, total)
+				reports = append(reports, e)
+			}
+			want += total
+			reports = append(reports, rapid.Permutation(reports).Draw(t, "order")...)
+			for _, r := range reports {
+				must.NoError(t, a.Add(now, fmt.Sprint(source), r))
+			}
+		}
+		must.SliceEmpty(t, a.Close(now.Add(config.Window)))
+		cells := a.Close(now.Add(config.Window + config.Lag))
+		got := uint32(0)
+		for _, c := range cells {
+			got += c.New.Failed
+		}
+		must.Eq(t, want, got)
+		must.NoError(t, a.Add(now.Add(config.Window+config.Lag), "0", evidenceOf([]Cell{{Key: Key{Window: window}}})))
+		must.SliceEmpty(t, a.Close(now.Add(time.Hour)))
+		must.Eq(t, 1, a.Late)
+	})
+}
+
+// Guards against a process that receives from the whole fleet.
+func TestAggregatorLimitsItsSources(t *testing.T) {
+	a := NewAggregator(simConfig(), simStart)
+	for source := range MaxSources {
+		must.NoError(t, a.Add(simStart, fmt.Sprint(source), Evidence{}))
+	}
+	must.True(t, errors.Is(a.Add(simStart, "one more", Evidence{}), ErrTooManySources))
+	a.Close(simStart.Add(time.Minute))
+	must.NoError(t, a.Add(simStart.Add(time.Minute), "one more", Evidence{}))
+}
+
+// Guards against a threshold that does not follow the old version, or that is taken from the new one.
+func TestRecorderCallsSlowWhatTheOldVersionRarelyIs(t *testing.T) {
+	config := simConfig()
+	r := NewRecorder(config)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 40_000 {
+		side := Side(i % 2)
+		mean := 300 * (1 + 0.5*float64(side))
+		latency := time.Duration(mean * math.Exp(0.4*random.NormFloat64()) * float64(time.Millisecond))
+		r.Record(simStart, Observation{Side: side, Route: "/bookings", DataCentre: "suva", Latency: latency})
+	}
+	cells := r.Report(simStart).Cells()
+	must.Eq(t, 1, len(cells))
+	must.Between(t, 700, cells[0].Old.Slow, 1300)
+	must.Between(t, 3500, cells[0].New.Slow, 7000)
+	must.Eq(t, 0, r.Report(simStart.Add(time.Hour)).Len())
+}
+
+// Guards against an error in the closed forms: the mean under equality must be that of the plain sum, or above it where the
+// binomial bound is used.
+func TestLogMean(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := float64(rapid.IntRange(2, 500).Draw(t, "all"))
+		bad := float64(rapid.IntRange(0, int(all)).Draw(t, "bad"))
+		n := float64(rapid.IntRange(1, int(all)-1).Draw(t, "n"))
+		odds := rapid.SampledFrom([]float64{2, 4, 16, 64}).Draw(t, "odds")
+		var terms []float64
+		for x := max(0, n-(all-bad)); x <= min(bad, n); x++ {
+			terms = append(terms, logChoose(bad, x)+logChoose(all-bad, n-x)-logChoose(all, n)+x*math.Log(odds))
+		}
+		largest, sum := slices.Max(terms), 0.0
+		for _, term := range terms {
+			sum += math.Exp(term - largest)
+		}
+		want := largest + math.Log(sum)
+		got := logMean(all, bad, n, odds)
+		must.True(t, got >= want-1e-6, must.Sprintf("got %v, want at least %v", got, want))
+		if bad > rareBad*all {
+			must.InDelta(t, want, got, 1e-6)
+		}
+	})
+}
+
+// Guards against a config whose faulty field is accepted or not named.
+func TestConfigValidate(t *testing.T) {
+	must.NoError(t, DefaultConfig().Validate())
+	must.ErrorContains(t, Config{}.Validate(), "Window")
+	c := DefaultConfig()
+	c.OddsRatios = []float64{2, 1}
+	must.ErrorContains(t, c.Validate(), "OddsRatios")
+	must.NoError(t, simShift().Validate())
+	must.ErrorContains(t, Shift{ID: "s1", Service: "press-model", From: "v1", To: "v1"}.Validate(), "To")
+}
--- a/version/rollout/machine.go
+++ b/version/rollout/machine.go
@@ -16,8 +16,8 @@
 
 // Machine is the state of one shift in one process. Every process runs one: the entries to know the share, an aggregator to
 // stop a bad version on the evidence of its data centre, the lease holder to advance as well. The share rises only when a
-// record that says so has been read or its write confirmed, and never above the share held when the platform became
-// unreachable. Every input returns the complete Output.
+// record that says so has been read or its write confirmed, and never while the platform is unreachable. Every input returns the
+// complete Output.
 type Machine struct {
 	config Config
 	shift  Shift
@@ -30,6 +30,7 @@
 	known    bool
 	lastRead time.Time
 
+	// lease keeps the last fencing token after the lease was lost.
 	lease     Lease
 	leaseFrom time.Time
 	// topFence is the highest fencing token seen in a record.
@@ -40,19 +41,22 @@
 
 	down      bool
 	downSince time.Time
-	ceiling   float64
 
 	stopReason   string
 	stopped      bool
 	stopIsOwn    bool
 	stopRecorded bool
 
+	// suspicion is the reason for a comparison at a lower share, empty if none is due.
+	suspicion string
 	// windows is the number of windows judged since the current step began.
-	windows  float64
+	windows float64
+	// wait is the number of windows until there is enough evidence for all steps, as the lease holder last estimated it.
+	wait     float64
 	reported bool
 }
 
-// NewMachine returns a machine that knows no record yet. Its config must be valid.
+// NewMachine returns a machine that knows no record yet. Its config and shift must be valid.
 func NewMachine(config Config, shift Shift, now time.Time) *Machine {
 	return &Machine{
 		config: config,
@@ -76,9 +80,6 @@
 	if m.stopped {
 		return 0
 	}
-	if m.down {
-		return min(m.ceiling, m.record.Share)
-	}
 	return m.record.Share
 }
 
@@ -88,26 +89,47 @@
 // Reason returns why the shift was rolled back, empty if it was not.
 func (m *Machine) Reason() string { return m.stopReason }
 
-// Tick advances the time. The driver calls it at least once per window with the lease as it is now.
+// Tick advances the time. The driver calls it at least once per window with the lease as it is now. The holder of the lease must
+// receive the evidence of all data centres.
 func (m *Machine) Tick(now time.Time, lease Lease) Output {
 	m.setLease(now, lease)
 	var out Output
-	if !m.known {
+	if m.known || m.down {
+		m.checkDeadline(now, &out)
+	}
+	if m.known && !m.down {
+		m.advance(now, &out)
+	}
+	if m.lease.Held && (m.down || !m.known) {
 		m.read(now, &out)
-		return m.finish(now, out)
 	}
-	m.checkDeadline(now, &out)
-	m.advance(now, &out)
 	return m.finish(now, out)
 }
 
 func (m *Machine) setLease(now time.Time, lease Lease) {
-	if lease.Held && lease != m.lease {
+	if lease.Held && (!m.lease.Held || lease.Fence != m.lease.Fence) {
 		m.leaseFrom = now
 		// Another holder may have written since the last read.
 		m.known = false
 	}
-	m.lease = lease
+	if lease.Held {
+		m.lease = lease
+		return
+	}
+	m.lease.Held = false
+}
+
+// suspect asks for a comparison at a lower share, or stops if that cannot be had or was made before. Only the process that wrote the
+// record does, because it has the evidence of all data centres.
+func (m *Machine) suspect(out *Output, reason string) {
+	if m.lease.Fence == 0 || m.lease.Fence != m.record.Fence {
+		return
+	}
+	if m.down || !m.lease.Held || int(m.record.Step) >= len(m.steps) {
+		m.stop(out, reason, true)
+		return
+	}
+	m.suspicion = reason
 }
 
 // countWindows counts the windows with evidence of the current step.
@@ -131,8 +153,15 @@
 		return m.finish(now, out)
 	}
 	m.countWindows(cells)
-	if v := m.test.Observe(cells); v.Blamed && m.record.State != Pending {
+	v := m.test.Observe(cells)
+	switch {
+	case v.Blamed && m.record.State != Pending:
 		m.stop(&out, v.Reason, true)
+	case v.Suspected && m.record.State == Full:
+		m.suspect(&out, v.Reason)
+	}
+	if m.lease.Held && m.record.State < Full {
+		m.wait = m.test.Expected(m.windows)
 	}
 	return m.finish(now, out)
 }
@@ -174,7 +203,7 @@
 	if m.stopRecorded || (!m.stopIsOwn && !m.lease.Held) || out.Read || !m.due(now) {
 		return
 	}
-	if !m.known {
+	if m.down || !m.known {
 		m.read(now, out)
 		return
 	}
--- /dev/null
+++ b/version/rollout/machine_test.go
@@ -0,0 +1,232 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+)
+
+// runUntil simulates windows until the condition holds, and fails if it never does.
+func (w *world) runUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := w.now.Add(2 * time.Hour); w.now.Before(end); w.window() {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func (w *world) said(text string) (found int) {
+	for _, m := range w.messages {
+		if strings.Contains(m.Text, text) {
+			found++
+		}
+	}
+	return found
+}
+
+// Guards against a stop that needs the platform, and against one that is forgotten when the platform is back.
+func TestStopDuringOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		start := simStart.Add(time.Duration(r.Int64N(int64(50 * time.Minute))))
+		w := newWorld(seed, after(start, simConfig(), fails(r)))
+		w.runUntil(t, "the fault begins", func() bool { return !w.now.Before(start) })
+		w.kv.down = true
+		entry := w.machines[entryMachine]
+		w.runUntil(t, "stopped at the entry", func() bool { return entry.State() == RolledBack })
+		must.Eq(t, 0, entry.Share())
+		must.False(t, w.roseInDown)
+		must.NotEq(t, RolledBack, w.kv.record.State)
+		w.kv.down = false
+		w.runUntil(t, "the stop is recorded", func() bool { return w.kv.record.State == RolledBack })
+		must.Greater(t, 0, w.said("undone"))
+	}
+}
+
+// Guards against a share that rises during an outage, and against a good version that never recovers from a short one.
+func TestOutageHoldsTheShare(t *testing.T) {
+	w := newWorld(1, nil)
+	entry := w.machines[entryMachine]
+	w.runUntil(t, "ramping", func() bool { return entry.State() == Ramping })
+	share := entry.Share()
+	w.kv.down = true
+	w.run(w.now.Add(15 * time.Minute))
+	must.Eq(t, share, entry.Share())
+	w.kv.down = false
+	w.runUntil(t, "done", func() bool { return entry.State() == Done })
+	must.False(t, w.fullAt.After(simShift().By))
+	must.Eq(t, 1, w.said("done, v1 is no longer needed"))
+}
+
+// Guards against a shift that stays half done when an outage lasts beyond its deadline.
+func TestOutageBeyondTheDeadlineRollsBack(t *testing.T) {
+	w := newWorld(1, nil)
+	entry := w.machines[entryMachine]
+	w.runUntil(t, "ramping", func() bool { return entry.State() == Ramping })
+	w.kv.down = true
+	w.leases[0] = Lease{}
+	w.runUntil(t, "rolled back", func() bool { return entry.State() == RolledBack })
+	must.StrContains(t, entry.Reason(), "deadline reached without enough evidence")
+	must.True(t, w.now.After(simShift().By))
+}
+
+// Guards against a paused holder that wakes up, still believes in its lease, and overwrites its successor's records.
+func TestPausedHolder(t *testing.T) {
+	for name, f := range map[string]fault{"good": nil, "bad": after(simStart.Add(20*time.Minute), simConfig(), fails(rand.New(rand.NewPCG(1, 5))))} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(7, f)
+			entry := w.machines[entryMachine]
+			w.runUntil(t, "ramping", func() bool { return entry.State() == Ramping })
+			w.paused[0] = true
+			w.leases[1] = Lease{Held: true, Fence: 2}
+			w.runUntil(t, "taken over", func() bool { return w.kv.record.Fence == 2 })
+			w.paused[0] = false
+			fence, share := w.kv.record.Fence, w.kv.record.Share
+			w.runUntil(t, "the end", func() bool {
+				must.GreaterEq(t, fence, w.kv.record.Fence)
+				must.True(t, w.kv.record.Share >= share || w.kv.record.State == RolledBack)
+				fence, share = w.kv.record.Fence, w.kv.record.Share
+				return w.kv.record.State >= Done
+			})
+			must.Eq(t, f != nil, w.kv.record.State == RolledBack)
+		})
+	}
+}
+
+// Guards against a write whose answer was lost being taken as failed or repeated without end.
+func TestLostAnswers(t *testing.T) {
+	w := newWorld(3, nil)
+	w.kv.loseAnswers = true
+	w.runUntil(t, "done", func() bool { return w.machines[entryMachine].State() == Done })
+	must.LessEq(t, platform.Revision(8), w.kv.revision)
+}
+
+// Guards against a shift with too little traffic that nobody hears about before its deadline, or that goes on after it.
+func TestTooLittleTraffic(t *testing.T) {
+	w := newWorld(5, nil)
+	w.perCell = 5
+	w.runUntil(t, "the warning", func() bool { return w.said("will probably not be met") == 1 })
+	must.True(t, w.now.Before(simStart.Add(15*time.Minute)))
+	entry := w.machines[entryMachine]
+	w.runUntil(t, "rolled back", func() bool { return entry.State() == RolledBack })
+	must.LessEq(t, simShift().Cap, w.maxShare)
+	must.StrContains(t, entry.Reason(), "deadline reached without enough evidence: at 5%")
+	must.Eq(t, 1, w.said("will probably not be met"))
+	must.Eq(t, 1, w.said("undone"))
+}
+
+// Guards against a burst of failures on one machine of one data centre that blames the version.
+func TestBurstIsNotBlamed(t *testing.T) {
+	config := simConfig()
+	window := config.WindowOf(simStart.Add(5 * time.Minute))
+	w := newWorld(11, func(c Cell, _ float64, side Side, failed, slow float64) (float64, float64) {
+		if side == New && c.Key.DataCentre == "nadi" && c.Key.Window == window {
+			return 1, slow
+		}
+		return failed, slow
+	})
+	w.runUntil(t, "done", func() bool { return w.machines[entryMachine].State() == Done })
+}
+
+// Guards against a suspicion at 100% because of one sick data centre, and against none when all of them show the fault.
+func TestOneSickCentreRaisesNoSuspicion(t *testing.T) {
+	for name, sick := range map[string][]string{"one": {"nadi"}, "all": simCentres} {
+		shift := simShift()
+		shift.Guards = nil
+		test := NewTest(simConfig(), shift, simStart)
+		var past []PastCell
+		for _, dc := range simCentres {
+			past = append(past, PastCell{DataCentre: dc, Route: "/bookings", Counts: Counts{OK: 995, Failed: 5}})
+		}
+		test.SetPast(past)
+		test.BeginStep(3)
+		for window := range int64(30) {
+			var cells []Cell
+			for _, dc := range simCentres {
+				c := Cell{Key: Key{DataCentre: dc, Route: "/bookings", Window: window, Step: 3}, New: Counts{OK: 20}}
+				if slices.Contains(sick, dc) {
+					c.New = Counts{OK: 10, Failed: 10}
+				}
+				cells = append(cells, c)
+			}
+			test.Observe(cells)
+		}
+		must.Eq(t, name == "all", test.Verdict().Suspected)
+		must.False(t, test.Verdict().Blamed)
+	}
+}
+
+// Guards against any order of inputs after which a stop is reverted, an older record is adopted, the share rises in an outage, or a
+// process without the lease advances the shift.
+func TestMachineInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config, shift := simConfig(), simShift()
+		m := NewMachine(config, shift, simStart)
+		now := simStart
+		stopped, down, held := false, false, false
+		share := 0.0
+		fence, last := uint64(0), platform.Revision(0)
+		check := func(out Output) {
+			must.GreaterEq(t, fence, m.record.Fence)
+			must.GreaterEq(t, last, m.revision)
+			fence, last = m.record.Fence, m.revision
+			if out.Stop != nil {
+				stopped = true
+			}
+			must.Eq(t, out.Share, m.Share())
+			must.False(t, stopped && (out.Share != 0 || m.State() != RolledBack))
+			must.False(t, down && out.Share > share)
+			if out.Write != nil && out.Write.Record.State != RolledBack {
+				must.False(t, stopped)
+				must.True(t, held)
+			}
+			share = out.Share
+		}
+		record := rapid.Custom(func(t *rapid.T) Record {
+			state := State(rapid.IntRange(0, int(RolledBack)).Draw(t, "state"))
+			step := uint8(rapid.IntRange(0, 3).Draw(t, "step"))
+			fence := rapid.Uint64Range(0, 3).Draw(t, "fence")
+			r := Record{ID: shift.ID, State: state, Step: step, Share: config.Steps(shift.Cap)[step], Fence: fence, StartedMS: simStart.UnixMilli(), SinceMS: now.UnixMilli()}
+			if state == RolledBack {
+				r.Share, r.Reason = 0, "fault"
+			}
+			return r
+		})
+		revision := func() platform.Revision {
+			return platform.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.Int64Range(0, int64(10*time.Minute)).Draw(t, "step")))
+				lease := Lease{Held: rapid.Bool().Draw(t, "held"), Fence: rapid.Uint64Range(1, 3).Draw(t, "fence")}
+				held = lease.Held && lease.Fence >= m.record.Fence
+				check(m.Tick(now, lease))
+			},
+			"stop": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+					stopped = true
+					check(m.StopReceived(now, wire.RolloutStop{Rollout: shift.ID, Reason: "fault"}))
+				}
+			},
+			"read":    func(t *rapid.T) { down = false; check(m.RecordRead(now, record.Draw(t, "record"), revision())) },
+			"heard":   func(t *rapid.T) { check(m.RecordHeard(now, record.Draw(t, "record"), revision())) },
+			"missing": func(t *rapid.T) { down = false; check(m.RecordMissing(now)) },
+			"outage":  func(t *rapid.T) { down = true; check(m.PlatformDown(now)) },
+			"failed": func(t *rapid.T) {
+				err := rapid.SampledFrom([]error{platform.ErrConflict, platform.ErrOutcomeUnknown, platform.ErrUnavailable}).Draw(t, "error")
+				down = down || err == platform.ErrUnavailable
+				check(m.WriteFailed(now, err))
+			},
+		})
+	})
+}
--- a/version/rollout/pace.go
+++ b/version/rollout/pace.go
@@ -13,7 +13,9 @@
 		return
 	}
 	if m.pastDeadline(now) {
-		m.stop(out, "deadline reached without enough evidence: "+m.lack(), true)
+		// Without a holder all processes come to this point at the same time; those that never held the lease leave the record and the
+		// message to the next holder.
+		m.stop(out, "deadline reached without enough evidence: "+m.lack(), m.lease.Fence != 0)
 		return
 	}
 	if m.reported || !m.holds() || m.record.State == Pending {
@@ -46,7 +48,7 @@
 	if m.record.State == Pending {
 		return "the shift never started"
 	}
-	missing, have, name := m.test.Missing(m.record.Share)
+	missing, have, name := m.test.Missing()
 	if missing == 0 {
 		return fmt.Sprintf("too little time for the steps after %.3g%%", m.record.Share*100)
 	}
@@ -71,8 +73,7 @@
 	if m.windows < minRateWindows {
 		return earliest
 	}
-	wait := m.test.Expected(m.steps, m.windows)
-	gathered := now.Add(time.Duration(min(wait, maxWait) * float64(m.config.Window)))
+	gathered := now.Add(time.Duration(min(m.wait, maxWait) * float64(m.config.Window)))
 	if gathered.After(earliest) {
 		return gathered
 	}
@@ -81,7 +82,7 @@
 
 // advance proposes the next step when its time has come and the evidence suffices.
 func (m *Machine) advance(now time.Time, out *Output) {
-	if m.stopped || m.down || !m.holds() || !m.due(now) {
+	if m.stopped || !m.holds() || !m.due(now) {
 		return
 	}
 	if m.record.Fence != m.lease.Fence && m.record.State != Pending {
@@ -100,6 +101,8 @@
 		}
 	case Full:
 		m.complete(now, out)
+	case Verifying:
+		m.verify(now, out)
 	}
 }
 
@@ -120,7 +123,7 @@
 	if now.Before(since.Add(stay)) {
 		return false
 	}
-	missing, _, _ := m.test.Missing(m.record.Share)
+	missing, _, _ := m.test.Missing()
 	return missing == 0
 }
 
@@ -135,23 +138,44 @@
 		ID:        m.shift.ID,
 		State:     Ramping,
 		Step:      step,
-		Share:     m.steps[step],
+		Share:     m.config.shareAt(m.steps, step),
 		Fence:     m.lease.Fence,
 		StartedMS: m.record.StartedMS,
 		SinceMS:   now.UnixMilli(),
 		Past:      m.test.Past(),
 	}
-	if step == 0 {
+	switch {
+	case step == 0:
 		r.State = Canary
 		r.StartedMS = now.UnixMilli()
-	}
-	if int(step) == len(m.steps)-1 {
+	case r.Share == 1:
 		r.State = Full
+	case int(step) >= len(m.steps):
+		r.State = Verifying
+		r.Past = nil
 	}
 	m.write(now, out, r)
 }
 
+// verify ends a comparison: back to 100% with enough evidence, which has not blamed the new version, or back to the old version if
+// there is none within Monitor.
+func (m *Machine) verify(now time.Time, out *Output) {
+	missing, _, _ := m.test.Missing()
+	if missing == 0 && !now.Before(m.record.since().Add(m.config.MinStep)) {
+		m.propose(now, out, m.record.Step+1)
+		return
+	}
+	if !now.Before(m.record.since().Add(m.config.Monitor)) {
+		m.stop(out, "not enough evidence after the new version looked worse at 100%: "+m.lack(), true)
+	}
+}
+
+// complete ends the monitoring, or starts a comparison if the new version is suspected.
 func (m *Machine) complete(now time.Time, out *Output) {
+	if m.suspicion != "" {
+		m.propose(now, out, m.record.Step+1)
+		return
+	}
 	if now.Before(m.record.since().Add(m.config.Monitor)) {
 		return
 	}
--- a/version/rollout/past.go
+++ b/version/rollout/past.go
@@ -46,11 +46,13 @@
 	return p.counts[pastKey{"", route}].of(kind)
 }
 
-// Past returns the old version's record, for the persisted record of the shift.
+// Past returns the old version's record on the routes that are judged on their own, for the persisted record of the shift. Their
+// number is bounded, so that the record stays far below the size limit of a value.
 func (t *Test) Past() []PastCell {
 	var cells []PastCell
 	for key, counts := range t.past.counts {
-		if key.dataCentre != "" {
+		judged := t.routes[key.route] != nil || slices.Contains(t.shift.Guards, key.route)
+		if judged && key.dataCentre != "" {
 			cells = append(cells, PastCell{DataCentre: key.dataCentre, Route: key.route, Counts: counts})
 		}
 	}
--- a/version/rollout/persisted.go
+++ b/version/rollout/persisted.go
@@ -53,6 +53,12 @@
 	return m.finish(now, out)
 }
 
+// PlatformUp says that the platform answers again, for a process that does not read the record itself.
+func (m *Machine) PlatformUp(now time.Time) Output {
+	m.down = false
+	return m.finish(now, Output{})
+}
+
 // PlatformDown says that the platform could not be reached. From then on the share does not rise until a read succeeds.
 func (m *Machine) PlatformDown(now time.Time) Output {
 	m.setDown(now)
@@ -63,7 +69,6 @@
 	if m.down {
 		return
 	}
-	m.ceiling = m.Share()
 	m.down = true
 	m.downSince = now
 	m.notBefore = now.Add(m.config.RetryEvery)
@@ -94,6 +99,7 @@
 	if r.Step != previous.Step || previous.State == Pending {
 		m.test.BeginStep(r.Step)
 		m.windows = 0
+		m.suspicion = ""
 	}
 	if m.lease.Held && r.Fence == m.lease.Fence && (r.State != previous.State || r.Step != previous.Step) {
 		m.announce(out)
@@ -110,6 +116,8 @@
 		m.say(out, event.RolloutAdvanced, "judged good so far, now at %.3g%%", percent)
 	case Full:
 		m.say(out, event.RolloutAdvanced, "at 100%%; %s is kept and outcomes are judged for %v more", m.shift.From, m.config.Monitor)
+	case Verifying:
+		m.say(out, event.RolloutAdvanced, "lowered to %.3g%% to compare with %s again", percent, m.shift.From)
 	case Done:
 		m.say(out, event.RolloutDone, "done, %s is no longer needed", m.shift.From)
 	}
--- a/version/rollout/record.go
+++ b/version/rollout/record.go
@@ -22,13 +22,15 @@
 	Ramping
 	// Full: the new version has all traffic, and the old one is kept.
 	Full
+	// Verifying: at 100% the new version looked worse than the old one did before, so the share was lowered to compare the two.
+	Verifying
 	// Done: the old version is no longer needed.
 	Done
 	// RolledBack: the old version has all traffic.
 	RolledBack
 )
 
-var stateNames = [...]string{"pending", "canary", "ramping", "full", "done", "rolled back"}
+var stateNames = [...]string{"pending", "canary", "ramping", "full", "verifying", "done", "rolled back"}
 
 // String returns the state's name.
 func (s State) String() string {
--- a/version/rollout/test.go
+++ b/version/rollout/test.go
@@ -14,8 +14,11 @@
 
 // Verdict is what a Test says of the new version.
 type Verdict struct {
-	// Blamed means that the new version is worse.
+	// Blamed means that the new version is worse than the old one at the same time and place. It is final.
 	Blamed bool
+	// Suspected means that in this step at share 1 the new version looks worse than the old one did before. The cause may also be
+	// a surge or a sick region.
+	Suspected bool
 	// Reason says on which routes it is worse and how, in one line.
 	Reason string
 }
@@ -27,7 +30,7 @@
 type Test struct {
 	config  Config
 	shift   Shift
-	full    uint8
+	steps   []float64
 	step    uint8
 	all     *group
 	guards  []*group
@@ -49,7 +52,7 @@
 	t := &Test{
 		config:  config,
 		shift:   shift,
-		full:    uint8(len(config.Steps(shift.Cap)) - 1),
+		steps:   config.Steps(shift.Cap),
 		routes:  make(map[string]*group),
 		past:    newPast(),
 		spacing: max(1, int64(horizon/config.Window)/int64(config.Starts)),
@@ -57,9 +60,9 @@
 	alpha := config.Alpha / float64(config.Judges) / 2
 	odds := len(config.OddsRatios)
 	main := alpha / float64(1+len(shift.Guards))
-	t.all = newGroup(allRoutes, true, main, odds)
+	t.all = newGroup(allRoutes, main, odds)
 	for _, route := range shift.Guards {
-		t.guards = append(t.guards, newGroup(route, true, main, odds))
+		t.guards = append(t.guards, newGroup(route, main, odds))
 	}
 	t.lastWindow = math.MinInt64
 	t.forEach(func(g *group) { g.start(stepWeight) })
@@ -75,9 +78,16 @@
 		return
 	}
 	t.step = step
+	if !t.verdict.Blamed {
+		t.verdict = Verdict{}
+	}
+	if t.share() < 1 && int(step) >= len(t.steps) {
+		// The past did not tell what the old version does now.
+		t.past = newPast()
+	}
 	t.forEach(func(g *group) {
+		g.beginStep()
 		g.start(stepWeight)
-		g.step = Cell{}
 	})
 }
 
@@ -95,7 +105,9 @@
 	return t.verdict
 }
 
-// Verdict returns the current verdict. A blame is final.
+func (t *Test) share() float64 { return t.config.shareAt(t.steps, t.step) }
+
+// Verdict returns the current verdict.
 func (t *Test) Verdict() Verdict { return t.verdict }
 
 func (t *Test) window(cells []Cell) {
@@ -125,13 +137,12 @@
 }
 
 func (t *Test) cell(c Cell) {
-	concurrent := c.Key.Step < t.full
+	concurrent := t.config.shareAt(t.steps, c.Key.Step) < 1
 	sums := t.logs(c, concurrent)
 	for _, g := range t.groupsOf(c.Key.Route) {
 		g.put(c.Key.DataCentre, sums, concurrent)
 		if c.Key.Step == t.step {
-			g.step.Old = g.step.Old.plus(c.Old)
-			g.step.New = g.step.New.plus(c.New)
+			g.count(c)
 		}
 	}
 	if concurrent {
@@ -139,8 +150,8 @@
 	}
 }
 
-func (t *Test) logs(c Cell, concurrent bool) *logs {
-	sums := newLogs(len(t.config.OddsRatios))
+func (t *Test) logs(c Cell, concurrent bool) logs {
+	var sums logs
 	margins := [kinds]float64{t.config.FailedDifference / 2, t.config.SlowDifference / 2}
 	for kind := range sums {
 		fresh := c.New.of(kind)
@@ -171,7 +182,7 @@
 	g := t.routes[route]
 	if g == nil && len(t.routes) < t.config.MaxRoutes {
 		alpha := t.config.Alpha / float64(t.config.Judges) / 2 / float64(t.config.MaxRoutes)
-		g = newGroup(route, false, alpha, len(t.config.OddsRatios))
+		g = newGroup(route, alpha, len(t.config.OddsRatios))
 		g.start(stepWeight)
 		t.routes[route] = g
 	}
@@ -182,23 +193,32 @@
 }
 
 func (t *Test) judge() {
-	if t.verdict.Blamed {
-		return
-	}
 	t.forEach(func(g *group) {
-		for kind := range g.detectors {
-			if g.detectors[kind].blamed() && !t.verdict.Blamed {
-				t.verdict = Verdict{Blamed: true, Reason: t.reason(g, kind)}
-			}
+		for kind := range kinds {
+			t.judgeGroup(g, kind)
 		}
 	})
 }
 
+func (t *Test) judgeGroup(g *group, kind int) {
+	switch {
+	case t.verdict.Blamed:
+	case g.matched[kind].blamed():
+		t.verdict = Verdict{Blamed: true, Reason: t.reason(g, kind)}
+	case !t.verdict.Suspected && t.share() == 1 && g.past[kind].blamed():
+		t.verdict = Verdict{Suspected: true, Reason: t.reason(g, kind)}
+	}
+}
+
 func (t *Test) reason(g *group, kind int) string {
-	old := g.step.Old.of(kind)
-	fresh := g.step.New.of(kind)
-	return fmt.Sprintf("%s %s more often than %s on %s: %.0f of %.0f requests against %.0f of %.0f since the last step",
-		t.shift.To, kindNames[kind], t.shift.From, g.name, fresh.bad, fresh.n, old.bad, old.n)
+	seen := g.seen()
+	old, fresh := seen.Old.of(kind), seen.New.of(kind)
+	text := fmt.Sprintf("%s %s more often than %s on %s: %.0f of %.0f requests since the last step",
+		t.shift.To, kindNames[kind], t.shift.From, g.name, fresh.bad, fresh.n)
+	if old.n == 0 {
+		return text + ", compared with the time before"
+	}
+	return text + fmt.Sprintf(" against %.0f of %.0f", old.bad, old.n)
 }
 
 func (t *Test) forEach(f func(*group)) {
@@ -210,44 +230,3 @@
 		f(g)
 	}
 }
-
-// Missing returns the largest number of requests to the new version that one of the groups with required evidence still lacks
-// at a share below 1, with the group's name and the number it has. Zero means that the step has enough evidence.
-func (t *Test) Missing(share float64) (missing, have float64, name string) {
-	name = allRoutes
-	for _, g := range append([]*group{t.all}, t.guards...) {
-		seen := g.step.New.of(kindFailed).n
-		need := t.need(g, share)
-		if lack := max(need-seen, 0); lack > missing {
-			missing, have, name = lack, seen, g.name
-		}
-	}
-	return missing, have, name
-}
-
-// Expected returns the number of windows until the groups with required evidence have enough for the current and all later steps
-// below 1, if requests keep coming as in the past number of windows of the current step.
-func (t *Test) Expected(steps []float64, windows float64) float64 {
-	longest := 0.0
-	for _, g := range append([]*group{t.all}, t.guards...) {
-		seen := g.step.New.of(kindFailed).n
-		perShare := max(seen, 0.5) / windows / steps[t.step]
-		current := steps[t.step]
-		sum := max(t.need(g, current)-seen, 0) / (perShare * current)
-		for _, share := range steps[t.step+1 : len(steps)-1] {
-			sum += t.need(g, share) / (perShare * share)
-		}
-		longest = max(longest, sum)
-	}
-	return longest
-}
-
-func (t *Test) need(g *group, share float64) float64 {
-	differences := [kinds]float64{t.config.FailedDifference, t.config.SlowDifference}
-	need := 0.0
-	for kind, d := range g.detectors {
-		logThreshold := math.Log(d.threshold * float64(len(d.scores)) / stepWeight)
-		need = max(need, t.config.required(g.step.Old.of(kind), share, differences[kind], logThreshold))
-	}
-	return need
-}
