--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -30,7 +30,7 @@
 	// block, because no other frame of the connection is read meanwhile.
 	HandleControl(c *Conn, m wire.Message)
 	// HandleClose is called exactly once for each connection, after its last HandleControl and before Done is closed. err
-	// wraps ErrConnectionLost. Requests may still be in HandleOpen; their ctx has ended.
+	// wraps ErrConnectionLost. Requests may still be in HandleOpen; their ctx has ended. It may block, which delays Done.
 	HandleClose(c *Conn, err error)
 }
 
@@ -63,9 +63,7 @@
 
 	mu sync.Mutex
 	// cause is why the connection ended or is being closed.
-	cause error
-	// ended is set when nothing is read or written any more.
-	ended       bool
+	cause       error
 	peerLeaving bool
 	// lastStream is the highest stream number that was opened, by this end of a dialed connection or by the peer.
 	lastStream uint32
@@ -196,7 +194,6 @@
 // finish reports the end to the streams and the handler. The writer has ended, so that what Stream.Sent says is final.
 func (c *Conn) finish() {
 	c.mu.Lock()
-	c.ended = true
 	streams := c.streams
 	c.streams, c.serving = nil, nil
 	err := lost(c.cause)
