--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -87,7 +87,7 @@
 			case 1:
 				tab.Hint(now, u)
 			default:
-				r := wire.LoadReport{WorkUnits: rapid.Uint32Range(1, 1000).Draw(t, "units"), Cold: rapid.Bool().Draw(t, "cold")}
+				r := wire.LoadReport{WorkUnits: 1000 * rapid.Uint32Range(1, 1000).Draw(t, "units"), Cold: rapid.Bool().Draw(t, "cold")}
 				tab.Report(now, u, r)
 				model[u.ID] = last{r, now}
 			}
