Resume streams at their engine, start candidate lists over, back off pulls

Cause: a stream whose sidecar was replaced ended broken although its engine lived on. A request that all its candidates refused for load gave up at once. An instance pulled a configuration that it cannot read again and again, and one whose state did not fit the head's changes never read the whole text.

Change: an entry resumes a model's stream at its offset, only at the upstream that began it; the engine refuses what it cannot continue exactly, and the stand-in now does so too. After refusals for load the candidate list starts over, within the retry budget. Pulls pause 10 s after an unreadable text. Calls to plain services count 100 units, because means are whole units. Only a broken upstream makes a request suspect: a lost connection to a sidecar does not, or its whole load would be run alone elsewhere.

Conclusion: replacing a sidecar cuts no stream of a living engine.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -99,6 +99,9 @@
 	Evicted  bool   `json:"evicted"`
 }
 
+// knownGenerations bounds the generations that can be resumed.
+const knownGenerations = 1000
+
 // maxEvents bounds the cache events kept; older ones are lost, as from a real engine.
 const maxEvents = 1000
 
@@ -107,17 +110,19 @@
 	http.Handler
 	cfg Config
 
-	mu        sync.Mutex
-	startID   string
-	cold      bool
-	answered  int
-	work      uint64
-	crash     chan struct{}
-	released  chan struct{}
-	faults    Faults
-	counters  Counters
-	cancels   map[string]chan struct{}
-	cache     *lru.Cache[uint64, int]
+	mu       sync.Mutex
+	startID  string
+	cold     bool
+	answered int
+	work     uint64
+	crash    chan struct{}
+	released chan struct{}
+	faults   Faults
+	counters Counters
+	cancels  map[string]chan struct{}
+	cache    *lru.Cache[uint64, int]
+	// known holds the ids of recent generations, which can be resumed until the engine restarts.
+	known     *lru.Cache[string, struct{}]
 	events    []Event
 	sequence  uint64
 	blobs     map[uint64][]byte
@@ -165,6 +170,8 @@
 		panic(fmt.Sprintf("cache of %d chats: %v", s.cfg.CachedChats, err))
 	}
 	s.cache = cache
+	// New fails for a size that is not positive only.
+	s.known, _ = lru.New[string, struct{}](knownGenerations)
 }
 
 func (s *Server) evicted(chat uint64, _ int) { s.publish(chat, true) }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -13,14 +13,16 @@
 
 // generation is one request in progress.
 type generation struct {
-	request  GenerateBody
-	work     uint64
-	prefill  time.Duration
-	faults   Faults
-	fail     bool
-	crash    chan struct{}
-	canceled chan struct{}
-	released chan struct{}
+	request GenerateBody
+	work    uint64
+	prefill time.Duration
+	faults  Faults
+	fail    bool
+	// forgotten says that the request resumes a generation that the engine does not know.
+	forgotten bool
+	crash     chan struct{}
+	canceled  chan struct{}
+	released  chan struct{}
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
@@ -34,6 +36,10 @@
 	if !alive {
 		panic(http.ErrAbortHandler)
 	}
+	if g.forgotten {
+		http.Error(w, "the generation is not known, it cannot be resumed", http.StatusConflict)
+		return
+	}
 	if g.fail {
 		http.Error(w, "generation failed", http.StatusInternalServerError)
 		return
@@ -55,6 +61,8 @@
 	s.counters.InFlight++
 	s.counters.MaxInFlight = max(s.counters.MaxInFlight, s.counters.InFlight)
 	g.fail = g.faults.FailEvery > 0 && s.generated%g.faults.FailEvery == 0
+	g.forgotten = request.Offset > 0 && !s.known.Contains(request.ID)
+	s.known.Add(request.ID, struct{}{})
 	g.prefill = s.cachePrompt(request)
 	g.work = uint64(len(request.Body)/bytesPerToken + MaxTokens(request.Body))
 	s.work += g.work
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -45,12 +45,19 @@
 	attempts chan *wire.Open
 }
 
-func (s *sidecars) HandleOpen(_ context.Context, c *link.Conn, open *wire.Open, r *link.Responder) {
-	s.attempts <- open
-	script := <-s.scripts
-	script.frames(r)
-	if script.cut {
-		_ = c.Close()
+func (s *sidecars) HandleOpen(ctx context.Context, c *link.Conn, open *wire.Open, r *link.Responder) {
+	select {
+	case s.attempts <- open:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case script := <-s.scripts:
+		script.frames(r)
+		if script.cut {
+			_ = c.Close()
+		}
+	case <-ctx.Done():
 	}
 }
 
@@ -58,9 +65,12 @@
 
 func (s *sidecars) HandleClose(*link.Conn, error) {}
 
+// maxTestAttempts is more than the attempts that an entry makes for one request.
+const maxTestAttempts = 32
+
 // newTestEntry starts an entry beside fake sidecars.
 func newTestEntry(t *testing.T, raw *rawSidecar) (*sidecars, string) {
-	fakes := &sidecars{scripts: make(chan script, 16), attempts: make(chan *wire.Open, 16)}
+	fakes := &sidecars{scripts: make(chan script, maxTestAttempts), attempts: make(chan *wire.Open, maxTestAttempts)}
 	list := instances.New(nil)
 	for _, service := range []string{"press-model", "basket-app"} {
 		for i := range 2 {
@@ -298,7 +308,7 @@
 func TestRefusals(t *testing.T) {
 	fakes, url := newTestEntry(t, nil)
 	for path, want := range map[string]int{"/nowhere": 404, "/bookings": 503} {
-		for range 8 {
+		for range maxTestAttempts {
 			fakes.scripts <- script{func(r *link.Responder) { _ = r.End(wire.End{Result: uint8(result.OverBound), RetryAfterMS: 1500}) }, false}
 		}
 		req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("{}"))
@@ -315,5 +325,8 @@
 		for len(fakes.scripts) > 0 {
 			<-fakes.scripts
 		}
+		for len(fakes.attempts) > 0 {
+			<-fakes.attempts
+		}
 	}
 }
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -26,6 +26,9 @@
 	bytesPerToken = 4
 	// defaultAnswerTokens is the expected length of an answer whose request does not say.
 	defaultAnswerTokens = 256
+	// plainCallUnits is the load of a call to a plain service. Means are whole numbers of units, so a call must be many units for the
+	// load bound to be exact with a few calls per upstream.
+	plainCallUnits = 100
 	// maxCandidates bounds the upstreams that a request may try.
 	maxCandidates = 8
 )
@@ -71,7 +74,7 @@
 // estimateWork sets the expected load of the request in tokens: its prompt and its answer.
 func (x *exchange) estimateWork() {
 	if x.service.Kind != rules.Model {
-		x.work = 1
+		x.work = plainCallUnits
 		return
 	}
 	var request struct {
@@ -89,25 +92,32 @@
 	x.countRequest()
 	var buffer [maxCandidates]candidate.Candidate
 	routing := x.e.routing.Load()
-	candidates := x.candidates(routing, buffer[:0])
-	if len(candidates) == 0 {
+	all := x.candidates(routing, buffer[:0])
+	if len(all) == 0 {
 		return outcome{code: result.NoUpstream}
 	}
+	left := all
 	for {
-		target := candidates[0]
-		candidates = candidates[1:]
+		if len(left) == 0 {
+			left = all
+		}
+		target := left[0]
+		left = left[1:]
 		last := x.try(ctx, routing.sidecars[target.ID])
 		if last.code == result.OK {
 			return last
 		}
-		decision := x.decide(ctx, last, target.DataCentre, len(candidates))
-		if decision.Action != retry.Retry {
+		decision := x.decide(ctx, last, target.DataCentre, x.candidatesLeft(last.code, len(left), len(all)))
+		switch {
+		case decision.Action == retry.GiveUp:
 			last.code = decision.Code
 			last.retryAfter = x.retryAfter
 			return last
-		}
-		if decision.SkipDataCentre {
-			candidates = skipDataCentre(candidates, target.DataCentre)
+		case decision.Action == retry.Resume:
+			// Only the engine that produced the first parts continues them exactly.
+			left = []candidate.Candidate{target}
+		case decision.SkipDataCentre:
+			left = skipDataCentre(left, target.DataCentre)
 		}
 		metrics.Add("retries", 1)
 		if !pause(ctx, decision.Backoff) {
@@ -117,6 +127,22 @@
 	}
 }
 
+// candidatesLeft returns how many candidates may be tried next. The list starts over after a refusal for load, because the load changes
+// within milliseconds; an answer that has begun can only go on at its upstream.
+func (x *exchange) candidatesLeft(last result.Code, left, all int) int {
+	if x.delivered > 0 {
+		return 1
+	}
+	if left == 0 && isLoadRefusal(last) {
+		return all
+	}
+	return left
+}
+
+func isLoadRefusal(code result.Code) bool {
+	return code == result.OverBound || code == result.ColdStart || code == result.Full
+}
+
 func (x *exchange) countRequest() {
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
@@ -137,7 +163,7 @@
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	request := retry.Request{
-		Attempts: x.attempts, Idempotent: x.route.Idempotent, Delivered: x.delivered,
+		Attempts: x.attempts, Idempotent: x.route.Idempotent, Delivered: x.delivered, Resumable: x.service.Kind == rules.Model,
 		Left: deadline.Sub(now), CandidatesLeft: left,
 	}
 	if last.retryAfter > 0 && (x.retryAfter == 0 || last.retryAfter < x.retryAfter) {
@@ -232,7 +258,7 @@
 		return outcome{code: a.unsent(ctx), reason: err.Error()}
 	}
 	defer stream.Cancel()
-	body := assembly.New(open.Identity, 0)
+	body := assembly.New(open.Identity, x.delivered)
 	for {
 		m, err := stream.Recv(ctx)
 		if err != nil {
@@ -259,7 +285,7 @@
 		Identity: wire.Identity{Request: x.id, Attempt: uint8(len(x.attempts) + 1)},
 		Service:  x.service.Name, Route: x.route.Path, Team: x.team, Priority: int8(x.priority - rules.Normal),
 		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key, Stream: x.answer.streams(),
-		WorkUnits: x.work, Method: x.method, Path: x.path, Body: x.body, ConfigVersion: x.snapshot.Version(),
+		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, Body: x.body, ConfigVersion: x.snapshot.Version(),
 	}
 	if x.inChat {
 		open.Chat = x.chat
@@ -271,10 +297,10 @@
 	return open
 }
 
-// brokeUpstream reports whether an earlier attempt ended because its upstream or sidecar broke.
+// brokeUpstream reports whether an upstream broke during an earlier attempt.
 func (x *exchange) brokeUpstream() bool {
 	for _, a := range x.attempts {
-		if a.Code == result.UpstreamBroken || a.Code == result.ConnectionLost {
+		if a.Code == result.UpstreamBroken {
 			return true
 		}
 	}
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/jayridge/jayridge/process/membership"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/version/config"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 const (
@@ -19,6 +21,8 @@
 	tickInterval = 250 * time.Millisecond
 	// pullTimeout is the time after which an unanswered configuration pull is repeated with another peer.
 	pullTimeout = 300 * time.Millisecond
+	// unreadablePause is the time between pulls of a configuration that this version of the program cannot read.
+	unreadablePause = 10 * time.Second
 	// adoptFanout is how many random peers hear at once of a version that was just adopted. Requests and gossip tell the rest.
 	adoptFanout = 8
 )
@@ -30,6 +34,8 @@
 	members *membership.Table
 	// pulledAt is when the last configuration pull was sent; zero when none is under way.
 	pulledAt time.Time
+	// noPullUntil holds pulls back after a configuration that this version of the program cannot read.
+	noPullUntil time.Time
 	// stopWatch ends the watch of the configuration head; nil while this process does not watch.
 	stopWatch  context.CancelFunc
 	lastGossip time.Time
@@ -148,7 +154,7 @@
 func (c *control) pull(conn *link.Conn, version uint64) {
 	now := time.Now()
 	mine := c.n.Snapshot().Version()
-	if version <= mine || now.Sub(c.pulledAt) < pullTimeout {
+	if version <= mine || now.Sub(c.pulledAt) < pullTimeout || now.Before(c.noPullUntil) {
 		return
 	}
 	c.pulledAt = now
@@ -170,6 +176,7 @@
 	if err != nil {
 		event.Log(event.ConfigInvalid, "peer", conn.Remote().Instance, "error", err)
 		c.pulledAt = time.Time{}
+		c.noPullUntil = time.Now().Add(pullPause(err))
 		return
 	}
 	if adopted {
@@ -177,10 +184,24 @@
 	}
 }
 
-func (c *control) adoptHead(head config.Head) {
+// pullPause is the time to wait before the next pull after a push was refused. A text that cannot be parsed, from a newer version of the
+// program, stays so until this instance is replaced.
+func pullPause(err error) time.Duration {
+	var faults rules.Faults
+	if errors.As(err, &faults) {
+		return unreadablePause
+	}
+	return 0
+}
+
+// adoptHead takes over a head from the platform. whole says that it has the whole text and not only the latest changes.
+func (c *control) adoptHead(ctx context.Context, head config.Head, whole bool) {
 	adopted, err := c.config.AdoptHead(head)
 	if err != nil {
 		event.Log(event.ConfigInvalid, "peer", "key-value service", "error", err)
+		if !whole {
+			c.n.run(func() { c.n.readWholeHead(ctx) })
+		}
 		return
 	}
 	if adopted {
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -70,3 +72,38 @@
 	}
 	must.Positive(t, answered)
 }
+
+// Guards against a stream that ends broken although its engine lives on: the sidecar is killed in mid-stream and replaced, and the stream
+// goes on at its offset with the same engine.
+func TestStream_ResumedAfterSidecarIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	f.startEntry("entry-1", "suva")
+	f.startRunner("press-1", "suva", "v1", engine.Config{TokenInterval: 20 * time.Millisecond})
+	f.awaitVersion(f.apply(baseRules))
+	f.awaitSidecars("entry-1", 1)
+	body := `{"prompt":"long review","max_tokens":100}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.procs["entry-1"].http+"/chat", strings.NewReader(body))
+	must.NoError(t, err)
+	req.Header.Set("Jayridge-Team", "drivers")
+	req.Header.Set("Accept", "text/event-stream")
+	resp, err := f.client.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	first := make([]byte, 200)
+	n, err := io.ReadAtLeast(resp.Body, first, 100)
+	must.NoError(t, err)
+	f.kill("press-1")
+	f.restart("press-1", "sidecar")
+	rest, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	stream := string(first[:n]) + string(rest)
+	must.StrContains(t, stream, "event: end\n")
+	var text strings.Builder
+	for _, part := range strings.Split(stream, `"text":"`)[1:] {
+		word, _, _ := strings.Cut(part, `"`)
+		if strings.HasPrefix(word, "w") {
+			text.WriteString(word)
+		}
+	}
+	must.Eq(t, strings.Join(engine.Answer([]byte(body)), ""), text.String())
+}
