--- /dev/null
+++ b/request/claim/model_test.go
@@ -0,0 +1,410 @@
+package claim
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// modelCell is one segment in the model of the key-value service, with its previous state for stale reads.
+type modelCell struct {
+	value, oldValue       []byte
+	revision, oldRevision platform.Revision
+}
+
+// modelCall is a call on its way. A write stays in the network after its writer was told that the outcome is unknown, and may
+// still arrive.
+type modelCall struct {
+	actor  int
+	run    int
+	effect Effect
+	// result is set once the service has answered; the actor has not seen it yet.
+	result Event
+}
+
+type modelClaim struct {
+	id          uint64
+	actor       int
+	key         Key
+	fingerprint uint64
+	granted     bool
+	answer      Answer
+}
+
+// modelRecord identifies a claim in the log.
+type modelRecord struct {
+	writer WriterID
+	key    Key
+	atMS   int64
+}
+
+// modelGrant is a grant of a key that was not released.
+type modelGrant struct {
+	claim *modelClaim
+	atMS  int64
+}
+
+// model runs several logs of one shard against a model of the key-value service.
+type model struct {
+	t *rapid.T
+	// pick draws a number below n.
+	pick   func(name string, n int) int
+	cfg    Config
+	now    time.Time
+	faults bool
+
+	cells    map[uint64]*modelCell
+	revision platform.Revision
+
+	actors  []*Log
+	runs    []int
+	lastRun byte
+	network []*modelCall
+
+	lastID    uint64
+	claims    map[uint64]*modelClaim
+	open      []*modelClaim
+	holders   []*modelClaim
+	grants    map[Key][]*modelGrant
+	responses map[Key][]Response
+	// everGranted has the writer, key and log time of each grant, released ones included.
+	everGranted map[modelRecord]bool
+	counts      map[string]int
+}
+
+func newModel(t *rapid.T, actors int) *model {
+	cfg := DefaultConfig("s")
+	cfg.Retention = time.Second
+	cfg.CachedBodies = 1
+	m := &model{
+		t: t, cfg: cfg, now: time.UnixMilli(1e6), faults: true,
+		cells: map[uint64]*modelCell{}, claims: map[uint64]*modelClaim{},
+		grants: map[Key][]*modelGrant{}, responses: map[Key][]Response{},
+		everGranted: map[modelRecord]bool{}, counts: map[string]int{},
+		actors: make([]*Log, actors), runs: make([]int, actors),
+	}
+	// rapid prefers small numbers, which shrinks failures and makes long outages; uniform numbers make long logs.
+	m.pick = func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
+	if rapid.Bool().Draw(t, "uniform") {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		m.pick = func(_ string, n int) int { return random.IntN(n) }
+	}
+	for i := range actors {
+		m.restart(i)
+	}
+	return m
+}
+
+// restart replaces an actor by a new run. What the old run sent stays in the network; its claims have no answer.
+func (m *model) restart(i int) {
+	m.lastRun++
+	m.runs[i]++
+	log, err := NewLog(m.cfg, WriterID{m.lastRun}, rand.New(rand.NewPCG(1, uint64(m.lastRun))))
+	must.NoError(m.t, err)
+	// Segments of a few records, below what Validate allows, make many of them.
+	log.cfg.SegmentBytes = 200
+	m.actors[i] = log
+	ofActor := func(c *modelClaim) bool { return c.actor == i }
+	m.open = slices.DeleteFunc(m.open, ofActor)
+	m.holders = slices.DeleteFunc(m.holders, ofActor)
+}
+
+func (m *model) step(i int, ev Event) {
+	effects := slices.Clone(m.actors[i].Step(m.now, ev))
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Read, Write, ReadBodies:
+			m.network = append(m.network, &modelCall{actor: i, run: m.runs[i], effect: e})
+		case Grant:
+			m.granted(i, m.closeClaim(e.ID))
+		case Answer:
+			m.answered(e, m.closeClaim(e.ID))
+		}
+	}
+}
+
+func (m *model) closeClaim(id uint64) *modelClaim {
+	i := slices.IndexFunc(m.open, func(c *modelClaim) bool { return c.id == id })
+	if i < 0 {
+		m.t.Fatalf("claim %d was answered twice", id)
+	}
+	m.open = slices.Delete(m.open, i, i+1)
+	return m.claims[id]
+}
+
+// granted checks that the claim's record is in the log and that no other grant of the key is valid.
+func (m *model) granted(i int, c *modelClaim) {
+	atMS, ok := m.recordTime(m.actors[i].writer, c.key)
+	if !ok {
+		m.t.Fatalf("claim %d of key %v was granted without a record in the log", c.id, c.key[0])
+	}
+	for _, g := range m.grants[c.key] {
+		if g.atMS > atMS-m.cfg.Retention.Milliseconds() {
+			m.t.Fatalf("key %v was granted twice: claim %d of log time %d, claim %d of %d", c.key[0], g.claim.id, g.atMS, c.id, atMS)
+		}
+	}
+	c.granted = true
+	m.everGranted[modelRecord{m.actors[i].writer, c.key, atMS}] = true
+	m.counts["granted"]++
+	m.grants[c.key] = append(m.grants[c.key], &modelGrant{claim: c, atMS: atMS})
+	m.holders = append(m.holders, c)
+}
+
+// recordTime returns the time of the last claim of key by writer that the service holds.
+func (m *model) recordTime(writer WriterID, key Key) (int64, bool) {
+	atMS, found := int64(0), false
+	for segment := uint64(0); m.cells[segment] != nil; segment++ {
+		batches, err := decodeBatches(m.cells[segment].value)
+		must.NoError(m.t, err)
+		for _, b := range batches {
+			for _, r := range b.Records {
+				if b.Writer == writer && r.Kind == recordClaim && r.Key == key {
+					atMS, found = b.TimeMS, true
+				}
+			}
+		}
+	}
+	return atMS, found
+}
+
+func (m *model) answered(a Answer, c *modelClaim) {
+	m.counts[a.Decision.Kind.String()]++
+	c.answer = a
+	switch a.Decision.Kind {
+	case Granted:
+		m.t.Fatalf("claim %d was granted by an Answer", c.id)
+	case Unavailable:
+		must.Error(m.t, a.Err)
+	case Finished:
+		m.checkResponse(a.Decision.Response, c)
+	}
+}
+
+// checkResponse checks that the response is one that a holder of the key stored, or such a one without its body.
+func (m *model) checkResponse(got Response, c *modelClaim) {
+	for _, want := range m.responses[c.key] {
+		if got.Code == want.Code && got.Status == want.Status && (got.Truncated || slices.Equal(got.Body, want.Body)) {
+			return
+		}
+	}
+	m.t.Fatalf("claim %d of key %v got a response that nobody stored: %+v", c.id, c.key[0], got)
+}
+
+func (m *model) submit(i int, key byte, fingerprint uint64) *modelClaim {
+	m.lastID++
+	c := &modelClaim{id: m.lastID, actor: i, key: Key{key}, fingerprint: fingerprint}
+	m.claims[c.id] = c
+	m.open = append(m.open, c)
+	m.step(i, ClaimSubmitted{ID: c.id, Key: c.key, Fingerprint: c.fingerprint})
+	return c
+}
+
+func (m *model) cancel() {
+	if len(m.open) == 0 {
+		return
+	}
+	c := m.open[m.pick("cancel", len(m.open))]
+	m.step(c.actor, ClaimCanceled{ID: c.id})
+	if slices.Contains(m.open, c) {
+		m.t.Fatalf("canceled claim %d got no answer", c.id)
+	}
+}
+
+// finish ends a granted call. A call that was not handed over releases its key, so that a later grant is allowed.
+func (m *model) finish() {
+	if len(m.holders) == 0 {
+		return
+	}
+	i := m.pick("holder", len(m.holders))
+	c := m.holders[i]
+	m.holders = slices.Delete(m.holders, i, i+1)
+	response := Response{Code: result.OK, Status: 200, Body: binary.BigEndian.AppendUint64(nil, c.id)}
+	if m.pick("release", 4) == 0 {
+		response = Response{Code: result.Leaving}
+		m.grants[c.key] = slices.DeleteFunc(m.grants[c.key], func(g *modelGrant) bool { return g.claim == c })
+	} else {
+		m.responses[c.key] = append(m.responses[c.key], response)
+	}
+	m.step(c.actor, FinishSubmitted{Key: c.key, Response: response})
+}
+
+// arrive lets the service handle a call, in any order and with any fault.
+func (m *model) arrive() {
+	waiting := m.calls(func(c *modelCall) bool { return c.result == nil })
+	if len(waiting) == 0 {
+		return
+	}
+	call := waiting[m.pick("call", len(waiting))]
+	fault := 9
+	if m.faults {
+		fault = m.pick("fault", 12)
+	}
+	switch e := call.effect.(type) {
+	case Read:
+		value, revision, err := m.read(e.Segment, fault)
+		call.result = ReadResult{Op: e.Op, Value: value, Revision: revision, Err: err}
+	case ReadBodies:
+		value, _, err := m.read(e.Segment, fault)
+		call.result = BodyResult{Segment: e.Segment, Value: value, Err: err}
+	case Write:
+		call.result = m.writeWith(call, e, fault)
+	}
+}
+
+func (m *model) read(segment uint64, fault int) ([]byte, platform.Revision, error) {
+	cell := m.cells[segment]
+	switch {
+	case fault == 0:
+		return nil, 0, platform.ErrUnavailable
+	case fault == 1 && cell != nil && cell.oldRevision > 0:
+		return cell.oldValue, cell.oldRevision, nil
+	case fault == 1 || cell == nil:
+		return nil, 0, platform.ErrNotFound
+	}
+	return cell.value, cell.revision, nil
+}
+
+func (m *model) writeWith(call *modelCall, e Write, fault int) Event {
+	switch fault {
+	case 0:
+		return WriteResult{Op: e.Op, Err: platform.ErrUnavailable}
+	case 1:
+		m.write(e)
+		return WriteResult{Op: e.Op, Err: platform.ErrOutcomeUnknown}
+	case 2:
+		// The writer gives up; the write stays in the network, without a receiver for its result.
+		late := *call
+		late.run = 0
+		m.network = append(m.network, &late)
+		return WriteResult{Op: e.Op, Err: platform.ErrOutcomeUnknown}
+	}
+	revision, err := m.write(e)
+	return WriteResult{Op: e.Op, Revision: revision, Err: err}
+}
+
+func (m *model) write(e Write) (platform.Revision, error) {
+	cell := m.cells[e.Segment]
+	if cell == nil {
+		cell = &modelCell{}
+	}
+	if cell.revision != e.Prev {
+		return 0, platform.ErrConflict
+	}
+	m.revision++
+	m.cells[e.Segment] = &modelCell{
+		value: e.Value, revision: m.revision, oldValue: cell.value, oldRevision: cell.revision,
+	}
+	return m.revision, nil
+}
+
+// deliver hands a result to its actor, unless the actor has restarted since.
+func (m *model) deliver() {
+	ready := m.calls(func(c *modelCall) bool { return c.result != nil })
+	if len(ready) == 0 {
+		return
+	}
+	call := ready[m.pick("result", len(ready))]
+	m.network = slices.DeleteFunc(m.network, func(c *modelCall) bool { return c == call })
+	if call.run == m.runs[call.actor] {
+		m.step(call.actor, call.result)
+	}
+}
+
+func (m *model) calls(match func(*modelCall) bool) []*modelCall {
+	var found []*modelCall
+	for _, c := range m.network {
+		if match(c) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+func (m *model) pass(limit int) {
+	m.now = m.now.Add(time.Duration(1+m.pick("ms", limit)) * time.Millisecond)
+}
+
+// act does one random thing. Calls and results are the most frequent, so that work gets done between faults.
+func (m *model) act() {
+	i := m.pick("actor", len(m.actors))
+	switch action := m.pick("action", 40); {
+	case action < 8:
+		m.submit(i, byte(m.pick("key", 5)), uint64(m.pick("fingerprint", 8)/7))
+	case action < 10:
+		m.cancel()
+	case action < 13:
+		m.finish()
+	case action < 22:
+		m.arrive()
+	case action < 31:
+		m.deliver()
+	case action < 36:
+		m.pass(40)
+		m.step(i, Tick{})
+	case action < 37:
+		m.pass(700)
+	case action < 38:
+		m.restart(i)
+	default:
+		m.step(i, Tick{})
+	}
+}
+
+// checkLeftovers checks that no running store has left a key in doubt that it did not grant.
+func (m *model) checkLeftovers() {
+	for i, log := range m.actors {
+		must.True(m.t, log.Idle(), must.Sprint("actor ", i, " has work left"))
+		replay := newIndex(m.cfg.Retention, log.writer)
+		for segment := uint64(0); m.cells[segment] != nil; segment++ {
+			batches, err := decodeBatches(m.cells[segment].value)
+			must.NoError(m.t, err)
+			for _, b := range batches {
+				replay.applyModel(&b)
+			}
+		}
+		for key, e := range replay.entries {
+			if e.owner == self && !m.everGranted[modelRecord{log.writer, key, e.atMS}] {
+				m.t.Fatalf("key %v is in doubt, although its claim of log time %d was not granted", key[0], e.atMS)
+			}
+		}
+	}
+}
+
+// applyModel replays the claims and releases of a batch.
+func (x *index) applyModel(b *batch) {
+	for i := range b.Records {
+		switch r := &b.Records[i]; r.Kind {
+		case recordClaim:
+			x.claim(r, b, x.ownerOf(b.Writer))
+		case recordRelease:
+			x.release(r, x.ownerOf(b.Writer))
+		}
+	}
+}
+
+// settle runs without faults until every claim has an answer.
+func (m *model) settle() {
+	m.faults = false
+	for range 2000 {
+		// Calls that failed before are still to be delivered, even if no claim waits for them.
+		for len(m.network) > 0 {
+			m.arrive()
+			m.deliver()
+		}
+		if len(m.open) == 0 {
+			return
+		}
+		m.now = m.now.Add(20 * time.Millisecond)
+		for i := range m.actors {
+			m.step(i, Tick{})
+		}
+	}
+	m.t.Fatalf("%d claims got no answer although the service works", len(m.open))
+}
