Let a team use the capacity that stays free under contention

Cause: above 70% of the capacity a team was refused at its share of the active teams' weights, even while the others used less than theirs. With ten teams of equal weight and one that sends 20% of the traffic, twelve runners refused requests with "team-limit" at half of their capacity, because the bound lets a runner reach 1.25 times the mean.

A team may now exceed its share by the capacity that stays free, so its excess shrinks to nothing as the upstream fills. Retrying such a refusal elsewhere was ruled out: a surging team would then use up the entries' retry budget.

--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -31,8 +31,8 @@
 	// Zero reserves nothing.
 	PriorityReserve float64
 
-	// ContentionShare is the share of the capacity above which team shares are enforced. Default 0.7. Zero enforces them
-	// always; 1 never.
+	// ContentionShare is the share of the capacity above which team shares are enforced: a team may then exceed its share by
+	// the capacity that is still free. Default 0.7. Zero enforces them always; 1 never.
 	ContentionShare float64
 	// TeamActiveFor is how long a team counts as active after its last attempt. Default 2 s, longer than RetryAfter, so that a
 	// refused team's share is kept until it tries again. Zero counts only teams with work in progress.
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -174,7 +174,7 @@
 	if after > limit && float64(c.work) > floor {
 		return result.OverBound
 	}
-	if after > c.cfg.ContentionShare*room && !c.withinShare(r, team, room) {
+	if after > c.cfg.ContentionShare*room && !c.withinShare(r, team, room, c.usable(room, r.Priority)-after) {
 		return result.TeamLimit
 	}
 	return result.OK
@@ -201,9 +201,11 @@
 	return team.inFlight < int(math.Ceil(c.teams.share(team)*float64(limit)))
 }
 
-// withinShare says whether the team stays within its share of the room. A team that holds nothing may always take one request.
-func (c *Controller) withinShare(r Request, team *team, room float64) bool {
-	return team.inFlight == 0 || float64(team.work)+float64(r.WorkUnits) <= c.teams.share(team)*room
+// withinShare says whether the team exceeds its share of the room by no more than the room that stays free. What a team holds
+// above its share thus shrinks to nothing as the upstream fills, and teams that ask for less than their share leave the rest
+// to the others. A team that holds nothing may always take one request.
+func (c *Controller) withinShare(r Request, team *team, room, spare float64) bool {
+	return team.inFlight == 0 || float64(team.work)+float64(r.WorkUnits) <= c.teams.share(team)*room+max(spare, 0)
 }
 
 // take admits a request.
