--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -73,7 +73,7 @@
 
 // All returns the measurements in the order of the report.
 func All() []Measurement {
-	return []Measurement{}
+	return routing()
 }
 
 // number prints a value with the digits that matter.
--- /dev/null
+++ b/internal/bench/routing.go
@@ -0,0 +1,34 @@
+package bench
+
+import (
+	"golang.org/x/sync/errgroup"
+)
+
+// maxParallel bounds the runs at one time, since the machine is shared.
+const maxParallel = 4
+
+// parallel calls run for 0 to n-1 and returns the results in order. Each run has its own fleet and random numbers, so that the
+// results do not depend on the order.
+func parallel[T any](n int, run func(int) T) []T {
+	results := make([]T, n)
+	var group errgroup.Group
+	group.SetLimit(maxParallel)
+	for i := range n {
+		group.Go(func() error {
+			results[i] = run(i)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return results
+}
+
+// routing returns the measurements of the routing decisions.
+func routing() []Measurement {
+	return []Measurement{
+		{Name: "cache reuse", Run: measureReuse},
+		{Name: "chats that move", Run: measureMoves},
+		{Name: "load skew", Run: measureSkew},
+		{Name: "cost", Timed: true, Run: measureCost},
+	}
+}
