Let the load bound allow for the error of the mean

Cause: work is admitted up to the bound times the estimate of the mean.

MeanError, 5% by default, divides the fresh mean that the bound uses. The floor for a low mean is unchanged. The table of the caps now has a mean at which the allowance shows: 2300 units instead of 2500.

--- a/process/admission/bound.go
+++ b/process/admission/bound.go
@@ -32,7 +32,7 @@
 	case !m.known:
 		return math.Inf(1), 0
 	case m.fresh(now, cfg):
-		return bound * mean, (1 + cfg.FloorSlack) * mean
+		return bound * mean / (1 + cfg.MeanError), (1 + cfg.FloorSlack) * mean
 	default:
 		return min(bound, cfg.StaleBound) * mean, 0
 	}
--- a/process/admission/bound_test.go
+++ b/process/admission/bound_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// Guards against an uncapped upstream when the mean is stale or was never seen, against work beyond the engine's capacity, and
+// Guards against a bound that does not allow for the error of the mean (2300 of 2500), an uncapped upstream when the mean is stale or was never seen, against work beyond the engine's capacity, and
 // against a refusal of the one request that an idle upstream may always take.
 func TestCaps(t *testing.T) {
 	mean := func(units uint32) func(*Controller) { return func(c *Controller) { c.SetMean(start, units) } }
@@ -156,7 +156,7 @@
 		want     uint64
 		code     result.Code
 	}{
-		"fresh mean":          {mean(1000), 10_000, 3 * time.Second, 0, 1200, result.OverBound},
+		"fresh mean":          {mean(2000), 10_000, 3 * time.Second, 0, 2300, result.OverBound},
 		"stale mean":          {mean(1000), 10_000, 3*time.Second + 1, 0, 1000, result.OverBound},
 		"low stale mean":      {mean(50), 10_000, time.Hour, 0, 100, result.OverBound},
 		"no mean":             {func(*Controller) {}, 10_000, 0, 0, 2200, result.Full},
@@ -211,7 +211,7 @@
 func TestValidateNamesFields(t *testing.T) {
 	must.NoError(t, DefaultConfig().Validate())
 	bad := Config{
-		DefaultBound: 0.5, FloorSlack: -2, StaleBound: 2, NoMeanShare: 2, PriorityReserve: -1, ContentionShare: math.NaN(),
+		DefaultBound: 0.5, MeanError: -1, FloorSlack: -2, StaleBound: 2, NoMeanShare: 2, PriorityReserve: -1, ContentionShare: math.NaN(),
 		TeamActiveFor: -1, TeamBurst: 1, FirstBytePerUnit: -1, JumpFactor: 1, CacheLossShare: 2, CacheMinPrefixes: -1,
 		RetryAfter: -1, UnavailableRetryAfter: -1,
 	}.Validate()
--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -11,6 +11,10 @@
 type Config struct {
 	// DefaultBound is the load bound, as a multiple of the mean, where Limits.Bound is zero. Default 1.25. Must be at least 1.
 	DefaultBound float64
+	// MeanError is the relative error of a fresh mean that the bound allows for: work is admitted up to the bound times the
+	// mean divided by 1+MeanError. Default 0.05: with half of the hints lost, 99% of the estimates of 12 sidecars were at most
+	// 3.7% too high. Zero takes the mean for exact.
+	MeanError float64
 	// FloorSlack is how far above the mean, as a share of it, the load of an upstream may be that still takes one more
 	// request whatever its size. Default 0.05, the change of the mean below which entries send no new hint. At -1 only an
 	// idle upstream takes a request beyond the bound; a service with equal requests then runs at most one per upstream
@@ -69,6 +73,7 @@
 func DefaultConfig() Config {
 	return Config{
 		DefaultBound:          1.25,
+		MeanError:             0.05,
 		FloorSlack:            0.05,
 		MeanMaxAge:            3 * time.Second,
 		StaleBound:            1,
@@ -99,6 +104,7 @@
 		}
 	}
 	check(c.DefaultBound >= 1 && !math.IsInf(c.DefaultBound, 1), "DefaultBound", c.DefaultBound)
+	check(isShare(c.MeanError), "MeanError", c.MeanError)
 	check(c.FloorSlack >= -1 && c.FloorSlack <= 1, "FloorSlack", c.FloorSlack)
 	check(c.MeanMaxAge > 0, "MeanMaxAge", c.MeanMaxAge)
 	check(c.StaleBound >= 0 && c.StaleBound <= c.DefaultBound, "StaleBound", c.StaleBound)
