Ignore the late reports of a removed upstream

Cause: an entry removes a drained upstream from its load table, but the requests that the upstream still finishes bring further reports. Each put it back with a falling load, the data centre's summary spread it, the mean fell, the remaining upstreams refused work above the lower bound, and their falling load lowered the mean further.

Reports of a removed upstream are now ignored until the next hint to it, which an entry computes only for an upstream that it sends work to. The number of such upstreams is bounded. An expiry by time was ruled out, as answers last longer than reports count. The property test of the sums covers removal, late reports and return.

--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -66,7 +66,8 @@
 	must.Eq(t, 200, mean(t, tab, now.Add(7*time.Second)))
 }
 
-// Guards against running sums that drift from the reports they stand for.
+// Guards against running sums that drift from the reports they stand for, and against late reports of a removed upstream that
+// lower the mean of the others until they refuse their work too.
 func TestSumsFollowReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
@@ -76,7 +77,7 @@
 			wire.LoadReport
 			at time.Time
 		}
-		model := map[string]last{}
+		model, removed := map[string]last{}, map[string]bool{}
 		now := start
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
@@ -85,12 +86,16 @@
 			case 0:
 				tab.Remove(u.ID)
 				delete(model, u.ID)
+				removed[u.ID] = true
 			case 1:
 				tab.Hint(now, u)
+				delete(removed, u.ID)
 			default:
 				r := wire.LoadReport{WorkUnits: rapid.Uint32Range(1, 1000).Draw(t, "units"), Cold: rapid.Bool().Draw(t, "cold")}
 				tab.Report(now, u, r)
-				model[u.ID] = last{r, now}
+				if !removed[u.ID] {
+					model[u.ID] = last{r, now}
+				}
 			}
 			want, sum := 0.0, 0.0
 			perSite := map[string][3]float64{}
--- a/process/load/table.go
+++ b/process/load/table.go
@@ -10,6 +10,7 @@
 	"math"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"golang.org/x/time/rate"
 
 	"github.com/jayridge/jayridge/connection/wire"
@@ -62,11 +63,20 @@
 	records map[string]*record
 	groups  map[string]*group
 	hints   *rate.Limiter
+	// removed are the latest removed upstreams, whose late reports do not count.
+	removed *simplelru.LRU[string, struct{}]
 }
 
+// maxRemoved bounds the removed upstreams that are kept, so that replaced instances do not use memory for good. It is nine
+// times the upstreams of a data centre at the design scale.
+const maxRemoved = 4096
+
 // NewTable returns an empty table of an entry in the data centre own. cfg must be valid.
 func NewTable(own string, cfg Config) *Table {
+	// The only error is that of a size below 1.
+	removed, _ := simplelru.NewLRU[string, struct{}](maxRemoved, nil)
 	return &Table{
+		removed: removed,
 		cfg:     cfg,
 		own:     own,
 		records: make(map[string]*record),
@@ -94,11 +104,15 @@
 	return s
 }
 
-// Report records the latest report of an upstream. Its record stays until Remove.
+// Report records the latest report of an upstream. Its record stays until Remove. Reports of a removed upstream are ignored
+// until the next Hint to it.
 func (t *Table) Report(now time.Time, u Upstream, report wire.LoadReport) {
+	if t.removed.Contains(u.ID) {
+		return
+	}
 	r := t.records[u.ID]
 	if r != nil && r.Upstream != u {
-		t.Remove(u.ID)
+		t.forget(r)
 		r = nil
 	}
 	s := t.site(u)
@@ -118,13 +132,16 @@
 }
 
 // Remove forgets an upstream that left, was drained, or takes no work for another lasting reason, so that it does not lower
-// the mean of the others.
+// the mean of the others. The requests that it still finishes bring late reports of a falling load, which do not count.
 func (t *Table) Remove(id string) {
-	r := t.records[id]
-	if r == nil {
-		return
+	t.removed.Add(id, struct{}{})
+	if r := t.records[id]; r != nil {
+		t.forget(r)
 	}
-	delete(t.records, id)
+}
+
+func (t *Table) forget(r *record) {
+	delete(t.records, r.ID)
 	t.detach(r)
 }
 
@@ -237,9 +254,10 @@
 	return uint32(min(max(work/upstreams, 1), math.MaxUint32)), true
 }
 
-// Hint returns the mean to attach to an Open to an upstream now, or zero for none. A hint is due if the mean changed or the
+// Hint returns the mean to attach to an Open to an upstream now, or zero for none. The upstream counts again if it was removed. A hint is due if the mean changed or the
 // last hint to this upstream is old, and it is sent if the byte budget allows it.
 func (t *Table) Hint(now time.Time, u Upstream) uint32 {
+	t.removed.Remove(u.ID)
 	mean, found := t.Mean(now, u.Group)
 	if !found {
 		return 0
