Take an engine for cold after three failures in a row

Cause: an engine that restarts without warning breaks its requests at once, but the sidecar learned that it is cold only from the next load report, up to 800 ms later in the measurement. Until then it admitted work up to the load bound to an engine that bears two requests, which fell over again.

FailureCount (3) failures in a row of a warm engine now start the cold start. A single failure was ruled out as a sign, since it may be the request's.

--- a/process/admission/bound_test.go
+++ b/process/admission/bound_test.go
@@ -212,7 +212,7 @@
 	must.NoError(t, DefaultConfig().Validate())
 	bad := Config{
 		DefaultBound: 0.5, MeanError: -1, FloorSlack: -2, StaleBound: 2, NoMeanShare: 2, PriorityReserve: -1, ContentionShare: math.NaN(),
-		TeamActiveFor: -1, TeamBurst: 1, FirstBytePerUnit: -1, JumpFactor: 1, CacheLossShare: 2, CacheMinPrefixes: -1,
+		TeamActiveFor: -1, TeamBurst: 1, FirstBytePerUnit: -1, JumpFactor: 1, FailureCount: 0, CacheLossShare: 2, CacheMinPrefixes: -1,
 		RetryAfter: -1, UnavailableRetryAfter: -1,
 	}.Validate()
 	for _, f := range reflect.VisibleFields(reflect.TypeFor[Config]()) {
--- a/process/admission/coldstart.go
+++ b/process/admission/coldstart.go
@@ -32,6 +32,8 @@
 	usual   float64
 	samples int
 	jumps   int
+	// failures is the number of requests in a row that failed at a warm engine.
+	failures int
 }
 
 // reset makes the engine cold with the initial limit.
@@ -39,6 +41,7 @@
 	c.cold = true
 	c.earned = 0
 	c.jumps = 0
+	c.failures = 0
 	c.epoch++
 }
 
@@ -82,18 +85,29 @@
 }
 
 // done counts a finished request.
-func (c *coldStart) done(epoch uint32, completion Completion, limits *Limits) {
-	if !c.cold || epoch != c.epoch || completion.Canceled {
+func (c *coldStart) done(epoch uint32, completion Completion, limits *Limits, cfg *Config) {
+	if epoch != c.epoch || completion.Canceled {
 		return
 	}
-	if !completion.OK {
-		c.reset()
-		return
+	switch {
+	case !completion.OK:
+		c.failed(cfg)
+	case !c.cold:
+		c.failures = 0
+	default:
+		if c.limit(limits) < limits.ColdLimit {
+			c.earned++
+		}
+		c.warmUp(limits)
 	}
-	if c.limit(limits) < limits.ColdLimit {
-		c.earned++
+}
+
+// failed counts a request that failed at the engine. A cold one starts over at once.
+func (c *coldStart) failed(cfg *Config) {
+	c.failures++
+	if c.cold || c.failures >= cfg.FailureCount {
+		c.reset()
 	}
-	c.warmUp(limits)
 }
 
 // firstByte judges a time to first byte. work is the work that was admitted when the request was, itself included.
--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -57,6 +57,10 @@
 	// JumpCount is the number of jumps in a row that make the engine cold. Default 3, so that single long prompts do not.
 	// Zero is invalid.
 	JumpCount int
+	// FailureCount is the number of requests in a row that fail at the engine from which on it counts as cold, before a report
+	// shows why. Default 3: an engine that restarts breaks all its requests at once, and single failures tell of the request.
+	// Zero is invalid.
+	FailureCount int
 	// CacheLossShare is the share of the cached prefixes of the previous report below which the cache counts as lost. Default
 	// 0.2. Zero turns the detection off.
 	CacheLossShare float64
@@ -88,6 +92,7 @@
 		FirstBytePerUnit:      100 * time.Microsecond,
 		JumpFactor:            4,
 		JumpCount:             3,
+		FailureCount:          3,
 		CacheLossShare:        0.2,
 		CacheMinPrefixes:      16,
 		RetryAfter:            500 * time.Millisecond,
@@ -118,6 +123,7 @@
 	check(c.FirstBytePerUnit >= 0, "FirstBytePerUnit", c.FirstBytePerUnit)
 	check(c.JumpFactor == 0 || c.JumpFactor > 1 && !math.IsInf(c.JumpFactor, 1), "JumpFactor", c.JumpFactor)
 	check(c.JumpCount > 0, "JumpCount", c.JumpCount)
+	check(c.FailureCount > 0, "FailureCount", c.FailureCount)
 	check(isShare(c.CacheLossShare), "CacheLossShare", c.CacheLossShare)
 	check(c.CacheMinPrefixes >= 0, "CacheMinPrefixes", c.CacheMinPrefixes)
 	check(c.RetryAfter >= 0, "RetryAfter", c.RetryAfter)
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -241,7 +241,7 @@
 	a.team.inFlight--
 	c.counts.done++
 	c.counts.workDone += uint64(completion.WorkUnits)
-	c.cold.done(a.epoch, completion, &c.limits)
+	c.cold.done(a.epoch, completion, &c.limits, &c.cfg)
 }
 
 // Load returns the report for the entries.
