--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -11,6 +11,10 @@
 type Config struct {
 	// DefaultBound is the load bound, as a multiple of the mean, where Limits.Bound is zero. Default 1.25. Must be at least 1.
 	DefaultBound float64
+	// MeanError is the relative error of a fresh mean that the bound allows for: work is admitted up to the bound times the
+	// mean divided by 1+MeanError. Default 0.05: with half of the hints lost, 99% of the estimates of 12 sidecars were at most
+	// 3.7% too high. Zero takes the mean for exact.
+	MeanError float64
 	// FloorSlack is how far above the mean, as a share of it, the load of an upstream may be that still takes one more
 	// request whatever its size. Default 0.05, the change of the mean below which entries send no new hint. At -1 only an
 	// idle upstream takes a request beyond the bound; a service with equal requests then runs at most one per upstream
@@ -31,8 +35,8 @@
 	// Zero reserves nothing.
 	PriorityReserve float64
 
-	// ContentionShare is the share of the capacity above which team shares are enforced. Default 0.7. Zero enforces them
-	// always; 1 never.
+	// ContentionShare is the share of the capacity above which team shares are enforced: a team may then exceed its share by
+	// the capacity that is still free. Default 0.7. Zero enforces them always; 1 never.
 	ContentionShare float64
 	// TeamActiveFor is how long a team counts as active after its last attempt. Default 2 s, longer than RetryAfter, so that a
 	// refused team's share is kept until it tries again. Zero counts only teams with work in progress.
@@ -53,6 +57,10 @@
 	// JumpCount is the number of jumps in a row that make the engine cold. Default 3, so that single long prompts do not.
 	// Zero is invalid.
 	JumpCount int
+	// FailureCount is the number of requests in a row that fail at the engine from which on it counts as cold, before a report
+	// shows why. Default 3: an engine that restarts breaks all its requests at once, and single failures tell of the request.
+	// Zero is invalid.
+	FailureCount int
 	// CacheLossShare is the share of the cached prefixes of the previous report below which the cache counts as lost. Default
 	// 0.2. Zero turns the detection off.
 	CacheLossShare float64
@@ -69,6 +77,7 @@
 func DefaultConfig() Config {
 	return Config{
 		DefaultBound:          1.25,
+		MeanError:             0.05,
 		FloorSlack:            0.05,
 		MeanMaxAge:            3 * time.Second,
 		StaleBound:            1,
@@ -83,6 +92,7 @@
 		FirstBytePerUnit:      100 * time.Microsecond,
 		JumpFactor:            4,
 		JumpCount:             3,
+		FailureCount:          3,
 		CacheLossShare:        0.2,
 		CacheMinPrefixes:      16,
 		RetryAfter:            500 * time.Millisecond,
@@ -99,6 +109,7 @@
 		}
 	}
 	check(c.DefaultBound >= 1 && !math.IsInf(c.DefaultBound, 1), "DefaultBound", c.DefaultBound)
+	check(isShare(c.MeanError), "MeanError", c.MeanError)
 	check(c.FloorSlack >= -1 && c.FloorSlack <= 1, "FloorSlack", c.FloorSlack)
 	check(c.MeanMaxAge > 0, "MeanMaxAge", c.MeanMaxAge)
 	check(c.StaleBound >= 0 && c.StaleBound <= c.DefaultBound, "StaleBound", c.StaleBound)
@@ -112,6 +123,7 @@
 	check(c.FirstBytePerUnit >= 0, "FirstBytePerUnit", c.FirstBytePerUnit)
 	check(c.JumpFactor == 0 || c.JumpFactor > 1 && !math.IsInf(c.JumpFactor, 1), "JumpFactor", c.JumpFactor)
 	check(c.JumpCount > 0, "JumpCount", c.JumpCount)
+	check(c.FailureCount > 0, "FailureCount", c.FailureCount)
 	check(isShare(c.CacheLossShare), "CacheLossShare", c.CacheLossShare)
 	check(c.CacheMinPrefixes >= 0, "CacheMinPrefixes", c.CacheMinPrefixes)
 	check(c.RetryAfter >= 0, "RetryAfter", c.RetryAfter)
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -66,16 +66,18 @@
 	must.Eq(t, 200, mean(t, tab, now.Add(7*time.Second)))
 }
 
-// Guards against running sums that drift from the reports they stand for.
+// Guards against running sums that drift from the reports they stand for, and against late reports of a removed upstream that
+// lower the mean of the others until they refuse their work too.
 func TestSumsFollowReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
+		cfg.ReportDecay = rapid.SampledFrom([]time.Duration{0, 2 * time.Second}).Draw(t, "decay")
 		tab := NewTable("a", cfg)
 		type last struct {
 			wire.LoadReport
 			at time.Time
 		}
-		model := map[string]last{}
+		model, removed := map[string]last{}, map[string]bool{}
 		now := start
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
@@ -84,18 +86,25 @@
 			case 0:
 				tab.Remove(u.ID)
 				delete(model, u.ID)
+				removed[u.ID] = true
 			case 1:
 				tab.Hint(now, u)
+				delete(removed, u.ID)
 			default:
 				r := wire.LoadReport{WorkUnits: 1000 * rapid.Uint32Range(1, 1000).Draw(t, "units"), Cold: rapid.Bool().Draw(t, "cold")}
 				tab.Report(now, u, r)
-				model[u.ID] = last{r, now}
+				if !removed[u.ID] {
+					model[u.ID] = last{r, now}
+				}
 			}
 			want, sum := 0.0, 0.0
 			perSite := map[string][3]float64{}
 			for id, l := range model {
 				if !l.Cold && now.Sub(l.at) <= cfg.ReportMaxAge {
-					s, scale := perSite[id[:1]], math.Exp(-now.Sub(l.at).Seconds()/cfg.ReportDecay.Seconds())
+					s, scale := perSite[id[:1]], 1.0
+					if cfg.ReportDecay > 0 {
+						scale = math.Exp(-now.Sub(l.at).Seconds() / cfg.ReportDecay.Seconds())
+					}
 					perSite[id[:1]] = [3]float64{s[0] + scale*float64(l.WorkUnits), s[1] + scale, s[2] + 1}
 				}
 			}
