Measure the control traffic of an entry and a sidecar

The bytes of a node's control messages were not known: configuration versions and load reports in Open and End, mean hints, keepalive, gossip, pulls and pushes, evidence of a shift, the instance list and the watch of the configuration head.

The measurement counts them per second by kind with the real codec, the real load table and recorder, and the real adapters against the stand-ins over loopback, for 12 runners and for 790 entries before 10,000 runners. The bound is 2,000 B/s, sent and received together.

A version of zero still takes 4 bytes in a frame, which the figures of Open and End do not show.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
@@ -73,7 +74,7 @@
 
 // All returns the measurements in the order of the report.
 func All() []Measurement {
-	return []Measurement{}
+	return slices.Concat(control())
 }
 
 // number prints a value with the digits that matter.
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,8 @@
+package bench
+
+// control returns the measurements of what the fleet spends on control and of what its control plane achieves.
+func control() []Measurement {
+	return []Measurement{
+		{Name: "control traffic", Run: controlTraffic},
+	}
+}
--- /dev/null
+++ b/internal/bench/size.go
@@ -0,0 +1,73 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/settings"
+)
+
+// size describes a fleet whose control traffic is measured.
+type size struct {
+	name                                        string
+	entries, sidecars, dataCentres, models      int
+	teams                                       int
+	requestsPerSecond, changesPerDay, restarts  float64
+	leavingSidecars, leavingEntries, shiftRoute int
+}
+
+const secondsPerDay = 24 * 3600.0
+
+// smallFleet is one of the two deployments of today; designFleet is the scale of section 1.3 of docs/design.md. Restarts are per day
+// and include failures. The leaving instances are those of one data centre.
+var (
+	smallFleet = size{
+		name: "12 runners", entries: 3, sidecars: 12, dataCentres: 3, models: 1, teams: 10,
+		requestsPerSecond: 204, changesPerDay: 13_000, restarts: 5, leavingSidecars: 4, leavingEntries: 1, shiftRoute: 4,
+	}
+	designFleet = size{
+		name: "10,000 runners", entries: 790, sidecars: 10_000, dataCentres: 23, models: 3, teams: 46_000,
+		requestsPerSecond: 170_000, changesPerDay: 13_000, restarts: 3_860, leavingSidecars: 435, leavingEntries: 34, shiftRoute: 4,
+	}
+)
+
+// sidecarsPerEntry is the ratio by which what one sidecar exchanges with entries follows from what one entry exchanges with sidecars.
+func (s size) sidecarsPerEntry() float64 { return float64(s.sidecars) / float64(s.entries) }
+
+func (s size) requestsPerEntry() float64 { return s.requestsPerSecond / float64(s.entries) }
+
+func (s size) changesPerSecond() float64 { return s.changesPerDay / secondsPerDay }
+
+// version is a configuration version after two years of changes.
+func (s size) version() uint64 { return uint64(s.changesPerDay * 2 * 365) }
+
+func (s size) dataCentre(i int) string { return fmt.Sprintf("region-%d-%c", i%7, 'a'+i/7) }
+
+func (s size) model(i int) string { return fmt.Sprintf("press-model-%d/v1", i%s.models) }
+
+func (s size) sidecar(i int) platform.Instance {
+	return platform.Instance{
+		ID: fmt.Sprintf("press-%05d", i), Role: settings.RoleSidecar, DataCentre: s.dataCentre(i % s.dataCentres),
+		Address: fmt.Sprintf("10.%d.%d.%d:7000", i%s.dataCentres, i/250, i%250), Service: fmt.Sprintf("press-model-%d", i%s.models), Version: "v1",
+		State: platform.InstanceLive,
+	}
+}
+
+func (s size) entry(i int) platform.Instance {
+	return platform.Instance{
+		ID: fmt.Sprintf("entry-%04d", i), Role: settings.RoleEntry, DataCentre: s.dataCentre(i % s.dataCentres),
+		Address: fmt.Sprintf("10.%d.0.%d:7000", 100+i%s.dataCentres, i%250), State: platform.InstanceLive,
+	}
+}
+
+// instances returns the rows of the instance list.
+func (s size) instances() []platform.Instance {
+	rows := make([]platform.Instance, 0, s.sidecars+s.entries)
+	for i := range s.sidecars {
+		rows = append(rows, s.sidecar(i))
+	}
+	for i := range s.entries {
+		rows = append(rows, s.entry(i))
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/bench/traffic.go
@@ -0,0 +1,238 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/settings"
+)
+
+// controlBytesPerSecond is the control budget of a node: what it sends and receives together.
+const controlBytesPerSecond = 2000
+
+// adoptFanout is the number of peers that a process tells at once of a version that it adopted (process/node).
+const adoptFanout = 8
+
+// node is one process whose control traffic is counted.
+type traffic struct {
+	size   size
+	random *rand.Rand
+	// seconds is the virtual time over which requests are simulated.
+	seconds int
+	entry   ledger
+	sidecar ledger
+}
+
+// controlTraffic measures the control bytes of one entry and one sidecar with the real codec, the real decisions on what a request
+// carries and the real adapters of the platform's services.
+func controlTraffic(o Options) []Figure {
+	var figures []Figure
+	for _, s := range []size{smallFleet, designFleet} {
+		t := newTraffic(s, o)
+		t.count()
+		figures = append(figures, t.entry.figures("control traffic", "entry at "+s.name, controlBytesPerSecond)...)
+		figures = append(figures, t.sidecar.figures("control traffic", "sidecar at "+s.name, controlBytesPerSecond)...)
+		if !o.Short {
+			t.entry.print(os.Stdout, "entry at "+s.name)
+			t.sidecar.print(os.Stdout, "sidecar at "+s.name)
+		}
+		t.leave()
+		figures = append(figures, t.worstMinute()...)
+	}
+	return figures
+}
+
+func newTraffic(s size, o Options) *traffic {
+	seconds := 60
+	if o.Short {
+		seconds = 15
+	}
+	return &traffic{size: s, random: rand.New(rand.NewPCG(o.Seed, 1)), seconds: seconds, entry: ledger{}, sidecar: ledger{}}
+}
+
+// count fills both ledgers for a usual second during a shift.
+func (t *traffic) count() {
+	t.requests()
+	t.keepalive()
+	t.gossip()
+	t.configuration()
+	t.restarts()
+	t.evidence()
+	t.platform()
+}
+
+// perEntry counts what one entry exchanges with all sidecars, and the matching part at one sidecar.
+func (t *traffic) toSidecars(kind string, bytesPerSecond float64) {
+	t.entry.send(kind, bytesPerSecond)
+	t.sidecar.receive(kind, bytesPerSecond/t.size.sidecarsPerEntry())
+}
+
+func (t *traffic) fromSidecars(kind string, bytesPerSecond float64) {
+	t.entry.receive(kind, bytesPerSecond)
+	t.sidecar.send(kind, bytesPerSecond/t.size.sidecarsPerEntry())
+}
+
+// requests simulates the requests of one entry and counts the control fields of their Open and End frames.
+func (t *traffic) requests() {
+	s := t.size
+	start := time.Unix(1_800_000_000, 0)
+	table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
+	open := wire.Open{Service: "press-model-0", Route: "/chat/fabric-care", Team: "drivers", Body: []byte("{}"), WorkUnits: 900}
+	end := wire.End{Chunks: 256, Checksum: math.MaxUint64}
+	openBytes, endBytes := frameBytes(&open), frameBytes(&end)
+	versionBytes, hintBytes, endVersionBytes, reportBytes := 0.0, 0.0, 0.0, 0.0
+	for at := t.next(0); at < float64(t.seconds); at = t.next(at) {
+		now := start.Add(time.Duration(at * float64(time.Second)))
+		i := t.random.IntN(s.sidecars)
+		target := s.sidecar(i)
+		key := load.Upstream{ID: target.ID, DataCentre: target.DataCentre, Group: s.model(i)}
+		o, e := open, end
+		o.ConfigVersion = s.version()
+		versionBytes += frameBytes(&o) - openBytes
+		o.ConfigVersion = 0
+		o.MeanLoad = table.Hint(now, key)
+		hintBytes += frameBytes(&o) - openBytes
+		e.ConfigVersion = s.version()
+		endVersionBytes += frameBytes(&e) - endBytes
+		e.ConfigVersion = 0
+		e.Load = t.report()
+		reportBytes += frameBytes(&e) - endBytes
+		table.Report(now, key, *e.Load)
+	}
+	seconds := float64(t.seconds)
+	t.toSidecars("version in Open", versionBytes/seconds)
+	t.toSidecars("mean hint in Open", hintBytes/seconds)
+	t.fromSidecars("version in End", endVersionBytes/seconds)
+	t.fromSidecars("load report in End", reportBytes/seconds)
+}
+
+// next returns the time of the entry's next request, in seconds.
+func (t *traffic) next(at float64) float64 {
+	return at + t.random.ExpFloat64()/t.size.requestsPerEntry()
+}
+
+func (t *traffic) report() *wire.LoadReport {
+	return &wire.LoadReport{WorkUnits: uint32(20_000 + t.random.IntN(20_000)), InFlight: uint32(10 + t.random.IntN(30))}
+}
+
+// keepalive counts Ping and Pong. All entries hold connections to all sidecars, since chats hash over all data centres, and to all
+// entries, since gossip chooses among them.
+func (t *traffic) keepalive() {
+	s := t.size
+	pair := frameBytes(&wire.Ping{ConfigVersion: s.version()}) + frameBytes(&wire.Pong{ConfigVersion: s.version()})
+	interval := link.DefaultConfig().KeepaliveInterval
+	toSidecars := float64(s.sidecars) * pings(s.requestsPerEntry()/float64(s.sidecars), interval) * pair
+	t.toSidecars("Ping and Pong with sidecars", toSidecars/2)
+	t.fromSidecars("Ping and Pong with sidecars", toSidecars/2)
+	others := float64(s.entries - 1)
+	toEntries := 2 * others * pings(1/others, interval) * pair
+	t.entry.send("Ping and Pong with entries", toEntries/2)
+	t.entry.receive("Ping and Pong with entries", toEntries/2)
+}
+
+// pings is the rate of probes on a connection on which something arrives at random times at a rate, when each silence of an interval
+// causes one.
+func pings(rate float64, interval time.Duration) float64 {
+	return rate / math.Expm1(rate*interval.Seconds())
+}
+
+// gossip counts the exchange with one random peer a second.
+func (t *traffic) gossip() {
+	s := t.size
+	perSecond := 1000 / float64(settings.Defaults().GossipIntervalMS)
+	digest := frameBytes(t.digest()) * perSecond
+	t.entry.send("Gossip among entries", digest)
+	t.entry.receive("Gossip among entries", digest)
+	t.fromSidecars("Gossip from sidecars", s.sidecarsPerEntry()*perSecond*frameBytes(&wire.Gossip{ConfigVersion: s.version()}))
+}
+
+// digest is the gossip message of an entry that knows all data centres, during a shift and with one quarantined request.
+func (t *traffic) digest() *wire.Gossip {
+	now := time.Unix(1_800_000_000, 0)
+	table := t.table(now)
+	return &wire.Gossip{
+		ConfigVersion: t.size.version(), Rollouts: []wire.RolloutRecord{{Rollout: "press-model v1 v2 1", Revision: 17, Data: make([]byte, 96)}},
+		Quarantine: []wire.QuarantineEntry{{Fingerprint: math.MaxUint64, LeftMS: 3_000_000}}, Loads: table.Summaries(now),
+	}
+}
+
+// table is the load table of an entry in the first data centre with fresh figures of all data centres.
+func (t *traffic) table(now time.Time) *load.Table {
+	s := t.size
+	table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
+	for i := 0; i < s.sidecars; i += s.dataCentres {
+		table.Report(now, load.Upstream{ID: s.sidecar(i).ID, DataCentre: s.dataCentre(0), Group: s.model(i)}, *t.report())
+	}
+	var others []wire.LoadSummary
+	for dc := 1; dc < s.dataCentres; dc++ {
+		for m := range s.models {
+			others = append(others, wire.LoadSummary{
+				DataCentre: s.dataCentre(dc), Service: s.model(m), WorkUnits: 4_350_000, Upstreams: 145, AgeMS: uint32(t.random.IntN(5000)),
+			})
+		}
+	}
+	table.Gossip(now, others)
+	return table
+}
+
+// configuration counts what spreads one change: the versions told on adoption, the pulls, and the pushes that answer them. Each process
+// pulls once.
+func (t *traffic) configuration() {
+	s := t.size
+	changes := s.changesPerSecond()
+	pull := frameBytes(&wire.ConfigPull{Since: s.version()}) * changes
+	push := frameBytes(&wire.ConfigPush{Changes: []wire.ConfigChange{s.change()}}) * changes
+	peers := float64(s.sidecars + s.entries)
+	// Sidecars have connections from entries only, so that a sidecar tells entries and pulls from an entry.
+	news := adoptFanout * changes
+	tellSidecars := news * float64(s.sidecars) / peers
+	digest := frameBytes(t.digest())
+	t.toSidecars("Gossip on adoption", tellSidecars*digest)
+	t.entry.send("Gossip on adoption", (news-tellSidecars)*digest)
+	t.entry.receive("Gossip on adoption", (news-tellSidecars)*digest)
+	t.fromSidecars("Gossip on adoption", news*s.sidecarsPerEntry()*frameBytes(&wire.Gossip{ConfigVersion: s.version()}))
+	t.fromSidecars("ConfigPull and ConfigPush", pull*s.sidecarsPerEntry())
+	t.toSidecars("ConfigPull and ConfigPush", push*s.sidecarsPerEntry())
+	t.entry.send("ConfigPull and ConfigPush", pull+push)
+	t.entry.receive("ConfigPull and ConfigPush", pull+push)
+}
+
+// change is a usual change: one line of the rules file.
+func (s size) change() wire.ConfigChange {
+	return wire.ConfigChange{
+		Version: s.version(), ChangeID: "6f1f7f0e-9a54-4c43-8a39-61a4d1c7b6b5", Author: "losana", UnixMS: 1_800_000_000_000, TextHash: math.MaxUint64,
+		Edits: []wire.LineEdit{{Line: 31_234, Removed: 1, Added: []string{teamLine(31_234) + " again"}}},
+	}
+}
+
+// hello is the handshake of a sidecar and an entry.
+func (s size) hello(i int) float64 {
+	sidecar, entry := s.sidecar(i), s.entry(i%s.entries)
+	return frameBytes(&wire.Hello{
+		Major: 1, Instance: sidecar.ID, Role: sidecar.Role, DataCentre: sidecar.DataCentre, Service: sidecar.Service, Version: "v1",
+		Address: sidecar.Address, ConfigVersion: s.version(),
+	}) + frameBytes(&wire.Hello{
+		Major: 1, Instance: entry.ID, Role: entry.Role, DataCentre: entry.DataCentre, Address: entry.Address, ConfigVersion: s.version(),
+	})
+}
+
+// restarts counts the farewells and handshakes of the usual restarts.
+func (t *traffic) restarts() {
+	s := t.size
+	perSecond := s.restarts / secondsPerDay
+	share := float64(s.sidecars) / float64(s.sidecars+s.entries)
+	leaving := frameBytes(&wire.Leaving{Instance: s.sidecar(0).ID})
+	hello := s.hello(0) / 2
+	// Each restart of a sidecar reaches every entry, and each restart of an entry every sidecar and every other entry.
+	t.fromSidecars("Leaving and Hello", perSecond*share*(leaving+hello))
+	t.toSidecars("Leaving and Hello", perSecond*share*hello)
+	t.entry.send("Leaving and Hello", perSecond*(1-share)*2*hello)
+	t.entry.receive("Leaving and Hello", perSecond*(1-share)*(leaving+2*hello))
+	t.sidecar.receive("Leaving and Hello", perSecond*(1-share)*(leaving+hello))
+	t.sidecar.send("Leaving and Hello", perSecond*(1-share)*hello)
+}
