Probe idle connections every five minutes

An entry holds connections to all 10,000 sidecars and up to 1,578 with other entries, since chats hash over all data centres. A probe of each after 10 s of silence cost it 37,900 B/s and a sidecar 2,549 B/s; the bound for all control is 2,000 B/s.

Link.Config.IdleInterval (5 min) now holds while no request is in progress. With one, the silence counts from its start and is probed after KeepaliveInterval as before, so that a request on a dead connection is noticed as early. Conn.Probe asks for the same, and a node calls it for connected instances that the list no longer has: a silently dead instance would otherwise stay a candidate for minutes. Closing idle connections was ruled out, because the 215 handshakes a second of an entry would cost 27 KB/s.

Without any request an entry's idle connections cost 1,390 B/s (11,578 x 36 bytes in 300 s).

--- a/connection/link/config.go
+++ b/connection/link/config.go
@@ -27,11 +27,16 @@
 	// WindowBytes is the flow-control window of a stream, in bytes: the most that is queued for a slow caller. The dialing
 	// side's value counts. At least MinWindowBytes. Default 256 KiB.
 	WindowBytes uint32
-	// KeepaliveInterval is the time without received frames after which the dialing side sends a Ping. The serving side does
-	// so later, by a quarter of the time that is left to KeepaliveTimeout. Default 10 s.
+	// KeepaliveInterval is the time without received frames after which the dialing side sends a Ping while a request is in
+	// progress, counted from its start at the earliest. The serving side does so later, by a quarter of the time that is left to
+	// KeepaliveTimeout. Default 10 s.
 	KeepaliveInterval time.Duration
-	// KeepaliveTimeout is the time without received frames after which the connection is lost. It must be longer than
-	// KeepaliveInterval. Default 25 s, which leaves a paused peer 15 s to answer a Ping.
+	// IdleInterval is KeepaliveInterval while no request is in progress. At least KeepaliveInterval. Default 5 min: an entry holds
+	// up to 11,600 connections at the design scale, and probes every 10 s cost it 38 KB/s.
+	IdleInterval time.Duration
+	// KeepaliveTimeout is the time without received frames after which the connection is lost while a request is in progress; an
+	// idle one is lost as long after its Ping. It must be longer than KeepaliveInterval. Default 25 s, which leaves a paused peer
+	// 15 s to answer a Ping.
 	KeepaliveTimeout time.Duration
 	// HandshakeTimeout bounds the TCP connect and the exchange of Hello frames. Default 5 s.
 	HandshakeTimeout time.Duration
@@ -56,6 +61,7 @@
 	return Config{
 		WindowBytes:       256 << 10,
 		KeepaliveInterval: 10 * time.Second,
+		IdleInterval:      5 * time.Minute,
 		KeepaliveTimeout:  25 * time.Second,
 		HandshakeTimeout:  5 * time.Second,
 		WriteTimeout:      10 * time.Second,
@@ -76,6 +82,7 @@
 	}
 	atLeast("WindowBytes", int64(c.WindowBytes), MinWindowBytes)
 	atLeast("KeepaliveInterval", int64(c.KeepaliveInterval), int64(time.Millisecond))
+	atLeast("IdleInterval", int64(c.IdleInterval), max(int64(c.KeepaliveInterval), 1))
 	atLeast("KeepaliveTimeout", int64(c.KeepaliveTimeout), int64(c.KeepaliveInterval)+1)
 	atLeast("HandshakeTimeout", int64(c.HandshakeTimeout), int64(time.Millisecond))
 	atLeast("WriteTimeout", int64(c.WriteTimeout), int64(time.Millisecond))
--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -55,6 +55,8 @@
 	stats   stats
 	// lastReceived is when the last frame was received, in nanoseconds since start.
 	lastReceived atomic.Int64
+	// probeAsked is when Probe was last called, in nanoseconds since start.
+	probeAsked atomic.Int64
 
 	// ctx ends when the connection does.
 	ctx    context.Context
@@ -74,6 +76,8 @@
 	serving map[uint32]*Responder
 	// handlers is the number of HandleOpen calls in progress.
 	handlers int
+	// busySince is when the first of the requests in progress began, since start.
+	busySince time.Duration
 }
 
 func newConn(nc net.Conn, cfg Config, local func() wire.Hello, h Handler) *Conn {
--- a/connection/link/keepalive.go
+++ b/connection/link/keepalive.go
@@ -4,12 +4,18 @@
 
 // keepalive decides when to probe a silent peer and when to give it up. Times are durations since the connection's start.
 type keepalive struct {
-	interval, timeout time.Duration
+	interval, idle, timeout time.Duration
 	// pinged is when the last Ping was sent, and probing whether no frame was received since.
 	pinged  time.Duration
 	probing bool
 }
 
+// expectation says whether frames of the peer are expected, and since when.
+type expectation struct {
+	busy  bool
+	since time.Duration
+}
+
 type probe uint8
 
 const (
@@ -20,13 +26,14 @@
 
 // next returns what to do at time now, given when the last frame was received, and how long to wait before the next call.
 // The peer is given up only a while after a Ping, so that a process that was itself paused first reads what has arrived.
-func (k *keepalive) next(now, received time.Duration) (probe, time.Duration) {
+func (k *keepalive) next(now, received time.Duration, e expectation) (probe, time.Duration) {
 	if k.probing && received >= k.pinged {
 		k.probing = false
 	}
 	if !k.probing {
-		if wait := received + k.interval - now; wait > 0 {
-			return probeWait, wait
+		if wait := k.due(received, e) - now; wait > 0 {
+			// An idle connection may get busy at any time, and is then due earlier.
+			return probeWait, min(wait, k.interval)
 		}
 		k.probing = true
 		k.pinged = now
@@ -38,3 +45,11 @@
 	}
 	return probeLost, 0
 }
+
+// due returns when the peer's silence is long enough for a Ping.
+func (k *keepalive) due(received time.Duration, e expectation) time.Duration {
+	if !e.busy {
+		return received + k.idle
+	}
+	return max(received, e.since) + k.interval
+}
--- a/connection/link/serve.go
+++ b/connection/link/serve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/event"
@@ -53,6 +54,9 @@
 		c.server.requests.add(-1)
 		return result.Leaving, nil
 	}
+	if c.handlers == 0 {
+		c.busySince = time.Since(c.start)
+	}
 	c.handlers++
 	if c.serving == nil {
 		c.serving = make(map[uint32]*Responder)
--- a/connection/link/stream.go
+++ b/connection/link/stream.go
@@ -7,6 +7,7 @@
 	"math"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -75,6 +76,9 @@
 		return err
 	}
 	c.lastStream = s.number
+	if len(c.streams) == 0 {
+		c.busySince = time.Since(c.start)
+	}
 	if c.streams == nil {
 		c.streams = make(map[uint32]*Stream)
 	}
--- a/connection/link/writer.go
+++ b/connection/link/writer.go
@@ -13,7 +13,7 @@
 // writeLoop writes queued frames, everything that is queued at once, and probes a silent peer. It returns nil after the
 // frames of an orderly close.
 func (c *Conn) writeLoop() error {
-	alive := keepalive{interval: c.probeInterval(), timeout: c.cfg.KeepaliveTimeout}
+	alive := c.newKeepalive()
 	timer := time.NewTimer(alive.interval)
 	defer timer.Stop()
 	for {
@@ -36,19 +36,37 @@
 	}
 }
 
-// probeInterval is longer on the serving side, by a quarter of the time to the timeout: both ends of an idle connection would
-// otherwise probe at the same moment, which doubles the control traffic.
-func (c *Conn) probeInterval() time.Duration {
-	interval := c.cfg.KeepaliveInterval
+// newKeepalive has longer intervals on the serving side, by a quarter of the time to the timeout: both ends of a silent connection
+// would otherwise probe at the same moment, which doubles the control traffic.
+func (c *Conn) newKeepalive() keepalive {
+	alive := keepalive{interval: c.cfg.KeepaliveInterval, idle: c.cfg.IdleInterval, timeout: c.cfg.KeepaliveTimeout}
 	if c.server != nil {
-		interval += (c.cfg.KeepaliveTimeout - interval) / 4
+		later := (c.cfg.KeepaliveTimeout - c.cfg.KeepaliveInterval) / 4
+		alive.interval += later
+		// An idle connection is looked at once in an interval, so the dialing side may be late by as much.
+		alive.idle += later + c.cfg.KeepaliveInterval
 	}
-	return interval
+	return alive
 }
 
+// expected says whether frames of the peer are expected: while requests are in progress, and after Probe.
+func (c *Conn) expected() expectation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asked := time.Duration(c.probeAsked.Load())
+	if len(c.streams)+c.handlers > 0 {
+		return expectation{busy: true, since: max(c.busySince, asked)}
+	}
+	return expectation{busy: asked > time.Duration(c.lastReceived.Load()), since: asked}
+}
+
+// Probe makes sure that a peer which does not answer is noticed within Config.KeepaliveInterval and KeepaliveTimeout, although no
+// request is in progress.
+func (c *Conn) Probe() { c.probeAsked.Store(int64(time.Since(c.start))) }
+
 // probe does what the keepalive decides and returns the time until it is to be asked again.
 func (c *Conn) probe(alive *keepalive) (time.Duration, error) {
-	what, wait := alive.next(time.Since(c.start), time.Duration(c.lastReceived.Load()))
+	what, wait := alive.next(time.Since(c.start), time.Duration(c.lastReceived.Load()), c.expected())
 	switch what {
 	case probePing:
 		pingsSent.Add(1)
--- a/internal/bench/traffic.go
+++ b/internal/bench/traffic.go
@@ -120,12 +120,12 @@
 	return &wire.LoadReport{WorkUnits: uint32(20_000 + t.random.IntN(20_000)), InFlight: uint32(10 + t.random.IntN(30))}
 }
 
-// keepalive counts Ping and Pong. All entries hold connections to all sidecars, since chats hash over all data centres, and to all
+// keepalive counts Ping and Pong on idle connections; on others, frames arrive all the time. All entries hold connections to all sidecars, since chats hash over all data centres, and to all
 // entries, since gossip chooses among them.
 func (t *traffic) keepalive() {
 	s := t.size
 	pair := frameBytes(&wire.Ping{ConfigVersion: s.version()}) + frameBytes(&wire.Pong{ConfigVersion: s.version()})
-	interval := link.DefaultConfig().KeepaliveInterval
+	interval := link.DefaultConfig().IdleInterval
 	toSidecars := float64(s.sidecars) * pings(s.requestsPerEntry()/float64(s.sidecars), interval) * pair
 	t.toSidecars("Ping and Pong with sidecars", toSidecars/2)
 	t.fromSidecars("Ping and Pong with sidecars", toSidecars/2)
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -95,6 +95,18 @@
 	m.listed = true
 }
 
+// Unlisted returns the ids of connected instances that the list does not have. Their connections may be dead without having said so.
+func (t *Table) Unlisted() []string {
+	var ids []string
+	for id, m := range t.members {
+		if m.connected && !m.listed {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 func (t *Table) dropIfGone(id string, m *member) {
 	if !m.listed && !m.connected {
 		delete(t.members, id)
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -83,3 +83,14 @@
 	must.True(t, table.Changed(start.Add(5*time.Second)))
 	must.False(t, table.Changed(start.Add(6*time.Second)))
 }
+
+// Guards against a silently dead instance that stays a candidate because nobody probes its idle connection once the list drops it.
+func TestUnlisted(t *testing.T) {
+	table := New(DefaultConfig())
+	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive), row("c", platform.InstanceLive)})
+	table.Connected(row("a", platform.InstanceLive))
+	table.Connected(row("b", platform.InstanceLive))
+	must.SliceEmpty(t, table.Unlisted())
+	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive)})
+	must.Eq(t, []string{"b"}, table.Unlisted())
+}
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -119,7 +119,7 @@
 		}
 		failing = err != nil
 		if err == nil && next != revision {
-			if n.post(func(c *control) { c.members.ApplyList(rows) }) {
+			if n.post(func(c *control) { c.applyList(rows) }) {
 				revision = next
 			}
 		}
@@ -130,6 +130,16 @@
 	}
 }
 
+// applyList takes a new instance list. Idle connections are probed rarely, so those to instances that are gone from it are probed now.
+func (c *control) applyList(rows []platform.Instance) {
+	c.members.ApplyList(rows)
+	for _, id := range c.members.Unlisted() {
+		if conn := c.n.pool.Connected(id); conn != nil {
+			conn.Probe()
+		}
+	}
+}
+
 // backoff grows from a short wait to maxBackoff with full jitter.
 type backoff struct{ limit time.Duration }
 
