Report each window of a shift once, compressed

An entry sent the counts of all open windows every second, the one under way included, at which no judge looks. The record of a shift was in every gossip message.

An entry now reports a window when it has ended, and an aggregator forwards its sum after half of the lag. Evidence is compressed, because its cells repeat their names. The record is gossiped in the 12 messages after it changed, which reach all entries, and then in every 8th. Cells that name routes by number were ruled out: routes differ between entries of different configuration versions.

--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -45,8 +45,9 @@
 }
 
 const (
-	// reportInterval is the time between reports of evidence.
-	reportInterval = time.Second
+	// forwardAfter is the part of the lag after which an aggregator sends its sum to the leader: the entries' reports have arrived by
+	// then, and the sum arrives before the leader closes the window.
+	forwardAfter = 0.5
 	// observationQueue bounds the outcomes that wait for the control goroutine.
 	observationQueue = 8192
 	// readSpread spreads the reads of a record over the entries that can expect it from gossip.
@@ -96,8 +97,9 @@
 	outcomes chan Outcome
 	dropped  atomic.Uint64
 	view     atomic.Pointer[view]
-	reported time.Time
-	entries  []platform.Instance
+	// reported and forwarded are the windows in which the last report of this entry and of its data centre were sent.
+	reported, forwarded int64
+	entries             []platform.Instance
 }
 
 // running is one shift.
@@ -114,7 +116,9 @@
 	// record is the newest record with its revision, as it is gossiped.
 	record   []byte
 	revision platform.Revision
-	readFrom time.Time
+	// recordSent counts the gossip messages since the record changed.
+	recordSent int
+	readFrom   time.Time
 }
 
 // New returns a driver without rollouts.
@@ -176,12 +180,12 @@
 func (d *Driver) Tick(now time.Time, entries []platform.Instance) {
 	d.entries = entries
 	d.drain(now)
-	report := now.Sub(d.reported) >= reportInterval
-	if report {
-		d.reported = now
-	}
+	window := d.opts.Config.WindowOf(now)
+	late := d.opts.Config.WindowOf(now.Add(-time.Duration(forwardAfter * float64(d.opts.Config.Lag))))
+	report, forward := window != d.reported, late != d.forwarded
+	d.reported, d.forwarded = window, late
 	for _, id := range d.order {
-		d.tick(now, d.shifts[id], report)
+		d.tick(now, d.shifts[id], report, forward)
 	}
 	if len(d.order) > 0 {
 		d.publish(now)
@@ -202,14 +206,17 @@
 	}
 }
 
-func (d *Driver) tick(now time.Time, r *running, report bool) {
+func (d *Driver) tick(now time.Time, r *running, report, forward bool) {
 	aggregator, _ := first(d.entries, r.shift.Service, func(i platform.Instance) bool { return i.DataCentre == d.opts.DataCentre })
 	leader, _ := first(d.entries, r.shift.Service, func(platform.Instance) bool { return true })
 	aggregates := aggregator.ID == d.opts.Instance
 	leads := leader.ID == d.opts.Instance
 	d.keepLease(r, leads)
 	if report {
-		d.report(now, r, aggregator, leader)
+		d.report(now, r, aggregator)
+	}
+	if forward && aggregates {
+		d.forward(now, r, leader)
 	}
 	own, fleet := r.dataCentre.Close(now), r.fleet.Close(now)
 	switch {
@@ -225,14 +232,18 @@
 	d.handle(now, r, r.machine.Tick(now, held))
 }
 
-// report sends this entry's counts to the aggregator, and as an aggregator the data centre's to the leader.
-func (d *Driver) report(now time.Time, r *running, aggregator, leader platform.Instance) {
-	counts := r.recorder.Report(now)
+// report sends this entry's counts of the window that just ended to the aggregator of its data centre.
+func (d *Driver) report(now time.Time, r *running, aggregator platform.Instance) {
+	counts := r.recorder.Ended(now)
 	if aggregator.ID != d.opts.Instance {
 		d.sendEvidence(aggregator, r, d.opts.Instance, false, counts)
 		return
 	}
 	_ = r.dataCentre.Add(now, d.opts.Instance, counts)
+}
+
+// forward sends the data centre's sum to the leader.
+func (d *Driver) forward(now time.Time, r *running, leader platform.Instance) {
 	sum := r.dataCentre.Open()
 	if leader.ID != d.opts.Instance {
 		d.sendEvidence(leader, r, d.opts.DataCentre, true, sum)
--- a/process/shift/platform.go
+++ b/process/shift/platform.go
@@ -156,6 +156,7 @@
 	}
 	r.record = data
 	r.revision = revision
+	r.recordSent = 0
 }
 
 // Gossip adds the rollouts' digests to a message.
@@ -165,12 +166,24 @@
 		if r.stop != nil {
 			g.Stops = append(g.Stops, *r.stop)
 		}
-		if r.record != nil {
+		if r.record != nil && r.recordIsDue() {
 			g.Rollouts = append(g.Rollouts, wire.RolloutRecord{Rollout: id, Revision: uint64(r.revision), Data: r.record})
 		}
 	}
 }
 
+// Records are gossiped in each of the first messages after they changed, with which a rumour reaches 800 processes with high
+// probability, then rarely, for processes that were away.
+const (
+	recordRounds   = 12
+	recordInterval = 8
+)
+
+func (r *running) recordIsDue() bool {
+	r.recordSent++
+	return r.recordSent <= recordRounds || r.recordSent%recordInterval == 0
+}
+
 // Heard takes a peer's digests.
 func (d *Driver) Heard(now time.Time, g *wire.Gossip) {
 	for _, stop := range g.Stops {
--- /dev/null
+++ b/version/rollout/ended_test.go
@@ -0,0 +1,34 @@
+package rollout
+
+import (
+	"bytes"
+	"compress/flate"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against counts of a window that are reported before its end, twice in different sizes, or never.
+func TestEnded_LeavesOutTheWindowUnderWay(t *testing.T) {
+	config := DefaultConfig()
+	start := time.UnixMilli(0).Add(1000 * config.Window)
+	r := NewRecorder(config)
+	r.Record(start, Observation{Route: "/a", DataCentre: "suva"})
+	must.Eq(t, 0, r.Ended(start.Add(config.Window-time.Millisecond)).Len())
+	must.Eq(t, 1, r.Ended(start.Add(config.Window)).Len())
+	must.Eq(t, 0, r.Ended(start.Add(config.Window+config.Lag)).Len())
+}
+
+// Guards against a peer whose few bytes expand to all memory.
+func TestDecodeEvidence_BoundsWhatItExpands(t *testing.T) {
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestCompression)
+	must.NoError(t, err)
+	// An array of 2^24 empty arrays.
+	_, err = w.Write(append([]byte{0xdd, 1, 0, 0, 0}, bytes.Repeat([]byte{0x90}, 1<<24)...))
+	must.NoError(t, err)
+	must.NoError(t, w.Close())
+	_, err = DecodeEvidence(bomb.Bytes())
+	must.Error(t, err)
+}
--- a/version/rollout/evidence.go
+++ b/version/rollout/evidence.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"cmp"
+	"compress/flate"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -131,22 +133,35 @@
 	return cells
 }
 
-// Encode returns the evidence as msgpack, structs as arrays.
+// Encode returns the evidence as compressed msgpack, structs as arrays. The cells repeat their names and differ by little else, so
+// that compression leaves about a quarter.
 func (e Evidence) Encode() ([]byte, error) {
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
+	// The level is valid, and writes to a buffer do not fail.
+	compressed, _ := flate.NewWriter(&buf, flate.BestCompression)
+	enc := msgpack.NewEncoder(compressed)
 	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
 	if err := enc.Encode(e.Cells()); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := compressed.Close(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return buf.Bytes(), nil
 }
 
+// maxEvidenceBytes bounds what a peer's evidence may expand to.
+const maxEvidenceBytes = 8 << 20
+
 // DecodeEvidence reverses Encode. It rejects evidence with more than maxCells cells.
 func DecodeEvidence(data []byte) (Evidence, error) {
+	expanded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEvidenceBytes))
+	if err != nil {
+		return Evidence{}, trace.Wrap(err)
+	}
 	var cells []Cell
-	if err := msgpack.Unmarshal(data, &cells); err != nil {
+	if err := msgpack.Unmarshal(expanded, &cells); err != nil {
 		return Evidence{}, trace.Wrap(err)
 	}
 	if len(cells) > maxCells {
--- a/version/rollout/recorder.go
+++ b/version/rollout/recorder.go
@@ -111,3 +111,15 @@
 	}
 	return open
 }
+
+// Ended is Report without the window under way, at which no judge looks before its end.
+func (r *Recorder) Ended(now time.Time) Evidence {
+	current := r.config.WindowOf(now)
+	var ended Evidence
+	for key, cell := range r.Report(now).cells {
+		if key.Window < current {
+			ended.AddCell(cell)
+		}
+	}
+	return ended
+}
