Keep the configuration head small

The head now keeps 4 changes, and parts have 2,048 lines on average instead of 256, at most 256 KiB before compression. A process that is further behind than 4 changes pulls from a peer, which keeps 512. Cutting parts by size alone was ruled out, because one inserted line would move all later parts.

--- a/version/config/part.go
+++ b/version/config/part.go
@@ -32,15 +32,15 @@
 	recentChanges, recentBytes int
 }
 
-// defaultLayout gives about 180 parts for 46,000 teams, 6 KB of the head, and keeps the changes of about ten minutes at 13,000
-// changes a day.
+// defaultLayout gives about 25 parts for 46,000 teams, 1 KB of the head, and keeps the changes of about 25 s at 13,000 changes a day. Every change sends the whole head to every watcher, and each KB of it costs a watcher 0.2 KB/s; a process that is further behind
+// pulls from a peer, which keeps 512 changes.
 var defaultLayout = layout{
 	inlineBytes:   24 << 10,
-	partLines:     256,
-	minPartBytes:  4 << 10,
-	maxPartBytes:  64 << 10,
-	recentChanges: 96,
-	recentBytes:   48 << 10,
+	partLines:     2048,
+	minPartBytes:  32 << 10,
+	maxPartBytes:  256 << 10,
+	recentChanges: 4,
+	recentBytes:   8 << 10,
 }
 
 // partID is the hash of a part's content, in hexadecimal. It is also the end of its key.
