Check the number of cells before evidence is decoded

The number of cells was checked after all had been decoded. With compression a few KB can announce 8 M cells.

--- a/version/rollout/evidence.go
+++ b/version/rollout/evidence.go
@@ -156,19 +156,21 @@
 
 // DecodeEvidence reverses Encode. It rejects evidence with more than maxCells cells.
 func DecodeEvidence(data []byte) (Evidence, error) {
-	expanded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEvidenceBytes))
+	dec := msgpack.NewDecoder(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEvidenceBytes))
+	n, err := dec.DecodeArrayLen()
 	if err != nil {
 		return Evidence{}, trace.Wrap(err)
 	}
-	var cells []Cell
-	if err := msgpack.Unmarshal(expanded, &cells); err != nil {
-		return Evidence{}, trace.Wrap(err)
-	}
-	if len(cells) > maxCells {
-		return Evidence{}, trace.Wrap(fmt.Errorf("evidence of %d cells exceeds %d", len(cells), maxCells))
+	// The number is checked first, because a few compressed bytes can announce cells that fill the memory.
+	if n > maxCells {
+		return Evidence{}, trace.Wrap(fmt.Errorf("evidence of %d cells exceeds %d", n, maxCells))
 	}
 	var e Evidence
-	for _, c := range cells {
+	for range n {
+		var c Cell
+		if err := dec.Decode(&c); err != nil {
+			return Evidence{}, trace.Wrap(err)
+		}
 		e.AddCell(c)
 	}
 	return e, nil
