Send on requests and by gossip only what a peer may lack

At the design scale each Open and End carried the configuration version (8 bytes each), each End a load report (11 bytes) and each gossip message all load summaries (3.5 KB). An entry spent 12,400 B/s on gossip, 2,350 on load reports and 3,400 on versions.

- Open carries the version only to a peer that has not shown it, and then within 12 a second, so that it stays below 100 B/s when almost every request meets a sidecar that was not asked since the last change.
Calls that are not idempotent always carry it.
- End carries the version only if it differs from the Open's.
Zero after Accepted stands for the Open's version.
- A sidecar adds its load report to 1.5 answers a second, an entry gets 19 a second.
- A gossip message carries two summaries, one of the own data centre and the others in turn.
A version that was just adopted is told without other digests, by a sidecar to one peer, since its peers are entries.
- A sidecar that heard a version within the gossip interval does not gossip, unless it has something else to tell.
- Mean hints take at most 192 B/s instead of 512.
- Leaving is sent once on a connection, without a name, and by an entry not to sidecars.
Server.Drain repeated it.
- Idle connections are probed every 15 min.

--- a/connection/link/config.go
+++ b/connection/link/config.go
@@ -31,7 +31,7 @@
 	// progress, counted from its start at the earliest. The serving side does so later, by a quarter of the time that is left to
 	// KeepaliveTimeout. Default 10 s.
 	KeepaliveInterval time.Duration
-	// IdleInterval is KeepaliveInterval while no request is in progress. At least KeepaliveInterval. Default 5 min: an entry holds
+	// IdleInterval is KeepaliveInterval while no request is in progress. At least KeepaliveInterval. Default 15 min: an entry holds
 	// up to 11,600 connections at the design scale, and probes every 10 s cost it 38 KB/s.
 	IdleInterval time.Duration
 	// KeepaliveTimeout is the time without received frames after which the connection is lost while a request is in progress; an
@@ -61,7 +61,7 @@
 	return Config{
 		WindowBytes:       256 << 10,
 		KeepaliveInterval: 10 * time.Second,
-		IdleInterval:      5 * time.Minute,
+		IdleInterval:      15 * time.Minute,
 		KeepaliveTimeout:  25 * time.Second,
 		HandshakeTimeout:  5 * time.Second,
 		WriteTimeout:      10 * time.Second,
--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -58,6 +58,9 @@
 	// probeAsked is when Probe was last called, in nanoseconds since start.
 	probeAsked atomic.Int64
 
+	// saidLeaving is set when this end announced its departure.
+	saidLeaving atomic.Bool
+
 	// ctx ends when the connection does.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -131,6 +134,9 @@
 	if !isControl(m) || m.Type() == wire.TypeHello {
 		return trace.BadParameter("%T is no control frame", m)
 	}
+	if m.Type() == wire.TypeLeaving {
+		c.saidLeaving.Store(true)
+	}
 	return trace.Wrap(c.out.pushControl(m))
 }
 
--- a/connection/link/dispatch.go
+++ b/connection/link/dispatch.go
@@ -41,7 +41,7 @@
 		// Without room for the Pong, other frames are on their way to the peer, which serve it as well.
 		_ = c.out.pushControl(&wire.Pong{ConfigVersion: c.local().ConfigVersion})
 	case *wire.Leaving:
-		if c.server == nil && m.Instance == c.remote.Instance {
+		if c.server == nil && (m.Instance == "" || m.Instance == c.remote.Instance) {
 			c.peerLeaves()
 		}
 	}
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -208,7 +208,7 @@
 // all goroutines. If ctx ends first, it returns the error of ctx, and the Server remains to be closed.
 func (s *Server) Drain(ctx context.Context) error {
 	s.stopAccepting()
-	s.Broadcast(&wire.Leaving{Instance: s.local().Instance})
+	s.announce()
 	if err := s.requests.wait(ctx); err != nil {
 		return trace.Wrap(err)
 	}
@@ -223,6 +223,15 @@
 	return trace.Wrap(s.conns.wait(ctx))
 }
 
+// announce tells the peers that do not know it yet that the process leaves.
+func (s *Server) announce() {
+	for _, c := range s.Conns() {
+		if !c.saidLeaving.Load() {
+			_ = c.Send(&wire.Leaving{Instance: s.local().Instance})
+		}
+	}
+}
+
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -93,8 +93,9 @@
 	// Suspect says that an upstream broke during an earlier attempt of the request; it must run alone.
 	Suspect bool `msgpack:"su,omitempty"`
 	// MeanLoad is the sender's estimate of the mean load of the service's upstreams, in work units; zero means no estimate.
-	MeanLoad      uint32 `msgpack:"ml,omitempty"`
-	ConfigVersion uint64 `msgpack:"cv"`
+	MeanLoad uint32 `msgpack:"ml,omitempty"`
+	// ConfigVersion is the sender's; zero says nothing.
+	ConfigVersion uint64 `msgpack:"cv,omitempty"`
 }
 
 // Accepted says that the sidecar is about to hand the request to its upstream. After it, the request is never "not run".
@@ -128,9 +129,11 @@
 	Checksum     uint64 `msgpack:"x"`
 	RetryAfterMS uint32 `msgpack:"ra,omitempty"`
 	// Reason is a short text for operators; callers see only the code's own text.
-	Reason        string      `msgpack:"re,omitempty"`
-	Load          *LoadReport `msgpack:"l,omitempty"`
-	ConfigVersion uint64      `msgpack:"cv"`
+	Reason string      `msgpack:"re,omitempty"`
+	Load   *LoadReport `msgpack:"l,omitempty"`
+	// ConfigVersion is the sender's if it differs from that of the Open. Zero after Accepted means that it is the same, or that
+	// the Open had none.
+	ConfigVersion uint64 `msgpack:"cv,omitempty"`
 }
 
 // Cancel says that the caller no longer waits.
@@ -263,7 +266,8 @@
 
 // Leaving says that an instance takes no new work.
 type Leaving struct {
-	Instance string `msgpack:"i"`
+	// Instance is empty if it is the sender.
+	Instance string `msgpack:"i,omitempty"`
 }
 
 // Type implements Message.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -56,6 +56,7 @@
 	policy  *retry.Policy
 	teams   *teamLimits
 	shifts  *shift.Driver
+	shower  *node.Shower
 	server  *http.Server
 	ln      net.Listener
 
@@ -82,6 +83,7 @@
 		loads:  load.NewTable(opts.Settings.DataCentre, load.DefaultConfig()),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		teams:  newTeamLimits(),
+		shower: node.NewShower(),
 		banned: quarantine.NewList(quarantine.DefaultConfig()),
 	}
 	e.routing.Store(&routing{})
@@ -199,15 +201,18 @@
 	return (index-first+entries)%entries < entriesPerSidecar
 }
 
-// digestEntries bounds the quarantined fingerprints in one gossip message.
-const digestEntries = 16
+// Bounds of what one gossip message carries. The summaries take turns: with 23 data centres and 3 models all of them take 3.5 KB.
+const (
+	digestEntries   = 16
+	digestSummaries = 2
+)
 
 // Gossip implements node.Role.
 func (e *Entry) Gossip(g *wire.Gossip) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	g.Loads = e.loads.Summaries(now)
+	g.Loads = e.loads.Digest(now, digestSummaries)
 	g.Quarantine = e.banned.Digest(now, digestEntries)
 	e.shifts.Gossip(g)
 }
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -207,7 +207,9 @@
 	x        *exchange
 	target   platform.Instance
 	accepted bool
-	start    time.Time
+	// shown is the configuration version in the Open, zero if it had none.
+	shown uint64
+	start time.Time
 	// first is the time to the first part of the answer; zero until then.
 	first time.Duration
 }
@@ -259,8 +261,10 @@
 		Identity: wire.Identity{Request: x.id, Attempt: uint8(len(x.attempts) + 1)},
 		Service:  x.service.Name, Route: x.route.Path, Team: x.team, Priority: int8(x.priority - rules.Normal),
 		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key, Stream: x.answer.streams(),
-		WorkUnits: x.work, Method: x.method, Path: x.path, Body: x.body, ConfigVersion: x.snapshot.Version(),
+		WorkUnits: x.work, Method: x.method, Path: x.path, Body: x.body,
 	}
+	open.ConfigVersion = x.e.shower.InOpen(time.Now(), x.snapshot.Version(), x.e.node.Shown(a.target.ID), !x.route.Idempotent)
+	a.shown = open.ConfigVersion
 	if x.inChat {
 		open.Chat = x.chat
 	}
@@ -338,10 +342,21 @@
 	return result.OK
 }
 
+// hear takes the sidecar's configuration version. A sidecar that ran the request and names none has the one of the Open.
+func (a *attempt) hear(conn *link.Conn, m *wire.End) {
+	version := m.ConfigVersion
+	if version == 0 && a.accepted {
+		version = a.shown
+	}
+	if version > 0 {
+		a.x.e.node.Hear(conn, version)
+	}
+}
+
 // end checks that the answer is whole.
 func (a *attempt) end(conn *link.Conn, body *assembly.Assembly, m *wire.End) outcome {
 	x := a.x
-	x.e.node.Hear(conn, m.ConfigVersion)
+	a.hear(conn, m)
 	if m.Load != nil {
 		x.e.mu.Lock()
 		x.e.loads.Report(time.Now(), a.loadKey(), *m.Load)
--- a/process/load/config.go
+++ b/process/load/config.go
@@ -28,8 +28,8 @@
 	// HintBytes is the size of one hint in an Open frame. Default 8: the msgpack key of 3 bytes and a number of up to 5.
 	// Zero is invalid.
 	HintBytes int
-	// HintBytesPerSecond bounds the bytes of hints that the entry sends. Default 512, a quarter of the control budget of
-	// 2 KB/s. Zero sends no hints.
+	// HintBytesPerSecond bounds the bytes of hints that the entry sends. Default 192, a tenth of the control budget of
+	// 2 KB/s: at the design scale a sidecar gets a hint twice a second. Zero sends no hints.
 	HintBytesPerSecond float64
 	// HintBurstBytes is how many bytes of hints may be sent at once. Default 512. Zero sends no hints.
 	HintBurstBytes int
@@ -44,7 +44,7 @@
 		HintChange:         0.05,
 		HintMaxAge:         time.Second,
 		HintBytes:          8,
-		HintBytesPerSecond: 512,
+		HintBytesPerSecond: 192,
 		HintBurstBytes:     512,
 	}
 }
--- a/process/load/table.go
+++ b/process/load/table.go
@@ -6,8 +6,10 @@
 package load
 
 import (
+	"cmp"
 	"container/list"
 	"math"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -62,6 +64,8 @@
 	records map[string]*record
 	groups  map[string]*group
 	hints   *rate.Limiter
+	// turn counts the digests.
+	turn int
 }
 
 // NewTable returns an empty table of an entry in the data centre own. cfg must be valid.
@@ -206,6 +210,29 @@
 	return all
 }
 
+// Digest returns at most limit summaries to be gossiped on: the table's own ones, which nobody has fresher, and others in turn.
+func (t *Table) Digest(now time.Time, limit int) []wire.LoadSummary {
+	all := t.Summaries(now)
+	slices.SortFunc(all, func(a, b wire.LoadSummary) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	others := slices.DeleteFunc(slices.Clone(all), func(s wire.LoadSummary) bool { return s.DataCentre == t.own })
+	own := slices.DeleteFunc(all, func(s wire.LoadSummary) bool { return s.DataCentre != t.own })
+	t.turn++
+	// Half of the places are kept for the others, so that summaries also travel by way of third data centres.
+	digest := inTurn(nil, own, t.turn, max(limit-min(len(others), limit/2), 0))
+	return inTurn(digest, others, t.turn, limit-len(digest))
+}
+
+// inTurn appends n of the rows, other ones at each turn until all had theirs.
+func inTurn(dst, rows []wire.LoadSummary, turn, n int) []wire.LoadSummary {
+	n = min(n, len(rows))
+	for i := range n {
+		dst = append(dst, rows[(turn*n+i)%len(rows)])
+	}
+	return dst
+}
+
 // Mean returns the mean work of a group's upstreams in work units, rounded down but at least 1, and whether there is any figure.
 // It is the sum of the work over the number of upstreams: a data centre counts with its summary if that is fresh, else, as the own one does,
 // with the reports that this entry received.
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -21,6 +21,8 @@
 	pullTimeout = 300 * time.Millisecond
 	// adoptFanout is how many random peers hear at once of a version that was just adopted. Requests and gossip tell the rest.
 	adoptFanout = 8
+	// sidecarFanout is adoptFanout of a sidecar. Its peers are entries, which mostly have the version already.
+	sidecarFanout = 1
 )
 
 // control is the state that the control goroutine owns.
@@ -94,15 +96,22 @@
 	fresh := make(chan struct{})
 	close(*c.n.adopted.Swap(&fresh))
 	event.Log(event.ConfigAdopted, "version", next.Config.Version, "author", next.Config.Author, "source", source)
-	c.tellSome(adoptFanout)
+	fanout := adoptFanout
+	if c.n.opts.Settings.Role == settings.RoleSidecar {
+		fanout = sidecarFanout
+	}
+	c.tell(fanout, &wire.Gossip{ConfigVersion: next.Version()})
 }
 
 // tellSome sends the digests to up to k random connected peers.
-func (c *control) tellSome(k int) {
+func (c *control) tellSome(k int) { c.tell(k, c.digest()) }
+
+// tell sends a message to up to k random connected peers.
+func (c *control) tell(k int, news *wire.Gossip) {
 	conns := append(c.n.server.Conns(), c.n.pool.conns()...)
 	rand.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
 	for _, conn := range conns[:min(k, len(conns))] {
-		_ = conn.Send(c.digest())
+		_ = conn.Send(news)
 	}
 }
 
@@ -117,7 +126,7 @@
 func (c *control) gossip(ctx context.Context) {
 	peers := c.n.Snapshot().Entries
 	if c.n.opts.Settings.Role != settings.RoleEntry || len(peers) <= 1 {
-		c.tellSome(1)
+		c.tellUnlessHeard()
 		c.callSeed(ctx)
 		return
 	}
@@ -134,6 +143,18 @@
 	})
 }
 
+// tellUnlessHeard sends the digests to one random peer, unless a peer showed its version within the gossip interval and there is nothing
+// else to tell: of two peers that exchange versions, the one behind learns of it either way.
+func (c *control) tellUnlessHeard() {
+	digest := c.digest()
+	interval := settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS)
+	heard := time.Since(time.Unix(0, c.n.lastHeard.Load())) < interval
+	if heard && len(digest.Stops)+len(digest.Rollouts)+len(digest.Quarantine)+len(digest.Loads) == 0 {
+		return
+	}
+	c.tellSome(1)
+}
+
 // callSeed connects to a random seed while no configuration is known, so that a replaced instance learns it in an outage.
 func (c *control) callSeed(ctx context.Context) {
 	seeds := c.n.opts.Settings.Seeds
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -88,6 +88,8 @@
 	pool     *Pool
 	// heard holds the configuration version that each peer last showed, by instance id.
 	heard sync.Map
+	// lastHeard is when any peer last showed its version, in nanoseconds since 1970.
+	lastHeard atomic.Int64
 	// adopted is closed and replaced when a configuration version is adopted.
 	adopted  atomic.Pointer[chan struct{}]
 	leaving  atomic.Bool
@@ -166,9 +168,9 @@
 		return
 	}
 	event.Log(event.ProcessLeaving, "instance", n.opts.Settings.Instance)
-	goodbye := &wire.Leaving{Instance: n.opts.Settings.Instance}
+	goodbye := &wire.Leaving{}
 	n.server.Broadcast(goodbye)
-	n.pool.broadcast(goodbye)
+	n.pool.announce(goodbye)
 }
 
 // Tell sends digests to every connected peer. It is for rare news that must not wait for gossip.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// announce is broadcast without the sidecars: none of them sends work to this process, and an entry may be connected to 10,000.
+func (p *Pool) announce(m wire.Message) {
+	for _, conn := range p.conns() {
+		if conn.Remote().Role != settings.RoleSidecar {
+			_ = conn.Send(m)
+		}
+	}
+}
+
 func (p *Pool) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -218,6 +227,7 @@
 	id := conn.Remote().Instance
 	known, _ := n.heard.LoadOrStore(id, new(atomic.Uint64))
 	known.(*atomic.Uint64).Store(version)
+	n.lastHeard.Store(time.Now().UnixNano())
 	if version > n.Snapshot().Version() {
 		n.post(func(c *control) { c.pull(conn, version) })
 	}
@@ -263,7 +273,9 @@
 
 // HandleOpen implements link.Handler.
 func (h *peerHandler) HandleOpen(ctx context.Context, conn *link.Conn, open *wire.Open, r *link.Responder) {
-	h.n.Hear(conn, open.ConfigVersion)
+	if open.ConfigVersion > 0 {
+		h.n.Hear(conn, open.ConfigVersion)
+	}
 	h.n.opts.Role.HandleOpen(ctx, conn, open, r)
 }
 
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -27,12 +27,18 @@
 	x := &exchange{s: s, open: open, r: r}
 	end := x.serve(ctx, conn)
 	metrics.Add("result_"+result.Code(end.Result).String(), 1)
+	if s.reports.Allow(time.Now()) {
+		end.Load = s.load()
+	}
+	end.ConfigVersion = node.InEnd(s.node.Snapshot().Version(), open.ConfigVersion)
+	_ = r.End(end)
+}
+
+func (s *Sidecar) load() *wire.LoadReport {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	report := s.admission.Load()
-	s.mu.Unlock()
-	end.Load = &report
-	end.ConfigVersion = s.node.Snapshot().Version()
-	_ = r.End(end)
+	return &report
 }
 
 // exchange is one request on its way through the sidecar.
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -45,6 +45,8 @@
 	claims *claim.Store
 	orders *order.Gate
 	calls  claimedCalls
+	// reports chooses the answers that carry a load report.
+	reports *load.Sampler
 
 	// mu guards the decisions below. It is never held across I/O.
 	mu        sync.Mutex
@@ -73,6 +75,7 @@
 		opts:      opts,
 		admission: admission.New(cfg),
 		mean:      load.NewMeanEstimator(load.DefaultEstimatorConfig()),
+		reports:   load.NewSampler(),
 		crashes:   newCrashes(),
 	}
 	if opts.KV != nil && opts.Plain != nil {
