Read the instance list by its changes

A reader now asks for the changes since its revision, and the stand-in keeps 4,096 of them and compresses its answers. The interval between reads is 4 s instead of 1 s, since departures are announced on connections.

--- a/cmd/jayridge/operator.go
+++ b/cmd/jayridge/operator.go
@@ -47,11 +47,11 @@
 	if cmd.String("instances") == "" {
 		return nil, failf(result.UsageError, "--instances (or JAYRIDGE_INSTANCES) is needed to find the instances")
 	}
-	rows, _, err := httplist.New(cmd.String("instances"), listTimeout).List(ctx, 0)
+	update, err := httplist.New(cmd.String("instances"), listTimeout).List(ctx, 0)
 	if err != nil {
 		return nil, fail(result.PlatformDown, err)
 	}
-	return rows, nil
+	return update.Instances, nil
 }
 
 // report is an instance's status page, or why there is none.
--- a/internal/bench/httpcost.go
+++ b/internal/bench/httpcost.go
@@ -52,7 +52,7 @@
 }
 
 func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
+	// Counted first, because the client may have the bytes, and the measurement may go on, before Write returns.
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
--- a/internal/bench/size.go
+++ b/internal/bench/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/settings"
@@ -14,6 +15,8 @@
 	teams                                       int
 	requestsPerSecond, changesPerDay, restarts  float64
 	leavingSidecars, leavingEntries, shiftRoute int
+	// window is the setting rollout.window_ms of the fleet's entries.
+	window time.Duration
 }
 
 const secondsPerDay = 24 * 3600.0
@@ -23,11 +26,11 @@
 var (
 	smallFleet = size{
 		name: "12 runners", entries: 3, sidecars: 12, dataCentres: 3, models: 1, teams: 10,
-		requestsPerSecond: 204, changesPerDay: 13_000, restarts: 5, leavingSidecars: 4, leavingEntries: 1, shiftRoute: 4,
+		requestsPerSecond: 204, changesPerDay: 13_000, restarts: 5, leavingSidecars: 4, leavingEntries: 1, shiftRoute: 4, window: 5 * time.Second,
 	}
 	designFleet = size{
 		name: "10,000 runners", entries: 790, sidecars: 10_000, dataCentres: 23, models: 3, teams: 46_000,
-		requestsPerSecond: 170_000, changesPerDay: 13_000, restarts: 3_860, leavingSidecars: 435, leavingEntries: 34, shiftRoute: 4,
+		requestsPerSecond: 170_000, changesPerDay: 13_000, restarts: 3_860, leavingSidecars: 435, leavingEntries: 34, shiftRoute: 4, window: 30 * time.Second,
 	}
 )
 
--- a/internal/bench/traffic.go
+++ b/internal/bench/traffic.go
@@ -9,14 +9,21 @@
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
 // controlBytesPerSecond is the control budget of a node: what it sends and receives together.
 const controlBytesPerSecond = 2000
 
-// adoptFanout is the number of peers that a process tells at once of a version that it adopted (process/node).
-const adoptFanout = 8
+// What processes tell their peers at once of a version that they adopted (process/node), and how many load summaries an entry gossips
+// (process/entry), and in how many of its messages the record of a shift takes part (process/shift).
+const (
+	adoptFanout     = 8
+	sidecarFanout   = 1
+	digestSummaries = 2
+	recordInterval  = 8
+)
 
 // node is one process whose control traffic is counted.
 type traffic struct {
@@ -26,6 +33,8 @@
 	seconds int
 	entry   ledger
 	sidecar ledger
+	// aggregator, leader and watcher are the bytes per second that these duties add to an entry's.
+	aggregator, leader, watcher float64
 }
 
 // controlTraffic measures the control bytes of one entry and one sidecar with the real codec, the real decisions on what a request
@@ -37,6 +46,7 @@
 		t.count()
 		figures = append(figures, t.entry.figures("control traffic", "entry at "+s.name, controlBytesPerSecond)...)
 		figures = append(figures, t.sidecar.figures("control traffic", "sidecar at "+s.name, controlBytesPerSecond)...)
+		figures = append(figures, t.duties()...)
 		if !o.Short {
 			t.entry.print(os.Stdout, "entry at "+s.name)
 			t.sidecar.print(os.Stdout, "sidecar at "+s.name)
@@ -47,6 +57,22 @@
 	return figures
 }
 
+// duties returns the totals of entries with a duty besides their own part.
+func (t *traffic) duties() []Figure {
+	t.watcher = t.watchCost() * t.size.changesPerSecond()
+	figure := func(name string, added float64) Figure {
+		return Figure{
+			Measure: "control traffic", Name: name + " at " + t.size.name + ", total", Value: t.entry.total() + added, Unit: "B/s",
+			Bound: controlBytesPerSecond, Bounded: true,
+		}
+	}
+	return []Figure{
+		figure("entry that watches the configuration", t.watcher),
+		figure("entry that sums a data centre's evidence", t.aggregator),
+		figure("entry that leads a shift", t.leader),
+	}
+}
+
 func newTraffic(s size, o Options) *traffic {
 	seconds := 60
 	if o.Short {
@@ -82,35 +108,60 @@
 	s := t.size
 	start := time.Unix(1_800_000_000, 0)
 	table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
+	shower, reported := node.NewShower(), t.reportShare()
+	shown := make(map[int]uint64)
 	open := wire.Open{Service: "press-model-0", Route: "/chat/fabric-care", Team: "drivers", Body: []byte("{}"), WorkUnits: 900}
 	end := wire.End{Chunks: 256, Checksum: math.MaxUint64}
 	openBytes, endBytes := frameBytes(&open), frameBytes(&end)
-	versionBytes, hintBytes, endVersionBytes, reportBytes := 0.0, 0.0, 0.0, 0.0
+	openVersions, hintBytes, endVersions, reportBytes := 0.0, 0.0, 0.0, 0.0
 	for at := t.next(0); at < float64(t.seconds); at = t.next(at) {
 		now := start.Add(time.Duration(at * float64(time.Second)))
 		i := t.random.IntN(s.sidecars)
 		target := s.sidecar(i)
 		key := load.Upstream{ID: target.ID, DataCentre: target.DataCentre, Group: s.model(i)}
 		o, e := open, end
-		o.ConfigVersion = s.version()
-		versionBytes += frameBytes(&o) - openBytes
-		o.ConfigVersion = 0
+		mine := s.version() + uint64(at*s.changesPerSecond())
+		o.ConfigVersion = shower.InOpen(now, mine, shown[i], false)
+		openVersions += frameBytes(&o) - openBytes
+		if o.ConfigVersion > 0 {
+			shown[i] = mine
+		}
+		// A sidecar that is behind or ahead answers with its own version. Most have the entry's within a second of a change.
+		if t.random.Float64() < s.changesPerSecond() && o.ConfigVersion > 0 {
+			e.ConfigVersion = mine - 1
+		}
+		endVersions += frameBytes(&e) - endBytes
+		o.ConfigVersion, e.ConfigVersion = 0, 0
 		o.MeanLoad = table.Hint(now, key)
 		hintBytes += frameBytes(&o) - openBytes
-		e.ConfigVersion = s.version()
-		endVersionBytes += frameBytes(&e) - endBytes
-		e.ConfigVersion = 0
-		e.Load = t.report()
-		reportBytes += frameBytes(&e) - endBytes
-		table.Report(now, key, *e.Load)
+		if t.random.Float64() < reported {
+			e.Load = t.report()
+			reportBytes += frameBytes(&e) - endBytes
+			table.Report(now, key, *e.Load)
+		}
 	}
 	seconds := float64(t.seconds)
-	t.toSidecars("version in Open", versionBytes/seconds)
+	t.toSidecars("version in Open", openVersions/seconds)
 	t.toSidecars("mean hint in Open", hintBytes/seconds)
-	t.fromSidecars("version in End", endVersionBytes/seconds)
+	t.fromSidecars("version in End", endVersions/seconds)
 	t.fromSidecars("load report in End", reportBytes/seconds)
 }
 
+// reportShare is the share of a sidecar's answers that carry a load report.
+func (t *traffic) reportShare() float64 {
+	sampler := load.NewSampler()
+	perSecond := t.size.requestsPerSecond / float64(t.size.sidecars)
+	start := time.Unix(1_800_000_000, 0)
+	answers, reports := 0.0, 0.0
+	for at := 0.0; at < 10*float64(t.seconds); at += t.random.ExpFloat64() / perSecond {
+		answers++
+		if sampler.Allow(start.Add(time.Duration(at * float64(time.Second)))) {
+			reports++
+		}
+	}
+	return reports / answers
+}
+
 // next returns the time of the entry's next request, in seconds.
 func (t *traffic) next(at float64) float64 {
 	return at + t.random.ExpFloat64()/t.size.requestsPerEntry()
@@ -141,23 +192,32 @@
 	return rate / math.Expm1(rate*interval.Seconds())
 }
 
+// versionBytes is the size of a version in a frame.
+const versionBytes = 8
+
 // gossip counts the exchange with one random peer a second.
 func (t *traffic) gossip() {
 	s := t.size
 	perSecond := 1000 / float64(settings.Defaults().GossipIntervalMS)
-	digest := frameBytes(t.digest()) * perSecond
+	record := wire.RolloutRecord{Rollout: "press-model v1 v2 1", Revision: 17, Data: make([]byte, 96)}
+	with, without := t.digest(), t.digest()
+	with.Rollouts = []wire.RolloutRecord{record}
+	digest := (frameBytes(without) + (frameBytes(with)-frameBytes(without))/recordInterval) * perSecond
 	t.entry.send("Gossip among entries", digest)
 	t.entry.receive("Gossip among entries", digest)
-	t.fromSidecars("Gossip from sidecars", s.sidecarsPerEntry()*perSecond*frameBytes(&wire.Gossip{ConfigVersion: s.version()}))
+	// A sidecar that heard a version in the last interval has nothing to tell.
+	heard := t.entry["version in Open"].sent / s.sidecarsPerEntry() / versionBytes
+	silent := math.Exp(-heard / perSecond)
+	t.fromSidecars("Gossip from sidecars", silent*s.sidecarsPerEntry()*perSecond*frameBytes(&wire.Gossip{ConfigVersion: s.version()}))
 }
 
-// digest is the gossip message of an entry that knows all data centres, during a shift and with one quarantined request.
+// digest is the gossip message of an entry that knows all data centres, with one quarantined request.
 func (t *traffic) digest() *wire.Gossip {
 	now := time.Unix(1_800_000_000, 0)
 	table := t.table(now)
 	return &wire.Gossip{
-		ConfigVersion: t.size.version(), Rollouts: []wire.RolloutRecord{{Rollout: "press-model v1 v2 1", Revision: 17, Data: make([]byte, 96)}},
-		Quarantine: []wire.QuarantineEntry{{Fingerprint: math.MaxUint64, LeftMS: 3_000_000}}, Loads: table.Summaries(now),
+		ConfigVersion: t.size.version(),
+		Quarantine:    []wire.QuarantineEntry{{Fingerprint: math.MaxUint64, LeftMS: 3_000_000}}, Loads: table.Digest(now, digestSummaries),
 	}
 }
 
@@ -191,11 +251,11 @@
 	// Sidecars have connections from entries only, so that a sidecar tells entries and pulls from an entry.
 	news := adoptFanout * changes
 	tellSidecars := news * float64(s.sidecars) / peers
-	digest := frameBytes(t.digest())
+	digest := frameBytes(&wire.Gossip{ConfigVersion: s.version()})
 	t.toSidecars("Gossip on adoption", tellSidecars*digest)
 	t.entry.send("Gossip on adoption", (news-tellSidecars)*digest)
 	t.entry.receive("Gossip on adoption", (news-tellSidecars)*digest)
-	t.fromSidecars("Gossip on adoption", news*s.sidecarsPerEntry()*frameBytes(&wire.Gossip{ConfigVersion: s.version()}))
+	t.fromSidecars("Gossip on adoption", sidecarFanout*changes*s.sidecarsPerEntry()*digest)
 	t.fromSidecars("ConfigPull and ConfigPush", pull*s.sidecarsPerEntry())
 	t.toSidecars("ConfigPull and ConfigPush", push*s.sidecarsPerEntry())
 	t.entry.send("ConfigPull and ConfigPush", pull+push)
@@ -205,7 +265,7 @@
 // change is a usual change: one line of the rules file.
 func (s size) change() wire.ConfigChange {
 	return wire.ConfigChange{
-		Version: s.version(), ChangeID: "6f1f7f0e-9a54-4c43-8a39-61a4d1c7b6b5", Author: "losana", UnixMS: 1_800_000_000_000, TextHash: math.MaxUint64,
+		Version: s.version(), ChangeID: "OIRH6CPYZDPDTZ2GWJ4SU3KV4T", Author: "losana", UnixMS: 1_800_000_000_000, TextHash: math.MaxUint64,
 		Edits: []wire.LineEdit{{Line: 31_234, Removed: 1, Added: []string{teamLine(31_234) + " again"}}},
 	}
 }
@@ -226,7 +286,7 @@
 	s := t.size
 	perSecond := s.restarts / secondsPerDay
 	share := float64(s.sidecars) / float64(s.sidecars+s.entries)
-	leaving := frameBytes(&wire.Leaving{Instance: s.sidecar(0).ID})
+	leaving := frameBytes(&wire.Leaving{})
 	hello := s.hello(0) / 2
 	// Each restart of a sidecar reaches every entry, and each restart of an entry every sidecar and every other entry.
 	t.fromSidecars("Leaving and Hello", perSecond*share*(leaving+hello))
--- a/internal/bench/traffic_platform.go
+++ b/internal/bench/traffic_platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -42,33 +43,41 @@
 // headChanges is the number of changes that are made before a watch is measured, more than the head keeps.
 const headChanges = 100
 
-// platform counts the calls of one entry: polls of the instance list, and the watch of the configuration head, which few entries hold.
+// platform counts the calls of one entry, the polls of the instance list. Few entries watch the configuration head.
 func (t *traffic) platform() {
-	poll, list := t.listCost()
-	interval := float64(settings.Defaults().Instances.PollIntervalMS) / 1000
 	// Each restart changes the list twice; polls between two changes see the same revision.
-	changed := min(1/interval, 2*t.size.restarts/secondsPerDay)
-	t.entry.receive("instance list", poll/interval+changed*list)
-	t.entry.receive("watch of the configuration head", t.watchCost()*t.size.changesPerSecond())
+	t.entry.receive("instance list", t.listCost(2*t.size.restarts/secondsPerDay))
 }
 
-// listCost returns the bytes of a poll that finds no change, and the bytes that one changed row adds.
-func (t *traffic) listCost() (poll, changed float64) {
+// listCost returns the bytes per second of polling the instance list while some rows per second change.
+func (t *traffic) listCost(rowsPerSecond float64) float64 {
+	interval := float64(settings.Defaults().Instances.PollIntervalMS) / 1000
+	rows := max(1, int(math.Round(rowsPerSecond*interval)))
+	unchanged, changed := t.pollCost(rows)
+	changes := min(1, rowsPerSecond*interval/float64(rows))
+	return (unchanged*(1-changes) + changed*changes) / interval
+}
+
+// pollCost returns the bytes of a poll that finds no change, and of one that finds some changed rows.
+func (t *traffic) pollCost(rows int) (unchanged, changed float64) {
 	list := instances.New(t.size.instances())
 	server := newCountedServer(list)
 	defer server.Close()
 	client := httplist.New(server.URL, callTimeout)
 	var revision uint64
-	read := func() (err error) {
-		_, revision, err = client.List(context.Background(), revision)
+	read := func() error {
+		update, err := client.List(context.Background(), revision)
+		revision = update.Revision
 		return err
 	}
 	server.during(read)
-	poll = server.during(read)
-	row := t.size.sidecar(0)
-	row.State = platform.InstanceLeaving
-	list.Put(row)
-	return poll, server.during(read) - poll
+	unchanged = server.during(read)
+	for i := range rows {
+		row := t.size.sidecar(i * t.size.dataCentres % t.size.sidecars)
+		row.State = platform.InstanceLeaving
+		list.Put(row)
+	}
+	return unchanged, server.during(read)
 }
 
 // watchCost returns the bytes of a watch that brings one change.
@@ -86,7 +95,7 @@
 		team := n % t.size.teams
 		lines[2*t.size.models+team] = teamLine(team) + fmt.Sprint(" again ", n)
 		_, err := config.Propose(ctx, client, config.Proposal{
-			File: "rules", Text: strings.Join(lines, "\n"), Base: uint64(n), ChangeID: fmt.Sprintf("6f1f7f0e-9a54-4c43-8a39-%012d", n),
+			File: "rules", Text: strings.Join(lines, "\n"), Base: uint64(n), ChangeID: fmt.Sprintf("OIRH6CPYZDPDTZ2GWJ4S%06d", n),
 			Author: "losana", Time: time.Unix(1_800_000_000, 0),
 		})
 		if err != nil {
@@ -106,31 +115,35 @@
 	})
 }
 
-// evidence counts what an entry reports of a shift: the counts of the requests that it routed in all data centres.
+// evidence counts what an entry reports of a shift of one model once a window: the counts of the requests that it routed in all data
+// centres.
 func (t *traffic) evidence() {
 	cfg := rollout.DefaultConfig()
+	cfg.Window = t.size.window
 	recorder := rollout.NewRecorder(cfg)
-	start := time.UnixMilli(1_800_000_000_000)
-	seconds := (cfg.Window + cfg.Lag).Seconds()
+	window := time.UnixMilli(1_800_000_000_000).Truncate(cfg.Window)
 	perModel := t.size.requestsPerEntry() / float64(t.size.models)
-	bytes := 0.0
-	reports := 0
-	for second := range int(2 * seconds) {
-		now := start.Add(time.Duration(second) * time.Second)
-		for range int(perModel) {
-			recorder.Record(now, t.observation())
-		}
-		if float64(second) < seconds {
-			continue
-		}
-		data, err := recorder.Report(now).Encode()
-		if err != nil {
-			panic(err)
-		}
-		reports++
-		bytes += frameBytes(&wire.Evidence{Rollout: "press-model v1 v2 1", Source: t.size.entry(0).ID, Data: data})
+	for range int(perModel * cfg.Window.Seconds()) {
+		recorder.Record(window, t.observation())
+	}
+	counts := recorder.Ended(window.Add(cfg.Window))
+	t.entry.send("Evidence of a shift", evidenceBytes(t.size.entry(0).ID, counts)/cfg.Window.Seconds())
+	// An aggregator receives the reports of its data centre's entries and sends one sum, the leader receives the sums.
+	var sum rollout.Evidence
+	for range t.size.entries / t.size.dataCentres {
+		sum.Merge(counts)
+	}
+	report, total := evidenceBytes(t.size.entry(0).ID, counts), evidenceBytes(t.size.dataCentre(0), sum)
+	t.aggregator = (float64(t.size.entries/t.size.dataCentres-1)*report + total) / cfg.Window.Seconds()
+	t.leader = float64(t.size.dataCentres-1) * total / cfg.Window.Seconds()
+}
+
+func evidenceBytes(source string, counts rollout.Evidence) float64 {
+	data, err := counts.Encode()
+	if err != nil {
+		panic(err)
 	}
-	t.entry.send("Evidence of a shift", bytes/float64(reports))
+	return frameBytes(&wire.Evidence{Rollout: "press-model v1 v2 1", Source: source, Data: data})
 }
 
 func (t *traffic) observation() rollout.Observation {
@@ -148,21 +161,19 @@
 func (t *traffic) leave() {
 	const minute = 60
 	s := t.size
-	leaving := frameBytes(&wire.Leaving{Instance: s.sidecar(0).ID})
+	leaving := frameBytes(&wire.Leaving{})
 	t.entry.receive("Leaving of a data centre", float64(s.leavingSidecars+s.leavingEntries)*leaving/minute)
 	t.sidecar.receive("Leaving of a data centre", float64(s.leavingEntries)*leaving/minute)
-	_, list := t.listCost()
-	interval := float64(settings.Defaults().Instances.PollIntervalMS) / 1000
 	// Each row changes twice: leaving, then gone.
-	changes := 2 * float64(s.leavingSidecars+s.leavingEntries) / minute
-	t.entry.receive("instance list", min(1/interval, changes)*list)
+	rows := 2 * float64(s.leavingSidecars+s.leavingEntries) / minute
+	t.entry.receive("instance list", t.listCost(rows)-t.listCost(0))
 }
 
 // worstMinute returns the totals with the departure, and what a departing process sends in its last minute.
 func (t *traffic) worstMinute() []Figure {
 	const minute = 60
 	s := t.size
-	farewell := frameBytes(&wire.Leaving{Instance: s.sidecar(0).ID}) / minute
+	farewell := frameBytes(&wire.Leaving{}) / minute
 	figure := func(name string, value float64) Figure {
 		return Figure{Measure: "control traffic", Name: name + " at " + s.name + ", worst minute", Value: value, Unit: "B/s", Bound: controlBytesPerSecond, Bounded: true}
 	}
@@ -170,6 +181,6 @@
 		figure("entry", t.entry.total()),
 		figure("sidecar", t.sidecar.total()),
 		figure("leaving sidecar", t.sidecar.total()+float64(s.entries)*farewell),
-		figure("leaving entry", t.entry.total()+float64(s.sidecars+s.entries)*farewell),
+		figure("leaving entry", t.entry.total()+2*float64(s.entries)*farewell),
 	}
 }
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -1,15 +1,20 @@
 // Package instances is a small stand-in for the platform's instance list.
 //
-// GET /v1/instances?after=REVISION returns {"revision": N, "instances": [...]}, without instances when nothing changed since.
+// GET /v1/instances?after=REVISION returns {"revision": N, "instances": [...]}, without instances when nothing changed since. With
+// &changes=1 the reply has the changed rows only, the ids of removed ones in "removed" and "partial": true, if the changes since that
+// revision are still known. Replies are compressed for clients that accept it.
 // PUT /v1/instances/{id} sets a row, DELETE /v1/instances/{id} removes one. POST /faults {"down": bool, "lag_ms": N} makes the list
 // unavailable or lets changes show only after a delay.
 package instances
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,9 +33,14 @@
 // Reply is the body of GET /v1/instances.
 type Reply struct {
 	Revision  uint64              `json:"revision"`
+	Partial   bool                `json:"partial,omitempty"`
 	Instances []platform.Instance `json:"instances,omitempty"`
+	Removed   []string            `json:"removed,omitempty"`
 }
 
+// keptChanges bounds the changes that the list can tell apart.
+const keptChanges = 4096
+
 // change is one edit of the list and the time from which it shows.
 type change struct {
 	shows    time.Time
@@ -46,7 +56,9 @@
 	revision uint64
 	rows     map[string]platform.Instance
 	pending  []change
-	faults   Faults
+	// changed has the ids of the last changes; the last one made the current revision.
+	changed []string
+	faults  Faults
 }
 
 // New returns a list with the given rows.
@@ -95,6 +107,38 @@
 			s.rows[c.id] = *c.instance
 		}
 		s.revision++
+		s.changed = append(s.changed, c.id)
+		s.changed = s.changed[max(0, len(s.changed)-keptChanges):]
+	}
+}
+
+// reply returns the answer to a reader that has seen a revision.
+func (s *Server) reply(after uint64, changes bool) Reply {
+	reply := Reply{Revision: s.revision}
+	if after == s.revision {
+		return reply
+	}
+	if known := s.revision - after; changes && after > 0 && after < s.revision && known <= uint64(len(s.changed)) {
+		s.fill(&reply, s.changed[uint64(len(s.changed))-known:])
+		return reply
+	}
+	for _, row := range s.rows {
+		reply.Instances = append(reply.Instances, row)
+	}
+	sort.Slice(reply.Instances, func(i, j int) bool { return reply.Instances[i].ID < reply.Instances[j].ID })
+	return reply
+}
+
+// fill adds the rows with the ids, each once.
+func (s *Server) fill(reply *Reply, ids []string) {
+	reply.Partial = true
+	ids = slices.Compact(slices.Sorted(slices.Values(ids)))
+	for _, id := range ids {
+		if row, ok := s.rows[id]; ok {
+			reply.Instances = append(reply.Instances, row)
+		} else {
+			reply.Removed = append(reply.Removed, id)
+		}
 	}
 }
 
@@ -107,15 +151,16 @@
 		return
 	}
 	s.settle()
-	reply := Reply{Revision: s.revision}
-	if after != s.revision {
-		for _, row := range s.rows {
-			reply.Instances = append(reply.Instances, row)
-		}
-		sort.Slice(reply.Instances, func(i, j int) bool { return reply.Instances[i].ID < reply.Instances[j].ID })
-	}
+	reply := s.reply(after, r.URL.Query().Get("changes") == "1")
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply)
+	if len(reply.Instances) == 0 || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_ = json.NewEncoder(w).Encode(reply)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressed := gzip.NewWriter(w)
+	_ = json.NewEncoder(compressed).Encode(reply)
+	_ = compressed.Close()
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// ApplyChanges takes the rows of the instance list that changed and the ids that are gone from it.
+func (t *Table) ApplyChanges(rows []platform.Instance, removed []string) {
+	for _, row := range rows {
+		t.list(row)
+	}
+	for _, id := range removed {
+		if m := t.members[id]; m != nil && m.listed {
+			m.listed = false
+			t.dirty = true
+			t.dropIfGone(id, m)
+		}
+	}
+}
+
 func (t *Table) list(row platform.Instance) {
 	m := t.members[row.ID]
 	if m == nil {
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -61,6 +61,10 @@
 			m.Leaving(start, "b")
 			m.Connected(row("b", platform.InstanceLive))
 		}, 0, []string{"a", "b"}},
+		{"changed rows and removed ids are taken alone", func(m *Table) {
+			m.Connected(row("a", platform.InstanceLive))
+			m.ApplyChanges([]platform.Instance{row("c", platform.InstanceLive), row("d", platform.InstanceLeaving)}, []string{"a", "b", "x"})
+		}, 0, []string{"a", "c"}},
 		{"an empty list is a fault of the list", func(m *Table) { m.ApplyList(nil) }, 0, []string{"a", "b"}},
 	}
 	for _, c := range cases {
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -113,14 +113,14 @@
 	var revision uint64
 	failing := false
 	for {
-		rows, next, err := n.opts.List.List(ctx, revision)
+		update, err := n.opts.List.List(ctx, revision)
 		if err != nil && ctx.Err() == nil && !failing {
 			event.Log(event.InstanceListFail, "error", err)
 		}
 		failing = err != nil
-		if err == nil && next != revision {
-			if n.post(func(c *control) { c.applyList(rows) }) {
-				revision = next
+		if err == nil && update.Revision != revision {
+			if n.post(func(c *control) { c.applyList(update) }) {
+				revision = update.Revision
 			}
 		}
 		// Polls of many instances are spread over the interval.
@@ -130,9 +130,13 @@
 	}
 }
 
-// applyList takes a new instance list. Idle connections are probed rarely, so those to instances that are gone from it are probed now.
-func (c *control) applyList(rows []platform.Instance) {
-	c.members.ApplyList(rows)
+// applyList takes a new instance list or what changed in it. Idle connections are probed rarely, so those to instances that are gone from it are probed now.
+func (c *control) applyList(update platform.InstanceUpdate) {
+	if update.Whole {
+		c.members.ApplyList(update.Instances)
+	} else {
+		c.members.ApplyChanges(update.Instances, update.Removed)
+	}
 	for _, id := range c.members.Unlisted() {
 		if conn := c.n.pool.Connected(id); conn != nil {
 			conn.Probe()
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -122,7 +122,7 @@
 type Instances struct {
 	// URL is the list's base URL. Empty: none.
 	URL string `json:"url" validate:"omitempty,http_url"`
-	// PollIntervalMS is the time between reads, in milliseconds. Default 1000.
+	// PollIntervalMS is the time between reads, in milliseconds. Default 4000; a read without changes costs about 250 bytes.
 	PollIntervalMS int `json:"poll_interval_ms" validate:"min=10,max=600000"`
 }
 
@@ -153,7 +153,7 @@
 		},
 		KV:                KV{TimeoutMS: 1000, ReadsPerSecond: 20, WritesPerSecond: 20},
 		Rollout:           Rollout{WindowMS: 5000, LagMS: 5000, MinStepMS: 30_000, MonitorMS: 1_800_000, SettleMS: 10_000},
-		Instances:         Instances{PollIntervalMS: 1000},
+		Instances:         Instances{PollIntervalMS: 4000},
 		GossipIntervalMS:  1000,
 		KeepaliveMS:       5000,
 		ConnectTimeoutMS:  1000,
