Measure claims against the platform's write rate

The benchmarks had no figure for claims; request/claim's own test needs testing/synctest, which a program cannot use.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -5,5 +5,6 @@
 	return []Measurement{
 		{Name: "control traffic", Run: controlTraffic},
 		{Name: "configuration in effect everywhere", Run: spread},
+		{Name: "claims", Run: claims},
 	}
 }
