--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -6,5 +6,6 @@
 		{Name: "control traffic", Run: controlTraffic},
 		{Name: "configuration in effect everywhere", Run: spread},
 		{Name: "claims", Run: claims},
+		{Name: "versions", Run: versions},
 	}
 }
