Measure the throughput of an entry and a sidecar

The cost of a request and of a streamed token on the way through an entry and a sidecar was not known. The measurement runs both in its own process over loopback TCP, sends the same requests to the engine stand-in directly in turns, and compares the processor time.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -7,5 +7,6 @@
 		{Name: "configuration in effect everywhere", Run: spread},
 		{Name: "claims", Run: claims},
 		{Name: "versions", Run: versions},
+		{Name: "throughput", Timed: true, Run: throughput},
 	}
 }
