Measure the slopes of memory and processor time

docs/CAPACITY.md is to derive the design scale from slopes, which did not exist. The measurement prints bytes per item of the tables of an entry and a sidecar, of a rule line, a claim, a team and a connection, and the processor time of requests, control messages, configuration changes and membership changes, with the real packages at the design scale.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -8,5 +8,6 @@
 		{Name: "claims", Run: claims},
 		{Name: "versions", Run: versions},
 		{Name: "throughput", Timed: true, Run: throughput},
+		{Name: "slopes", Timed: true, Run: slopes},
 	}
 }
--- /dev/null
+++ b/internal/bench/slopes_memory.go
@@ -0,0 +1,123 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/admission"
+	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/request/candidate"
+)
+
+func (s size) upstreams() []candidate.Upstream {
+	ups := make([]candidate.Upstream, s.sidecars)
+	for i := range ups {
+		row := s.sidecar(i)
+		ups[i] = candidate.Upstream{ID: row.ID, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version}
+	}
+	return ups
+}
+
+// viewSlopes measures an entry's candidate view and returns it, because it takes seconds to build.
+func viewSlopes(s size, add func(string, float64, string)) *candidate.View {
+	var view *candidate.View
+	start := processorTime()
+	bytes := heapOf(1, func() any {
+		view = candidate.Build(nil, s.upstreams(), candidate.DefaultConfig())
+		return view
+	})
+	tables := float64(s.dataCentres * s.models)
+	add("candidate view, all of it", bytes/1e6, "MB")
+	add(fmt.Sprintf("candidate view per table, of which there are %.0f", tables), bytes/tables, "B")
+	add("candidate view built from nothing", (processorTime() - start).Seconds(), "s")
+	return view
+}
+
+func memorySlopes(s size, add func(string, float64, string)) {
+	now := time.Unix(1_800_000_000, 0)
+	add("load table per upstream", heapOf(s.sidecars, func() any {
+		table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
+		for i := range s.sidecars {
+			row := s.sidecar(i)
+			table.Report(now, load.Upstream{ID: row.ID, DataCentre: row.DataCentre, Group: s.model(i)}, wire.LoadReport{WorkUnits: 1})
+		}
+		return table
+	}), "B")
+	add("membership per instance", heapOf(s.sidecars+s.entries, func() any {
+		table := membership.New(membership.DefaultConfig())
+		table.ApplyList(s.instances())
+		return table
+	}), "B")
+	add("team limit of an entry per team", heapOf(s.teams, func() any {
+		// The types of process/entry's teamLimits.
+		limits, _ := lru.New[string, *rate.Limiter](1 << 16)
+		for i := range s.teams {
+			limits.Add(fmt.Sprintf("team-%05d", i), rate.NewLimiter(1, 1))
+		}
+		return limits
+	}), "B")
+	add("admission of a sidecar per team with requests", heapOf(1000, func() any {
+		c := admission.New(admission.DefaultConfig())
+		c.SetLimits(now, admission.Limits{Bound: 1.25, TeamLimit: func(string) float64 { return 100 }})
+		for i := range 1000 {
+			c.Admit(now, admission.Request{Team: fmt.Sprintf("team-%05d", i), WorkUnits: 1})
+		}
+		return c
+	}), "B")
+	claims := 0
+	bytes := heapOf(1, func() any {
+		r := newClaimRun(1, 0, 10*time.Second)
+		r.run()
+		claims = r.granted
+		return r.logs
+	})
+	add("claim of a sidecar that serves its shard, response of 200 bytes included", bytes/float64(claims), "B")
+}
+
+// silent is a handler of connections that carry nothing.
+type silent struct{ link.Handler }
+
+func (silent) HandleClose(*link.Conn, error) {}
+
+// connectionSlopes measures idle connections over loopback.
+func connectionSlopes(o Options, add func(string, float64, string)) {
+	n := 500
+	if o.Short {
+		n = 100
+	}
+	hello := func() wire.Hello { return wire.Hello{Instance: fmt.Sprint("press-", rand.IntN(1000)), Role: "sidecar"} }
+	server := link.NewServer(link.DefaultConfig(), hello, silent{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = server.Serve(ln) }()
+	var conns []*link.Conn
+	both := heapOf(n, func() any {
+		for range n {
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				panic(err)
+			}
+			conn, err := link.Client(benchContext(), nc, link.DefaultConfig(), hello, silent{})
+			if err != nil {
+				panic(err)
+			}
+			conns = append(conns, conn)
+		}
+		return conns
+	})
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	_ = server.Close()
+	add("pool connection, heap and stacks of one end", both/2, "B")
+}
--- /dev/null
+++ b/internal/bench/slopes_processor.go
@@ -0,0 +1,150 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/admission"
+	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/candidate"
+	"github.com/jayridge/jayridge/version/config"
+	"github.com/jayridge/jayridge/version/rollout"
+	"github.com/jayridge/jayridge/version/rules"
+)
+
+func benchContext() context.Context { return context.Background() }
+
+// configurationSlopes measures what the rules file costs a process in memory, and a change of one line in processor time.
+func configurationSlopes(s size, add func(string, float64, string)) {
+	text := s.rulesText()
+	lines := strings.Count(text, "\n")
+	add("rules per line, parsed", heapOf(lines, func() any {
+		set, faults := rules.Parse("rules", []byte(text))
+		if len(faults) > 0 {
+			panic(faults)
+		}
+		return set
+	}), "B")
+	var state *config.State
+	add("configuration per line, text and rules", heapOf(lines, func() any {
+		state = config.New(config.DefaultConfig())
+		if _, err := state.AdoptHead(config.Head{Version: 1, Text: text, Loaded: true, TextHash: config.Hash(text)}); err != nil {
+			panic(err)
+		}
+		return state
+	}), "B")
+	split := config.Lines(text)
+	add("change of one line, per line of the file", timePer(func(i int) {
+		team := i % s.teams
+		line := 2*s.models + team
+		split[line] = teamLine(team) + fmt.Sprint(" again ", i)
+		joined := config.Join(split)
+		push := wire.ConfigPush{Changes: []wire.ConfigChange{{
+			Version: state.Version() + 1, ChangeID: fmt.Sprint(i), TextHash: config.Hash(joined),
+			Edits: []wire.LineEdit{{Line: uint32(line), Removed: 1, Added: []string{split[line]}}},
+		}}}
+		if adopted, err := state.ApplyPush(push); !adopted || err != nil {
+			panic(fmt.Sprint("the change was not adopted: ", err))
+		}
+	})/float64(lines), "us")
+}
+
+// requestSlopes measures the decisions of one request.
+func requestSlopes(s size, view *candidate.View, add func(string, float64, string)) {
+	now := time.Unix(1_800_000_000, 0)
+	var buffer [8]candidate.Candidate
+	add("candidates of a request", timePer(func(i int) {
+		view.Candidates("press-model-0", "v1", nil, uint64(i)*0x9e3779b97f4a7c15, buffer[:0])
+	}), "us")
+	table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
+	ups := make([]load.Upstream, s.sidecars)
+	for i := range ups {
+		row := s.sidecar(i)
+		ups[i] = load.Upstream{ID: row.ID, DataCentre: row.DataCentre, Group: s.model(i)}
+	}
+	add("mean hint and load report of a request", timePer(func(i int) {
+		at := now.Add(time.Duration(i) * 5 * time.Millisecond)
+		table.Hint(at, ups[i%len(ups)])
+		table.Report(at, ups[i%len(ups)], wire.LoadReport{WorkUnits: uint32(i)})
+	}), "us")
+	c := admission.New(admission.DefaultConfig())
+	add("admission of a request", timePer(func(i int) {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		ticket, refusal := c.Admit(at, admission.Request{Team: "drivers", WorkUnits: 100})
+		if !refusal.Refused() {
+			c.Done(at, ticket, admission.Completion{WorkUnits: 100, OK: true})
+		}
+	}), "us")
+}
+
+// messageSlopes measures control messages, encoding and decoding included.
+func messageSlopes(s size, add func(string, float64, string)) {
+	t := newTraffic(s, Options{Seed: 1, Short: true})
+	now := time.Unix(1_800_000_000, 0)
+	table := t.table(now)
+	frame, err := wire.Encode(wire.ControlStream, t.digest())
+	if err != nil {
+		panic(err)
+	}
+	add("gossip message, sent and received", timePer(func(int) {
+		g := wire.Gossip{ConfigVersion: 1, Loads: table.Digest(now, digestSummaries)}
+		_, _ = wire.Encode(wire.ControlStream, &g)
+		received, err := wire.Read(bytes.NewReader(frame))
+		if err != nil {
+			panic(err)
+		}
+		table.Gossip(now, received.Message.(*wire.Gossip).Loads)
+	}), "us")
+	add("version exchange (Ping or Gossip), sent and received", timePer(func(int) {
+		f, _ := wire.Encode(wire.ControlStream, &wire.Ping{ConfigVersion: 9_490_000})
+		_, _ = wire.Read(bytes.NewReader(f))
+	}), "us")
+	cfg := rollout.DefaultConfig()
+	recorder := rollout.NewRecorder(cfg)
+	window := now.Truncate(cfg.Window)
+	for range 2000 {
+		recorder.Record(window, t.observation())
+	}
+	data, err := recorder.Ended(window.Add(cfg.Window)).Encode()
+	if err != nil {
+		panic(err)
+	}
+	aggregator := rollout.NewAggregator(cfg, window)
+	add("report of evidence of 92 strata, received and summed", timePer(func(i int) {
+		evidence, err := rollout.DecodeEvidence(data)
+		if err != nil {
+			panic(err)
+		}
+		_ = aggregator.Add(window.Add(cfg.Window), fmt.Sprint("entry-", i%34), evidence)
+	}), "us")
+}
+
+// membershipSlopes measures what one changed row of the instance list costs an entry.
+func membershipSlopes(s size, view *candidate.View, add func(string, float64, string)) {
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.New(membership.DefaultConfig())
+	table.ApplyList(s.instances())
+	table.Changed(now)
+	add("look for expired instances, on each control event", timePer(func(int) { table.Changed(now) }), "us")
+	add("membership change, tables included", timePer(func(i int) {
+		row := s.sidecar(i / 2 * s.dataCentres % s.sidecars)
+		if i%2 == 0 {
+			row.State = platform.InstanceLeaving
+		}
+		table.ApplyChanges([]platform.Instance{row}, nil)
+		eligible := table.Eligible(now, settings.RoleSidecar)
+		table.Eligible(now, settings.RoleEntry)
+		ups := make([]candidate.Upstream, len(eligible))
+		for j, e := range eligible {
+			ups[j] = candidate.Upstream{ID: e.ID, DataCentre: e.DataCentre, Service: e.Service, Version: e.Version}
+		}
+		view = candidate.Build(view, ups, candidate.DefaultConfig())
+	}), "us")
+}
