--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -55,6 +55,11 @@
 	stats   stats
 	// lastReceived is when the last frame was received, in nanoseconds since start.
 	lastReceived atomic.Int64
+	// probeAsked is when Probe was last called, in nanoseconds since start.
+	probeAsked atomic.Int64
+
+	// saidLeaving is set when this end announced its departure.
+	saidLeaving atomic.Bool
 
 	// ctx ends when the connection does.
 	ctx    context.Context
@@ -72,6 +77,8 @@
 	serving map[uint32]*Responder
 	// handlers is the number of HandleOpen calls in progress.
 	handlers int
+	// busySince is when the first of the requests in progress began, since start.
+	busySince time.Duration
 }
 
 func newConn(nc net.Conn, cfg Config, local func() wire.Hello, h Handler) *Conn {
@@ -125,6 +132,9 @@
 	if !isControl(m) || m.Type() == wire.TypeHello {
 		return trace.BadParameter("%T is no control frame", m)
 	}
+	if m.Type() == wire.TypeLeaving {
+		c.saidLeaving.Store(true)
+	}
 	return trace.Wrap(c.out.pushControl(m))
 }
 
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -52,12 +52,16 @@
 type Table struct {
 	cfg     Config
 	members map[string]*member
+	// pending has the members whose state changes by time alone: those that are down or leaving.
+	pending map[string]*member
 	dirty   bool
 	checked time.Time
 }
 
 // New returns an empty table.
-func New(cfg Config) *Table { return &Table{cfg: cfg, members: map[string]*member{}} }
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, members: map[string]*member{}, pending: map[string]*member{}}
+}
 
 // ApplyList takes a new instance list. A listed instance that is leaving is believed at once. One that is missing goes only
 // when it is not connected either. An empty list is ignored while instances are known: it is more likely a fault of the list.
@@ -79,6 +83,20 @@
 	}
 }
 
+// ApplyChanges takes the rows of the instance list that changed and the ids that are gone from it.
+func (t *Table) ApplyChanges(rows []platform.Instance, removed []string) {
+	for _, row := range rows {
+		t.list(row)
+	}
+	for _, id := range removed {
+		if m := t.members[id]; m != nil && m.listed {
+			m.listed = false
+			t.dirty = true
+			t.dropIfGone(id, m)
+		}
+	}
+}
+
 func (t *Table) list(row platform.Instance) {
 	m := t.members[row.ID]
 	if m == nil {
@@ -95,9 +113,22 @@
 	m.listed = true
 }
 
+// Unlisted returns the ids of connected instances that the list does not have. Their connections may be dead without having said so.
+func (t *Table) Unlisted() []string {
+	var ids []string
+	for id, m := range t.members {
+		if m.connected && !m.listed {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 func (t *Table) dropIfGone(id string, m *member) {
 	if !m.listed && !m.connected {
 		delete(t.members, id)
+		delete(t.pending, id)
 		t.dirty = true
 	}
 }
@@ -117,6 +148,7 @@
 	m.connected = true
 	m.announced = time.Time{}
 	m.downSince = time.Time{}
+	delete(t.pending, self.ID)
 	t.dirty = true
 }
 
@@ -130,6 +162,7 @@
 	if m.downSince.IsZero() {
 		m.downSince = now
 	}
+	t.pending[id] = m
 	t.dirty = true
 	t.dropIfGone(id, m)
 }
@@ -138,6 +171,7 @@
 func (t *Table) Leaving(now time.Time, id string) {
 	if m := t.members[id]; m != nil {
 		m.announced = now
+		t.pending[id] = m
 		t.dirty = true
 	}
 }
@@ -146,7 +180,7 @@
 func (t *Table) Changed(now time.Time) bool {
 	changed := t.dirty
 	t.dirty = false
-	for _, m := range t.members {
+	for _, m := range t.pending {
 		// Passing time alone removes an unreachable instance and ends an announcement.
 		if t.expiredSinceCheck(now, m.downSince, t.cfg.DownAfter) || t.expiredSinceCheck(now, m.announced, t.cfg.LeavingFor) {
 			changed = true
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -1,10 +1,12 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/jayridge/jayridge/platform"
 )
@@ -61,6 +63,10 @@
 			m.Leaving(start, "b")
 			m.Connected(row("b", platform.InstanceLive))
 		}, 0, []string{"a", "b"}},
+		{"changed rows and removed ids are taken alone", func(m *Table) {
+			m.Connected(row("a", platform.InstanceLive))
+			m.ApplyChanges([]platform.Instance{row("c", platform.InstanceLive), row("d", platform.InstanceLeaving)}, []string{"a", "b", "x"})
+		}, 0, []string{"a", "c"}},
 		{"an empty list is a fault of the list", func(m *Table) { m.ApplyList(nil) }, 0, []string{"a", "b"}},
 	}
 	for _, c := range cases {
@@ -83,3 +89,47 @@
 	must.True(t, table.Changed(start.Add(5*time.Second)))
 	must.False(t, table.Changed(start.Add(6*time.Second)))
 }
+
+// Guards against a silently dead instance that stays a candidate because nobody probes its idle connection once the list drops it.
+func TestUnlisted(t *testing.T) {
+	table := New(DefaultConfig())
+	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive), row("c", platform.InstanceLive)})
+	table.Connected(row("a", platform.InstanceLive))
+	table.Connected(row("b", platform.InstanceLive))
+	must.SliceEmpty(t, table.Unlisted())
+	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive)})
+	must.Eq(t, []string{"b"}, table.Unlisted())
+}
+
+// Guards against an expiry that is missed because its instance left the set of those that time changes: Changed must agree with a
+// comparison of the eligible instances after any sequence of inputs.
+func TestChanged_AgreesWithEligible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := New(DefaultConfig()), start
+		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		var before []string
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := names.Draw(t, "name")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				table.Connected(row(name, platform.InstanceLive))
+			case 1:
+				table.Disconnected(now, name)
+			case 2:
+				table.Leaving(now, name)
+			case 3:
+				table.ApplyList([]platform.Instance{row(name, platform.InstanceLive)})
+			case 4:
+				table.ApplyChanges([]platform.Instance{row(name, platform.InstanceLive)}, []string{names.Draw(t, "gone")})
+			default:
+				now = now.Add(time.Duration(rapid.IntRange(0, 70).Draw(t, "seconds")) * time.Second)
+			}
+			changed := table.Changed(now)
+			after := ids(table.Eligible(now, "sidecar"))
+			if !slices.Equal(before, after) {
+				must.True(t, changed)
+			}
+			before = after
+		}
+	})
+}
