guards.sh: more guards, and refuse those that do not build

Cause: two guards were counted as noticed because the tree did not build without them, and the load bound, cold start, newer configurations, retries and announcements had no entry.

Change: a tree that does not build is an error of the entry; five guards are added. Conclusion: the list stands for the invariants' main guards.

--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -29,8 +29,13 @@
     missed=1
     return
   fi
+  if grep -q "build failed" <<<"$output"; then
+    echo "$name: the tree does not build without the guard"
+    missed=1
+    return
+  fi
   echo "== $name: noticed by $test"
-  echo "$output" | grep -vE '^\s*$|^[IWE][0-9]{4} |log of |^\s+[IWE][0-9]{4} |^\s+\S+_test.go:[0-9]+:\s*$' | grep -m 4 -E '_test.go|FAIL:|expected|never happened|value|panic|↪|build failed|undefined|declared|imported'
+  echo "$output" | grep -vE '^\s*$|^[IWE][0-9]{4} |log of |^\s+[IWE][0-9]{4} |^\s+\S+_test.go:[0-9]+:\s*$' | grep -m 4 -E '_test.go|FAIL:|expected|never happened|value|panic|↪'
 }
 
 guard claim process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test 'TestClaim_SentTwiceAtOnce$'
@@ -48,4 +53,9 @@
 guard order-pause process/order/order.go 's/g\.now\(\)\.Sub\(checked\) > g\.cfg\.Freshness/checked.IsZero()/' ./process/order TestPass_PausedAfterCheck
 guard quarantine process/quarantine/tracker.go 's/t\.list\.Add\(now, f\)//' ./test TestCrash_PoisonRequestIsQuarantined
 guard control-messages connection/link/conn.go 's/if !isControl\(m\) \|\| m\.Type\(\) == wire\.TypeHello/if m.Type() != wire.TypeGossip/' ./connection/link TestSend_AllControlMessagesArrive
+guard load-bound process/admission/controller.go 's/if after > limit \&\&/if after > limit+1e18 \&\&/' ./process/admission TestBoundHoldsAndServiceProgresses
+guard cold-start process/admission/controller.go 's/if c\.cold\.limited\(&c\.limits\) \&\& !c\.coldRoom\(team\)/if false/' ./process/admission TestColdStart
+guard newer-only version/config/adopt.go 's/if h\.Version <= before/if h.Version == before/' ./version/config 'TestStateSources|TestProposersAndReaders'
+guard retry-safety request/retry/policy.go 's/ran > 0 \&\& \(!r\.Idempotent \|\|/ran > 0 \&\& (false ||/' ./request/retry 'TestEveryCode|TestDecisionsAreSafe'
+guard leaving-announced process/membership/membership.go 's/if !m\.announced\.IsZero\(\) \&\& !expired/if false \&\& !expired/' ./process/membership TestTable_MergesSources
 exit $missed
