--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -227,7 +227,8 @@
 	Snapshot *ConfigSnapshotPart `msgpack:"s,omitempty"`
 }
 
-// ConfigSnapshotPart is one part of the whole configuration text; a receiver concatenates Parts parts in order of Part.
+// ConfigSnapshotPart is one part of the whole configuration text. Data is a gzip member; a receiver concatenates the content of Parts parts
+// in order of Part.
 type ConfigSnapshotPart struct {
 	Version  uint64 `msgpack:"v"`
 	ChangeID string `msgpack:"id"`
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -89,7 +89,7 @@
 	e.routing.Store(&routing{})
 	n, err := node.New(node.Options{
 		Settings: opts.Settings, KV: opts.KV, List: opts.List,
-		Link: link.DefaultConfig(), Member: membership.DefaultConfig(), Role: e,
+		Link: node.LinkConfig(opts.Settings), Member: membership.DefaultConfig(), Role: e,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -132,27 +132,44 @@
 
 // Publish implements node.Role: it builds the routing tables of a new set of instances.
 func (e *Entry) Publish(snapshot *node.Snapshot) {
-	next := &routing{
-		sidecars: make(map[string]platform.Instance, len(snapshot.Sidecars)),
-		entries:  max(1, len(snapshot.Entries)),
+	if snapshot.Config != nil && snapshot.Version() != e.node.Snapshot().Version() {
+		e.shifts.SetRules(time.Now(), snapshot.Config.Rules)
 	}
-	upstreams := make([]candidate.Upstream, 0, len(snapshot.Sidecars))
-	for _, i := range snapshot.Sidecars {
-		if drained(snapshot, i) {
-			continue
-		}
+	next := &routing{sidecars: make(map[string]platform.Instance, len(snapshot.Sidecars)), entries: max(1, len(snapshot.Entries))}
+	var upstreams []candidate.Upstream
+	for _, i := range reachable(snapshot, e.opts.Settings.Region) {
 		next.sidecars[i.ID] = i
 		upstreams = append(upstreams, candidate.Upstream{ID: i.ID, DataCentre: i.DataCentre, Service: i.Service, Version: i.Version})
 	}
-	if snapshot.Config != nil && snapshot.Version() != e.node.Snapshot().Version() {
-		e.shifts.SetRules(time.Now(), snapshot.Config.Rules)
-	}
 	previous := e.routing.Load()
 	next.view = candidate.Build(previous.view, upstreams, candidate.DefaultConfig())
 	e.routing.Store(next)
 	e.forget(previous, next)
 }
 
+// serviceVersion names the upstreams that are interchangeable.
+type serviceVersion struct{ service, version string }
+
+// reachable returns the sidecars that are not drained: those of the region, and of other regions those whose service version has none in
+// the region. An empty region reaches all.
+func reachable(snapshot *node.Snapshot, region string) []platform.Instance {
+	near := func(i platform.Instance) bool { return region == "" || i.Region == "" || i.Region == region }
+	inRegion := map[serviceVersion]bool{}
+	var open []platform.Instance
+	for _, i := range snapshot.Sidecars {
+		if drained(snapshot, i) {
+			continue
+		}
+		open = append(open, i)
+		if near(i) {
+			inRegion[serviceVersion{i.Service, i.Version}] = true
+		}
+	}
+	return slices.DeleteFunc(open, func(i platform.Instance) bool {
+		return !near(i) && inRegion[serviceVersion{i.Service, i.Version}]
+	})
+}
+
 func drained(snapshot *node.Snapshot, i platform.Instance) bool {
 	if snapshot.Config == nil {
 		return false
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -22,9 +22,11 @@
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/platform/httpkv"
 	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 const testRules = `service press-model kind=model versions=v1 # losana: the model
@@ -330,3 +332,27 @@
 		}
 	}
 }
+
+// Guards against work that leaves the region while the region can do it, and against a service version that has no upstream because all of
+// them are in other regions or drained.
+func TestReachable_PrefersTheRegion(t *testing.T) {
+	row := func(id, dataCentre, region, version string) platform.Instance {
+		return platform.Instance{ID: id, DataCentre: dataCentre, Region: region, Service: "s", Version: version}
+	}
+	set, faults := rules.Parse("rules", []byte("service s kind=model versions=v1,v2 # a: b\ndrain datacentre riga-b # a: b\n"))
+	must.SliceEmpty(t, faults)
+	snapshot := &node.Snapshot{
+		Config: &config.Accepted{Rules: set},
+		Sidecars: []platform.Instance{
+			row("near", "riga-a", "baltic", "v1"), row("far", "suva", "pacific", "v1"), row("far-new", "suva", "pacific", "v2"), row("drained", "riga-b", "baltic", "v2"),
+		},
+	}
+	ids := func(region string) (names []string) {
+		for _, i := range reachable(snapshot, region) {
+			names = append(names, i.ID)
+		}
+		return names
+	}
+	must.Eq(t, []string{"near", "far-new"}, ids("baltic"))
+	must.Eq(t, []string{"near", "far", "far-new"}, ids(""))
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -76,6 +76,16 @@
 	Role     Role
 }
 
+// LinkConfig returns the connections' configuration for a process's settings.
+func LinkConfig(s *settings.Settings) link.Config {
+	cfg := link.DefaultConfig()
+	cfg.KeepaliveInterval = settings.Milliseconds(s.KeepaliveMS)
+	// A peer that was paused has one and a half intervals to answer.
+	cfg.KeepaliveTimeout = cfg.KeepaliveInterval * 5 / 2
+	cfg.IdleInterval = max(cfg.IdleInterval, cfg.KeepaliveInterval)
+	return cfg
+}
+
 // eventQueue bounds the changes that wait for the control goroutine.
 const eventQueue = 4096
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -49,7 +49,8 @@
 	Role string `json:"role" validate:"required,oneof=entry sidecar"`
 	// DataCentre is the data centre that the instance is in.
 	DataCentre string `json:"data_centre" validate:"required"`
-	// Region groups data centres that are near each other. Empty: one region.
+	// Region groups data centres that are near each other. An entry uses upstreams of other regions only for a service version that
+	// has none in its own. Empty: one region.
 	Region string `json:"region"`
 	// PeerAddress is the IP address and port for frames from other processes.
 	PeerAddress string `json:"peer_address" validate:"required,tcp_addr"`
@@ -71,7 +72,8 @@
 	Seeds []string `json:"seeds" validate:"dive,tcp_addr"`
 	// GossipIntervalMS is the time between exchanges with a random peer, in milliseconds. Default 1000.
 	GossipIntervalMS int `json:"gossip_interval_ms" validate:"min=10,max=60000"`
-	// KeepaliveMS is the idle time after which a connection is probed, in milliseconds. Default 5000.
+	// KeepaliveMS is the silence after which a connection with requests in progress is probed, in milliseconds; two and a half
+	// times as long ends it. Default 10000.
 	KeepaliveMS int `json:"keepalive_ms" validate:"min=50,max=600000"`
 	// ConnectTimeoutMS bounds dialing and handshake with a peer, in milliseconds. Default 1000.
 	ConnectTimeoutMS int `json:"connect_timeout_ms" validate:"min=10,max=60000"`
@@ -155,7 +157,7 @@
 		Rollout:           Rollout{WindowMS: 5000, LagMS: 5000, MinStepMS: 30_000, MonitorMS: 1_800_000, SettleMS: 10_000},
 		Instances:         Instances{PollIntervalMS: 4000},
 		GossipIntervalMS:  1000,
-		KeepaliveMS:       5000,
+		KeepaliveMS:       10_000,
 		ConnectTimeoutMS:  1000,
 		LeaveDelayMS:      3000,
 		ShutdownTimeoutMS: 60_000,
--- a/process/sidecar/crash.go
+++ b/process/sidecar/crash.go
@@ -72,6 +72,9 @@
 	report, err := s.upstreamLoad(ctx)
 	s.mu.Lock()
 	gone := s.crashes.epoch == epoch && (err != nil || report.StartID != s.crashes.startID)
+	if err == nil {
+		s.admission.Report(time.Now(), report)
+	}
 	s.mu.Unlock()
 	if gone {
 		s.upstreamCrashed(epoch, report.StartID)
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -11,7 +11,6 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
@@ -89,7 +88,7 @@
 		s.orders = order.NewGate(order.DefaultConfig(), opts.KV, opts.Engine, opts.Settings.Instance)
 	}
 	n, err := node.New(node.Options{
-		Settings: opts.Settings, KV: opts.KV, Link: link.DefaultConfig(), Member: membership.DefaultConfig(), Role: s,
+		Settings: opts.Settings, KV: opts.KV, Link: node.LinkConfig(opts.Settings), Member: membership.DefaultConfig(), Role: s,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
