Report a load that changed soon, and say farewell once to each entry

With 1.5 load reports a second the mean lagged by up to 0.7 s, and an upstream whose load grew after a pause refused work over a bound that followed the old mean. A load that differs by more than a quarter from the last reported one is now reported up to 6 times a second; a steady one is not reported more often than before.

A leaving entry told an entry that it was connected with both ways twice.

--- /dev/null
+++ b/process/load/sampler_test.go
@@ -0,0 +1,34 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against reports of a steady load that exceed their part of the control budget, and against a fast growth of the load that nobody
+// hears of before the next usual report.
+func TestSampler(t *testing.T) {
+	s := NewSampler()
+	reports, now := 0, start
+	for ms := range 60_000 {
+		now = start.Add(time.Duration(ms) * time.Millisecond)
+		if s.Allow(now, 30_000+uint32(ms%5000)) {
+			reports++
+		}
+	}
+	must.Between(t, 60, reports, 60*reportsPerSecond+reportBurst+1)
+	must.False(t, s.Allow(now, 31_000))
+	for _, work := range []uint32{45_000, 60_000, 20_000, 0, 1} {
+		must.True(t, s.Allow(now, work))
+		must.False(t, s.Allow(now, work))
+	}
+	allowed := 0
+	for i := range uint32(100) {
+		if s.Allow(now, i%2*30_000) {
+			allowed++
+		}
+	}
+	must.LessEq(t, changeBurst, allowed)
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -170,7 +170,11 @@
 	event.Log(event.ProcessLeaving, "instance", n.opts.Settings.Instance)
 	goodbye := &wire.Leaving{}
 	n.server.Broadcast(goodbye)
-	n.pool.announce(goodbye)
+	told := map[string]bool{}
+	for _, conn := range n.server.Conns() {
+		told[conn.Remote().Instance] = true
+	}
+	n.pool.announce(goodbye, told)
 }
 
 // Tell sends digests to every connected peer. It is for rare news that must not wait for gossip.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -192,10 +192,11 @@
 	}
 }
 
-// announce is broadcast without the sidecars: none of them sends work to this process, and an entry may be connected to 10,000.
-func (p *Pool) announce(m wire.Message) {
+// announce is broadcast without the instances that were told on another connection and without the sidecars: none of them sends work to
+// this process, and an entry may be connected to 10,000.
+func (p *Pool) announce(m wire.Message, told map[string]bool) {
 	for _, conn := range p.conns() {
-		if conn.Remote().Role != settings.RoleSidecar {
+		if remote := conn.Remote(); remote.Role != settings.RoleSidecar && !told[remote.Instance] {
 			_ = conn.Send(m)
 		}
 	}
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -27,17 +27,19 @@
 	x := &exchange{s: s, open: open, r: r}
 	end := x.serve(ctx, conn)
 	metrics.Add("result_"+result.Code(end.Result).String(), 1)
-	if s.reports.Allow(time.Now()) {
-		end.Load = s.load()
-	}
+	end.Load = s.report()
 	end.ConfigVersion = node.InEnd(s.node.Snapshot().Version(), open.ConfigVersion)
 	_ = r.End(end)
 }
 
-func (s *Sidecar) load() *wire.LoadReport {
+// report returns the load report that the next answer carries, or nil if it carries none.
+func (s *Sidecar) report() *wire.LoadReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	report := s.admission.Load()
+	if !s.reports.Allow(time.Now(), report.WorkUnits) {
+		return nil
+	}
 	return &report
 }
 
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -45,14 +45,14 @@
 	claims *claim.Store
 	orders *order.Gate
 	calls  claimedCalls
-	// reports chooses the answers that carry a load report.
-	reports *load.Sampler
 
 	// mu guards the decisions below. It is never held across I/O.
 	mu        sync.Mutex
 	admission *admission.Controller
 	mean      *load.MeanEstimator
-	crashes   crashes
+	// reports chooses the answers that carry a load report.
+	reports *load.Sampler
+	crashes crashes
 	// shift is the shift to this upstream's version, if there is one; shiftStopped is set when a peer knows it to be stopped.
 	shift        rules.Shift
 	shiftStopped *wire.RolloutStop
