Let the estimator's test follow the configured window

Change: the test looks half a second beyond the configured window. The same three steps and the same limits are asserted.

Conclusion: the estimate follows three recent hints as before.

--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -212,14 +212,15 @@
 
 // Guards against old hints that outweigh recent ones, and against an estimate from hints beyond the age limit.
 func TestEstimateFollowsRecentHints(t *testing.T) {
-	e := NewMeanEstimator(DefaultEstimatorConfig())
+	cfg := DefaultEstimatorConfig()
+	e := NewMeanEstimator(cfg)
 	_, found := e.Mean(start)
 	must.False(t, found)
 	e.Hint(start, "a", 0)
 	for i := range 20 {
 		e.Hint(start, fmt.Sprint("old", i), 100)
 	}
-	now := start.Add(1500 * time.Millisecond)
+	now := start.Add(cfg.Window + 500*time.Millisecond)
 	for i, want := range []uint32{100, 100, 900} {
 		e.Hint(now, fmt.Sprint("new", i), 900)
 		got, _ := e.Mean(now)
