Split the roles' larger files by concern and share stand-in handlers

Cause: exchange.go held the request and its attempts (403 lines), peers.go the pool and the messages (344), sidecar.go limits and load reports (296); three stand-ins each had the same handlers for faults and JSON, and three commands the same steps to read the accepted rules.

Change: entry/attempt.go, node/pool.go, sidecar/limits.go and sidecar/load.go; internal/standin/control; acceptedHead in the command line. No behaviour changes.

Conclusion: a reader finds a concern by its file's name.

--- a/cmd/jayridge/moves.go
+++ b/cmd/jayridge/moves.go
@@ -39,11 +39,7 @@
 		Name: "moves", Usage: "show what is under way, done or undone, and why",
 		Flags: []cli.Flag{kvFlag(), instancesFlag(), outputFlag()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			kv, err := openKV(cmd)
-			if err != nil {
-				return err
-			}
-			head, err := readHead(ctx, kv)
+			head, err := acceptedHead(ctx, cmd)
 			if err != nil {
 				return err
 			}
--- a/cmd/jayridge/show.go
+++ b/cmd/jayridge/show.go
@@ -16,11 +16,7 @@
 		Name: "show", Usage: "print the accepted rules, ready to be edited and applied",
 		Flags: []cli.Flag{kvFlag()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			kv, err := openKV(cmd)
-			if err != nil {
-				return err
-			}
-			head, err := readHead(ctx, kv)
+			head, err := acceptedHead(ctx, cmd)
 			if err != nil {
 				return err
 			}
@@ -43,11 +39,7 @@
 			if err != nil {
 				return err
 			}
-			kv, err := openKV(cmd)
-			if err != nil {
-				return err
-			}
-			head, err := readHead(ctx, kv)
+			head, err := acceptedHead(ctx, cmd)
 			if err != nil {
 				return err
 			}
@@ -65,6 +57,15 @@
 	return config.Unified(fmt.Sprintf("accepted version %d", head.Version), path, head.Text, text)
 }
 
+// acceptedHead reads the accepted configuration from the service that the command names.
+func acceptedHead(ctx context.Context, cmd *cli.Command) (config.Head, error) {
+	kv, err := openKV(cmd)
+	if err != nil {
+		return config.Head{}, err
+	}
+	return readHead(ctx, kv)
+}
+
 // readHead reads the accepted configuration with its text.
 func readHead(ctx context.Context, kv platform.KV) (config.Head, error) {
 	head, _, err := config.ReadHead(ctx, kv, nil)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -19,6 +19,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/jayridge/jayridge/internal/standin/control"
 )
 
 // Config describes an engine.
@@ -153,7 +155,7 @@
 	r.HandleFunc("/v1/orders", s.order).Methods(http.MethodPost)
 	r.HandleFunc("/v1/cache/{chat}", s.exportCache).Methods(http.MethodGet)
 	r.HandleFunc("/v1/cache/{chat}", s.importCache).Methods(http.MethodPut)
-	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/faults", control.Faults(s.SetFaults)).Methods(http.MethodPost)
 	r.HandleFunc("/counters", s.showCounters).Methods(http.MethodGet)
 	s.Handler = r
 	return s
@@ -219,21 +221,14 @@
 	s.faults = f
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
+func (s *Server) showCounters(w http.ResponseWriter, _ *http.Request) {
+	control.WriteJSON(w, s.Counters())
 }
 
-func (s *Server) showCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) }
-
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]any{
+	control.WriteJSON(w, map[string]any{
 		"start_id": s.startID, "work_units": s.work, "capacity": s.cfg.Capacity,
 		"cached_prefixes": s.cache.Len(), "cold": s.cold,
 	})
@@ -253,7 +248,7 @@
 			later = append(later, e)
 		}
 	}
-	writeJSON(w, later)
+	control.WriteJSON(w, later)
 }
 
 func (s *Server) cancel(_ http.ResponseWriter, r *http.Request) {
@@ -334,8 +329,3 @@
 	}
 	return request.MaxTokens
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -20,6 +20,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/jayridge/jayridge/internal/standin/control"
 	"github.com/jayridge/jayridge/platform"
 )
 
@@ -71,7 +72,7 @@
 	r.HandleFunc("/v1/instances", s.list).Methods(http.MethodGet)
 	r.HandleFunc("/v1/instances/{id}", s.put).Methods(http.MethodPut)
 	r.HandleFunc("/v1/instances/{id}", s.remove).Methods(http.MethodDelete)
-	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/faults", control.Faults(s.SetFaults)).Methods(http.MethodPost)
 	s.Handler = r
 	return s
 }
@@ -175,12 +176,8 @@
 
 func (s *Server) remove(_ http.ResponseWriter, r *http.Request) { s.Remove(mux.Vars(r)["id"]) }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/jayridge/jayridge/internal/standin/control"
 )
 
 // Faults are switched on by a test.
@@ -63,7 +65,7 @@
 	s.counters.Effects = map[string]int{}
 	close(s.released)
 	r := mux.NewRouter()
-	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/faults", control.Faults(s.SetFaults)).Methods(http.MethodPost)
 	r.HandleFunc("/counters", s.showCounters).Methods(http.MethodGet)
 	r.HandleFunc("/v1/load", s.load).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(s.lookUp).Methods(http.MethodGet)
@@ -94,21 +96,14 @@
 	s.faults = f
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
+func (s *Server) showCounters(w http.ResponseWriter, _ *http.Request) {
+	control.WriteJSON(w, s.Counters())
 }
 
-func (s *Server) showCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) }
-
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]any{"start_id": s.startID, "work_units": s.counters.InFlight, "capacity": 0})
+	control.WriteJSON(w, map[string]any{"start_id": s.startID, "work_units": s.counters.InFlight, "capacity": 0})
 }
 
 func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
@@ -119,7 +114,7 @@
 	if s.counters.Effects[id] > 0 {
 		status = "done"
 	}
-	writeJSON(w, Effect{ID: id, Status: status})
+	control.WriteJSON(w, Effect{ID: id, Status: status})
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
@@ -145,7 +140,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	effect.Status = "done"
-	writeJSON(w, effect)
+	control.WriteJSON(w, effect)
 }
 
 func (s *Server) begin() (failed, dropped bool, faults Faults, released chan struct{}) {
@@ -172,8 +167,3 @@
 	defer s.mu.Unlock()
 	s.counters.Effects[id]++
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -34,27 +34,16 @@
 	_ = r.End(end)
 }
 
-// report returns the load report that the next answer carries, or nil if it carries none.
-func (s *Sidecar) report() *wire.LoadReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	report := s.admission.Load()
-	if !s.reports.Allow(time.Now(), report.WorkUnits) {
-		return nil
-	}
-	return &report
-}
-
 // exchange is one request on its way through the sidecar.
 type exchange struct {
-	s    *Sidecar
-	open *wire.Open
-	r    *link.Responder
-	// ticket is the admission's; admitted says whether there is one.
-	ticket   admission.Ticket
-	first    bool
-	work     uint32
-	accepted bool
+	s      *Sidecar
+	open   *wire.Open
+	r      *link.Responder
+	ticket admission.Ticket
+	// accepted says that the request was or is about to be handed to the upstream, first that a part of its answer has arrived.
+	accepted, first bool
+	// work is what was done, in work units.
+	work uint32
 }
 
 // serve returns how the request ended.
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -14,7 +14,6 @@
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
-	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/membership"
 	"github.com/jayridge/jayridge/process/node"
@@ -135,117 +134,6 @@
 	s.node.Stop()
 }
 
-// reportLoad hands the upstream's load reports to the admission controller.
-func (s *Sidecar) reportLoad(ctx context.Context) {
-	interval := settings.Milliseconds(s.opts.Settings.Upstream.LoadIntervalMS)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	failing := false
-	for {
-		failing = s.readLoad(ctx, failing)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// loadTimeout bounds one read of the upstream's load report.
-const loadTimeout = 2 * time.Second
-
-// readLoad reads the load report once and returns whether that failed. It logs the first failure of a row.
-func (s *Sidecar) readLoad(ctx context.Context, failing bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	report, err := s.upstreamLoad(ctx)
-	if err != nil {
-		metrics.Add("load_reports_failed", 1)
-		if !failing {
-			event.Log(event.LoadReportFailed, "upstream", s.opts.Settings.Upstream.URL, "error", err)
-		}
-		return true
-	}
-	s.restarted(report)
-	s.mu.Lock()
-	was := s.admission.Load().Cold
-	s.admission.Report(time.Now(), report)
-	is := s.admission.Load().Cold
-	s.mu.Unlock()
-	s.logTemperature(was, is)
-	return false
-}
-
-func (s *Sidecar) upstreamLoad(ctx context.Context) (platform.EngineLoad, error) {
-	if s.opts.Engine != nil {
-		return s.opts.Engine.Load(ctx)
-	}
-	return s.opts.Plain.Load(ctx)
-}
-
-func (s *Sidecar) logTemperature(was, is bool) {
-	switch {
-	case !was && is:
-		event.Log(event.UpstreamCold, "instance", s.opts.Settings.Instance)
-	case was && !is:
-		event.Log(event.UpstreamWarm, "instance", s.opts.Settings.Instance)
-	}
-}
-
-// Publish implements node.Role: it takes over the limits of a new configuration.
-func (s *Sidecar) Publish(snapshot *node.Snapshot) {
-	if snapshot.Config == nil {
-		return
-	}
-	limits, drain := s.limits(snapshot.Config.Rules)
-	s.mu.Lock()
-	was := s.admission.State().Drained
-	s.admission.SetLimits(time.Now(), limits)
-	s.setShift(snapshot.Config.Rules)
-	s.mu.Unlock()
-	switch {
-	case limits.Drained && !was:
-		event.Log(event.DrainStarted, "instance", s.opts.Settings.Instance, "line", drain.Line, "comment", drain.Comment)
-	case !limits.Drained && was:
-		event.Log(event.DrainEnded, "instance", s.opts.Settings.Instance)
-	}
-}
-
-// setShift notes the shift to this upstream's version. The lock is held.
-func (s *Sidecar) setShift(set *rules.Set) {
-	shift, ok := set.Shift(s.opts.Settings.Service)
-	if !ok || shift.To != s.opts.Settings.Upstream.Version {
-		shift = rules.Shift{}
-	}
-	if shift.ID != s.shift.ID {
-		s.shift = shift
-		s.shiftStopped = nil
-	}
-}
-
-func (s *Sidecar) limits(set *rules.Set) (admission.Limits, rules.Drain) {
-	drain, drained := set.Drained(s.opts.Settings.DataCentre, s.opts.Settings.Instance)
-	limits := admission.Limits{
-		Drained:    drained,
-		TeamWeight: func(name string) float64 { return teamOf(set, name).weight },
-		TeamLimit:  func(name string) float64 { return teamOf(set, name).limit },
-	}
-	if service, ok := set.Service(s.opts.Settings.Service); ok {
-		limits.Bound = service.Bound.Factor
-		limits.ColdInitial = service.ColdStart.Initial
-		limits.ColdLimit = service.ColdStart.Limit
-	}
-	return limits, drain
-}
-
-// teamShare is what the rules say of a team, with a rate for this upstream.
-type teamShare struct{ weight, limit float64 }
-
-func teamOf(set *rules.Set, name string) teamShare {
-	team, _ := set.Team(name)
-	return teamShare{weight: float64(team.Weight), limit: team.Limit}
-}
-
 // Tick implements node.Role.
 func (s *Sidecar) Tick(time.Time, *node.Snapshot) {}
 
