--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -39,12 +39,12 @@
 }
 
 guard claim process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test 'TestClaim_SentTwiceAtOnce$'
-guard unknown-after-send process/entry/exchange.go 's/case !sent:/case true:/' ./process/entry TestExchange_CutAtEveryFrame
-guard fresh-answer process/entry/exchange.go 's/x\.answer\.reset\(\)/_ = x/' ./process/entry TestExchange_CutAtEveryFrame
-guard whole-answer process/entry/exchange.go 's/if err := body\.End\(m\); err != nil/if err := body.End(m); false \&\& err != nil/' ./process/entry TestExchange_DamagedAnswers
+guard unknown-after-send process/entry/attempt.go 's/case !sent:/case true:/' ./process/entry TestExchange_CutAtEveryFrame
+guard fresh-answer process/entry/attempt.go 's/x\.answer\.reset\(\)/_ = x/' ./process/entry TestExchange_CutAtEveryFrame
+guard whole-answer process/entry/attempt.go 's/if err := body\.End\(m\); err != nil/if err := body.End(m); false \&\& err != nil/' ./process/entry TestExchange_DamagedAnswers
 guard broken-stream process/entry/answer.go 's/_ = s\.event\("error", o\.terminal\(\)\)\n\tpanic\(http\.ErrAbortHandler\)/_ = s.event("end", o.terminal())/' ./test TestStream_BrokenNeverLooksEnded
 guard config-pull process/node/peers.go 's/if version > n\.Snapshot\(\)\.Version\(\)/if false/' ./process/node TestConfig_PulledFromPeer
-guard drain-sidecar process/sidecar/sidecar.go 's/Drained:    drained,/Drained:    drained \&\& false,/' ./process/sidecar TestServe_DrainedByNewerConfiguration
+guard drain-sidecar process/sidecar/limits.go 's/Drained:    drained,/Drained:    drained \&\& false,/' ./process/sidecar TestServe_DrainedByNewerConfiguration
 guard newer-config process/sidecar/serve.go 's/snapshot\.Version\(\) < x\.open\.ConfigVersion/false/' ./process/sidecar TestServe_UnknownNewerConfiguration
 guard finish-requests cmd/jayridge/role.go 's/if err := r\.Drain\(ctx\); err != nil/if err := error(nil); err != nil/' ./test TestLeave_SidecarCutsNothing
 guard refuse-when-leaving process/sidecar/sidecar.go 's/s\.admission\.SetLeaving\(\)//' ./process/sidecar TestServe_Leaving
