Send calls elsewhere when a sidecar does not answer

Cause: a paused sidecar keeps its connection open. Its chats waited until the keepalive ended the connection after 25 s, or until their deadline, and each new one of these chats did the same.

Change: an attempt of a call that may be repeated waits 2 s for the sidecar's first word, then the next candidate is tried; the silent sidecar is tried after the others for 5 s and its connection is probed. Calls that may not be repeated wait as before, because they may have run. Ruled out: a shorter keepalive, which costs an entry control traffic on every connection.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -66,9 +66,10 @@
 	defer stream.Cancel()
 	body := assembly.New(open.Identity, x.delivered)
 	for {
-		m, err := stream.Recv(ctx)
+		m, err := a.receive(ctx, stream)
 		if err != nil {
 			stream.Cancel()
+			a.noteSilence(conn, err)
 			return outcome{code: a.interrupted(ctx, stream.Sent()), reason: err.Error()}
 		}
 		switch m := m.(type) {
@@ -84,6 +85,34 @@
 	}
 }
 
+// errSilent says that a sidecar did not answer in time.
+var errSilent = errors.New("the sidecar did not answer")
+
+// receive returns the sidecar's next message. If the request may be repeated, the first message must come within acceptTimeout: a paused
+// sidecar would otherwise hold its chats until the keepalive ends the connection.
+func (a *attempt) receive(ctx context.Context, stream *link.Stream) (wire.Message, error) {
+	if a.accepted || !a.x.route.Idempotent {
+		return stream.Recv(ctx)
+	}
+	wait, cancel := context.WithDeadline(ctx, a.start.Add(acceptTimeout))
+	defer cancel()
+	m, err := stream.Recv(wait)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
+		return nil, errSilent
+	}
+	return m, err
+}
+
+// noteSilence makes the next requests prefer other upstreams, and has the connection probed.
+func (a *attempt) noteSilence(conn *link.Conn, err error) {
+	if !errors.Is(err, errSilent) {
+		return
+	}
+	metrics.Add("sidecars_silent", 1)
+	a.x.e.silence.note(time.Now(), a.target.ID)
+	conn.Probe()
+}
+
 func (a *attempt) open(ctx context.Context) *wire.Open {
 	x := a.x
 	deadline, _ := ctx.Deadline()
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -55,6 +55,7 @@
 	routing atomic.Pointer[routing]
 	policy  *retry.Policy
 	teams   *teamLimits
+	silence silence
 	shifts  *shift.Driver
 	shower  *node.Shower
 	server  *http.Server
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// Guards against a frozen sidecar that holds its chats until their deadline: the deadline here is shorter than the keepalive's timeout.
+func TestFreeze_ChatsGoElsewhere(t *testing.T) {
+	f := small(t)
+	f.signal("press-1", syscall.SIGSTOP)
+	for i := range 24 {
+		r := f.post("entry-1", "/chat", fmt.Sprintf("frozen-%d", i), "", `{"prompt":"gate?","max_tokens":4}`, "Jayridge-Deadline-Ms", "15000")
+		must.Eq(t, http.StatusOK, r.status, must.Sprint(r))
+	}
+}
+
 // Guards against a shutdown that cuts requests in progress or lets new ones fail, with an instance list that lags behind.
 func TestLeave_SidecarCutsNothing(t *testing.T) {
 	f := small(t)
