Use the field's usual names in node, entry and shift

Cause: several names were figurative or private: Shower, Hear, Heard, Tell, banned, looksAfter, silence.

Change: VersionSampler, ObserveVersion, HandleGossip, Broadcast and GossipSome, quarantined, isAssigned, unresponsive; files are renamed after them, and comments follow.

Conclusion: names say what a reader of Go expects.

--- a/internal/bench/bytes.go
+++ b/internal/bench/bytes.go
@@ -104,7 +104,7 @@
 	s := t.size
 	start := time.Unix(1_800_000_000, 0)
 	table := load.NewTable(s.dataCentre(0), load.DefaultConfig())
-	shower, reported := node.NewShower(), t.reportShare()
+	shower, reported := node.NewVersionSampler(), t.reportShare()
 	shown := make(map[int]uint64)
 	open := wire.Open{Service: "press-model-0", Route: "/chat/fabric-care", Team: "drivers", Body: []byte("{}"), WorkUnits: 900}
 	end := wire.End{Chunks: 256, Checksum: math.MaxUint64}
--- a/internal/bench/epidemic_rules.go
+++ b/internal/bench/epidemic_rules.go
@@ -122,7 +122,7 @@
 
 // nextRequest is the time to the next request that carries a version, as the limit of the entries allows.
 func (e *epidemic) nextRequest(i int32) time.Duration {
-	perSecond := float64(shownPerSecond)
+	perSecond := float64(versionsPerSecond)
 	if !e.isEntry(i) {
 		perSecond /= e.size.sidecarsPerEntry()
 	}
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -69,7 +69,7 @@
 		m, err := a.receive(ctx, stream)
 		if err != nil {
 			stream.Cancel()
-			a.noteSilence(conn, err)
+			a.noteUnresponsive(conn, err)
 			return outcome{code: a.interrupted(ctx, stream.Sent()), reason: err.Error()}
 		}
 		switch m := m.(type) {
@@ -85,8 +85,8 @@
 	}
 }
 
-// errSilent says that a sidecar did not answer in time.
-var errSilent = errors.New("the sidecar did not answer")
+// errUnresponsive says that a sidecar did not answer in time.
+var errUnresponsive = errors.New("the sidecar did not answer")
 
 // receive returns the sidecar's next message. If the request may be repeated, the first message must come within acceptTimeout: a paused
 // sidecar would otherwise hold its chats until the keepalive ends the connection.
@@ -98,18 +98,18 @@
 	defer cancel()
 	m, err := stream.Recv(wait)
 	if err != nil && wait.Err() != nil && ctx.Err() == nil {
-		return nil, errSilent
+		return nil, errUnresponsive
 	}
 	return m, err
 }
 
-// noteSilence makes the next requests prefer other upstreams, and has the connection probed.
-func (a *attempt) noteSilence(conn *link.Conn, err error) {
-	if !errors.Is(err, errSilent) {
+// noteUnresponsive makes the next requests prefer other upstreams, and has the connection probed.
+func (a *attempt) noteUnresponsive(conn *link.Conn, err error) {
+	if !errors.Is(err, errUnresponsive) {
 		return
 	}
-	metrics.Add("sidecars_silent", 1)
-	a.x.e.silence.note(time.Now(), a.target.ID)
+	metrics.Add("sidecars_unresponsive", 1)
+	a.x.e.unresponsive.note(time.Now(), a.target.ID)
 	conn.Probe()
 }
 
@@ -122,7 +122,7 @@
 		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key, Stream: x.answer.streams(),
 		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, Body: x.body,
 	}
-	open.ConfigVersion = x.e.shower.InOpen(time.Now(), x.snapshot.Version(), x.e.node.Shown(a.target.ID), !x.route.Idempotent)
+	open.ConfigVersion = x.e.versionSampler.InOpen(time.Now(), x.snapshot.Version(), x.e.node.PeerVersion(a.target.ID), !x.route.Idempotent)
 	a.shown = open.ConfigVersion
 	if x.inChat {
 		open.Chat = x.chat
@@ -161,7 +161,7 @@
 	}
 }
 
-// interrupted is the result of an attempt that ended without the sidecar's word. From the moment the Open may have been sent the
+// interrupted is the result of an attempt that ended without a result from the sidecar. From the moment the Open may have been sent the
 // request may have run.
 func (a *attempt) interrupted(ctx context.Context, sent bool) result.Code {
 	switch {
@@ -208,7 +208,7 @@
 		version = a.shown
 	}
 	if version > 0 {
-		a.x.e.node.Hear(conn, version)
+		a.x.e.node.ObserveVersion(conn, version)
 	}
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -50,24 +50,24 @@
 
 // Entry is a running entry.
 type Entry struct {
-	opts    Options
-	node    *node.Node
-	routing atomic.Pointer[routing]
-	policy  *retry.Policy
-	teams   *teamLimits
-	silence silence
-	shifts  *shift.Driver
-	shower  *node.Shower
-	server  *http.Server
-	ln      net.Listener
+	opts           Options
+	node           *node.Node
+	routing        atomic.Pointer[routing]
+	policy         *retry.Policy
+	teams          *teamLimits
+	unresponsive   unresponsive
+	shifts         *shift.Driver
+	versionSampler *node.VersionSampler
+	server         *http.Server
+	ln             net.Listener
 
 	// mu guards the decisions below. It is never held across I/O.
 	mu     sync.Mutex
 	budget *retry.Budget
 	loads  *load.Table
 	random *rand.Rand
-	// banned holds the fingerprints of requests that crashed upstreams.
-	banned *quarantine.List
+	// quarantined holds the fingerprints of requests that crashed upstreams.
+	quarantined *quarantine.List
 
 	work sync.WaitGroup
 }
@@ -78,14 +78,14 @@
 func New(opts Options) (*Entry, error) {
 	retryConfig := retry.DefaultConfig()
 	e := &Entry{
-		opts:   opts,
-		policy: retry.NewPolicy(retryConfig),
-		budget: retry.NewBudget(time.Now(), retryConfig),
-		loads:  load.NewTable(opts.Settings.DataCentre, load.DefaultConfig()),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		teams:  newTeamLimits(),
-		shower: node.NewShower(),
-		banned: quarantine.NewList(quarantine.DefaultConfig()),
+		opts:           opts,
+		policy:         retry.NewPolicy(retryConfig),
+		budget:         retry.NewBudget(time.Now(), retryConfig),
+		loads:          load.NewTable(opts.Settings.DataCentre, load.DefaultConfig()),
+		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		teams:          newTeamLimits(),
+		versionSampler: node.NewVersionSampler(),
+		quarantined:    quarantine.NewList(quarantine.DefaultConfig()),
 	}
 	e.routing.Store(&routing{})
 	n, err := node.New(node.Options{
@@ -193,16 +193,16 @@
 // Connect implements node.Role: it connects to the sidecars that this entry looks after, so that they learn the configuration
 // without traffic.
 func (e *Entry) Connect(snapshot *node.Snapshot) {
-	index, entries := place(snapshot.Entries, e.opts.Settings.Instance)
+	index, entries := position(snapshot.Entries, e.opts.Settings.Instance)
 	for _, i := range snapshot.Sidecars {
-		if i.DataCentre == e.opts.Settings.DataCentre || looksAfter(index, entries, i.ID) {
+		if i.DataCentre == e.opts.Settings.DataCentre || isAssigned(index, entries, i.ID) {
 			e.node.Pool().Prepare(i)
 		}
 	}
 }
 
-// place returns the position of an instance in the sorted list and the list's length, counting the instance if it is missing.
-func place(sorted []platform.Instance, id string) (index, n int) {
+// position returns the position of an instance in the sorted list and the list's length, counting the instance if it is missing.
+func position(sorted []platform.Instance, id string) (index, n int) {
 	index, found := slices.BinarySearchFunc(sorted, id, func(i platform.Instance, id string) int { return strings.Compare(i.ID, id) })
 	if found {
 		return index, len(sorted)
@@ -214,7 +214,7 @@
 // none.
 const entriesPerSidecar = 2
 
-func looksAfter(index, entries int, sidecar string) bool {
+func isAssigned(index, entries int, sidecar string) bool {
 	first := int(xxhash.Sum64String(sidecar) % uint64(entries))
 	return (index-first+entries)%entries < entriesPerSidecar
 }
@@ -231,28 +231,28 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	g.Loads = e.loads.Digest(now, digestSummaries)
-	g.Quarantine = e.banned.Digest(now, digestEntries)
+	g.Quarantine = e.quarantined.Digest(now, digestEntries)
 	e.shifts.Gossip(g)
 }
 
-// Heard implements node.Role.
-func (e *Entry) Heard(g *wire.Gossip) {
+// HandleGossip implements node.Role.
+func (e *Entry) HandleGossip(g *wire.Gossip) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.loads.Gossip(now, g.Loads)
-	e.banned.Merge(now, g.Quarantine)
+	e.quarantined.Merge(now, g.Quarantine)
 	if len(g.Stops)+len(g.Rollouts) > 0 {
-		e.node.Post(func() { e.shifts.Heard(time.Now(), g) })
+		e.node.Post(func() { e.shifts.HandleGossip(time.Now(), g) })
 	}
 }
 
-// isBanned reports whether requests like this one crashed upstreams.
-func (e *Entry) isBanned(service, route string, body []byte) bool {
+// isQuarantined reports whether requests like this one crashed upstreams.
+func (e *Entry) isQuarantined(service, route string, body []byte) bool {
 	fingerprint := quarantine.FingerprintOf(service, route, body)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.banned.Contains(time.Now(), fingerprint)
+	return e.quarantined.Contains(time.Now(), fingerprint)
 }
 
 // HandleOpen implements node.Role: entries serve no requests of peers.
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -147,7 +147,7 @@
 func (x *exchange) candidates(r *routing, dst []candidate.Candidate) []candidate.Candidate {
 	for _, version := range x.versions() {
 		if found := r.view.Candidates(x.service.Name, version, nil, x.chat, dst); len(found) > 0 {
-			x.e.silence.order(time.Now(), found)
+			x.e.unresponsive.order(time.Now(), found)
 			return found
 		}
 	}
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -100,7 +100,7 @@
 	}
 	x.body = body
 	x.estimateWork()
-	if e.isBanned(route.Service, route.Path, body) {
+	if e.isQuarantined(route.Service, route.Path, body) {
 		return nil, &refusal{code: result.Quarantined}
 	}
 	team, _ := snapshot.Config.Rules.Team(x.team)
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -37,8 +37,8 @@
 // Go implements shift.Host.
 func (h shiftHost) Go(f func(ctx context.Context)) { h.e.node.Go(f) }
 
-// TellSome implements shift.Host.
-func (h shiftHost) TellSome() { h.e.node.TellSome() }
+// GossipSome implements shift.Host.
+func (h shiftHost) GossipSome() { h.e.node.GossipSome() }
 
 // Send implements shift.Host.
 func (h shiftHost) Send(to platform.Instance, m wire.Message) {
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -106,14 +106,14 @@
 	if c.n.opts.Settings.Role == settings.RoleSidecar {
 		fanout = sidecarFanout
 	}
-	c.tell(fanout, &wire.Gossip{ConfigVersion: next.Version()})
+	c.sendSome(fanout, &wire.Gossip{ConfigVersion: next.Version()})
 }
 
-// tellSome sends the digests to up to k random connected peers.
-func (c *control) tellSome(k int) { c.tell(k, c.digest()) }
+// gossipSome sends the digests to up to k random connected peers.
+func (c *control) gossipSome(k int) { c.sendSome(k, c.digest()) }
 
-// tell sends a message to up to k random connected peers.
-func (c *control) tell(k int, news *wire.Gossip) {
+// sendSome sends a message to up to k random connected peers.
+func (c *control) sendSome(k int, news *wire.Gossip) {
 	conns := append(c.n.server.Conns(), c.n.pool.conns()...)
 	rand.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
 	for _, conn := range conns[:min(k, len(conns))] {
@@ -132,13 +132,13 @@
 func (c *control) gossip(ctx context.Context) {
 	peers := c.n.Snapshot().Entries
 	if c.n.opts.Settings.Role != settings.RoleEntry || len(peers) <= 1 {
-		c.tellUnlessHeard()
+		c.gossipUnlessObserved()
 		c.callSeed(ctx)
 		return
 	}
 	peer := peers[rand.IntN(len(peers))]
 	if peer.ID == c.n.opts.Settings.Instance {
-		c.tellSome(1)
+		c.gossipSome(1)
 		return
 	}
 	message := c.digest()
@@ -149,16 +149,16 @@
 	})
 }
 
-// tellUnlessHeard sends the digests to one random peer, unless a peer showed its version within the gossip interval and there is nothing
+// gossipUnlessObserved sends the digests to one random peer, unless a peer showed its version within the gossip interval and there is nothing
 // else to tell: of two peers that exchange versions, the one behind learns of it either way.
-func (c *control) tellUnlessHeard() {
+func (c *control) gossipUnlessObserved() {
 	digest := c.digest()
 	interval := settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS)
-	heard := time.Since(time.Unix(0, c.n.lastHeard.Load())) < interval
+	heard := time.Since(time.Unix(0, c.n.lastObserved.Load())) < interval
 	if heard && len(digest.Stops)+len(digest.Rollouts)+len(digest.Quarantine)+len(digest.Loads) == 0 {
 		return
 	}
-	c.tellSome(1)
+	c.gossipSome(1)
 }
 
 // callSeed connects to a random seed while no configuration is known, so that a replaced instance learns it in an outage.
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -60,8 +60,8 @@
 	Order(ctx context.Context, order *wire.Order) (result.Code, error)
 	// Gossip adds the role's digests to a message that is about to be sent. It is called on the control goroutine.
 	Gossip(g *wire.Gossip)
-	// Heard takes a peer's digests. It is called on a connection's reader goroutine and must not block.
-	Heard(g *wire.Gossip)
+	// HandleGossip takes a peer's digests. It is called on a connection's reader goroutine and must not block.
+	HandleGossip(g *wire.Gossip)
 	// Status returns what the status page shows of the role. It is called on the admin server's goroutines.
 	Status() any
 }
@@ -98,8 +98,8 @@
 	pool     *Pool
 	// heard holds the configuration version that each peer last showed, by instance id.
 	heard sync.Map
-	// lastHeard is when any peer last showed its version, in nanoseconds since 1970.
-	lastHeard atomic.Int64
+	// lastObserved is when any peer last showed its version, in nanoseconds since 1970.
+	lastObserved atomic.Int64
 	// adopted is closed and replaced when a configuration version is adopted.
 	adopted  atomic.Pointer[chan struct{}]
 	leaving  atomic.Bool
@@ -178,17 +178,17 @@
 		return
 	}
 	event.Log(event.ProcessLeaving, "instance", n.opts.Settings.Instance)
-	goodbye := &wire.Leaving{}
-	n.server.Broadcast(goodbye)
+	leaving := &wire.Leaving{}
+	n.server.Broadcast(leaving)
 	told := map[string]bool{}
 	for _, conn := range n.server.Conns() {
 		told[conn.Remote().Instance] = true
 	}
-	n.pool.announce(goodbye, told)
+	n.pool.announce(leaving, told)
 }
 
-// Tell sends digests to every connected peer. It is for rare news that must not wait for gossip.
-func (n *Node) Tell(g *wire.Gossip) {
+// Broadcast sends digests to every connected peer. It is for rare news that must not wait for gossip.
+func (n *Node) Broadcast(g *wire.Gossip) {
 	n.server.Broadcast(g)
 	n.pool.broadcast(g)
 }
@@ -212,8 +212,8 @@
 // Go runs f on a goroutine that Stop waits for. The context ends when the node stops.
 func (n *Node) Go(f func(ctx context.Context)) { n.run(func() { f(n.ctx) }) }
 
-// TellSome sends the present digests to some random peers at once. It is called on the control goroutine.
-func (n *Node) TellSome() { n.post(func(c *control) { c.tellSome(adoptFanout) }) }
+// GossipSome sends the present digests to some random peers at once. It is called on the control goroutine.
+func (n *Node) GossipSome() { n.post(func(c *control) { c.gossipSome(adoptFanout) }) }
 
 // post hands a change to the control goroutine. It reports false, and counts it, when the queue is full.
 func (n *Node) post(f func(*control)) bool {
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -34,7 +34,7 @@
 func (idleRole) Evidence(*wire.Evidence)                                             {}
 func (idleRole) Order(context.Context, *wire.Order) (result.Code, error)             { return result.NotFound, nil }
 func (idleRole) Gossip(*wire.Gossip)                                                 {}
-func (idleRole) Heard(*wire.Gossip)                                                  {}
+func (idleRole) HandleGossip(*wire.Gossip)                                           {}
 func (idleRole) Status() any                                                         { return nil }
 
 // startNode starts an entry that knows its seeds only, or the key-value service.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -25,16 +25,16 @@
 		Service: remote.Service, Version: remote.Version, State: platform.InstanceLive,
 	}
 	n.post(func(c *control) { c.members.Connected(self) })
-	n.Hear(conn, remote.ConfigVersion)
+	n.ObserveVersion(conn, remote.ConfigVersion)
 	event.Log(event.PeerConnected, "peer", remote.Instance, "address", remote.Address)
 }
 
-// Hear notes the configuration version that a peer showed, and pulls the configuration from it if it is newer.
-func (n *Node) Hear(conn *link.Conn, version uint64) {
+// ObserveVersion notes the configuration version that a peer showed, and pulls the configuration from it if it is newer.
+func (n *Node) ObserveVersion(conn *link.Conn, version uint64) {
 	id := conn.Remote().Instance
 	known, _ := n.heard.LoadOrStore(id, new(atomic.Uint64))
 	known.(*atomic.Uint64).Store(version)
-	n.lastHeard.Store(time.Now().UnixNano())
+	n.lastObserved.Store(time.Now().UnixNano())
 	if version > n.Snapshot().Version() {
 		n.post(func(c *control) { c.pull(conn, version) })
 	}
@@ -81,7 +81,7 @@
 // HandleOpen implements link.Handler.
 func (h *peerHandler) HandleOpen(ctx context.Context, conn *link.Conn, open *wire.Open, r *link.Responder) {
 	if open.ConfigVersion > 0 {
-		h.n.Hear(conn, open.ConfigVersion)
+		h.n.ObserveVersion(conn, open.ConfigVersion)
 	}
 	h.n.opts.Role.HandleOpen(ctx, conn, open, r)
 }
@@ -93,9 +93,9 @@
 	case *wire.Gossip:
 		h.gossip(conn, m)
 	case *wire.Ping:
-		n.Hear(conn, m.ConfigVersion)
+		n.ObserveVersion(conn, m.ConfigVersion)
 	case *wire.Pong:
-		n.Hear(conn, m.ConfigVersion)
+		n.ObserveVersion(conn, m.ConfigVersion)
 	case *wire.ConfigPull:
 		n.post(func(c *control) { c.answerPull(conn, *m) })
 	case *wire.ConfigPush:
@@ -127,8 +127,8 @@
 // gossip takes a peer's digests. A peer that is behind is told so, and pulls in its turn.
 func (h *peerHandler) gossip(conn *link.Conn, g *wire.Gossip) {
 	n := h.n
-	n.Hear(conn, g.ConfigVersion)
-	n.opts.Role.Heard(g)
+	n.ObserveVersion(conn, g.ConfigVersion)
+	n.opts.Role.HandleGossip(g)
 	if mine := n.Snapshot().Version(); g.ConfigVersion < mine {
 		_ = conn.Send(&wire.Gossip{ConfigVersion: mine})
 	}
--- a/process/node/show.go
+++ b/process/node/versionsampler.go
@@ -10,20 +10,22 @@
 // Limits of the versions in Open frames to peers that may be behind. At the design scale a change comes every 6.6 s and a request to
 // the same sidecar every 47 s, so that almost every Open would carry a version; gossip and the pushes on adoption need no help then.
 const (
-	shownPerSecond = 12
-	shownBurst     = 64
+	versionsPerSecond = 12
+	versionBurst      = 64
 )
 
-// Shower decides which frames of requests carry the configuration version. It is safe for concurrent use.
-type Shower struct{ limiter *rate.Limiter }
+// VersionSampler decides which frames of requests carry the configuration version. It is safe for concurrent use.
+type VersionSampler struct{ limiter *rate.Limiter }
 
-// NewShower returns a Shower with its whole burst.
-func NewShower() *Shower { return &Shower{rate.NewLimiter(shownPerSecond, shownBurst)} }
+// NewVersionSampler returns a VersionSampler with its whole burst.
+func NewVersionSampler() *VersionSampler {
+	return &VersionSampler{rate.NewLimiter(versionsPerSecond, versionBurst)}
+}
 
 // InOpen returns the version that an Open carries, zero for none. mine is the version in force here and peer the one that the peer last
-// showed: a peer that has the version needs no word of it. A request that must not meet an older rule always carries the version, others
+// showed: a peer that has the version is not sent it. A request that must not meet an older rule always carries the version, others
 // within a limit.
-func (s *Shower) InOpen(now time.Time, mine, peer uint64, strict bool) uint64 {
+func (s *VersionSampler) InOpen(now time.Time, mine, peer uint64, strict bool) uint64 {
 	if peer < mine && (strict || s.limiter.AllowN(now, 1)) {
 		return mine
 	}
@@ -39,8 +41,8 @@
 	return mine
 }
 
-// Shown returns the configuration version that a connected instance last showed, zero if it showed none.
-func (n *Node) Shown(id string) uint64 {
+// PeerVersion returns the configuration version that a connected instance last showed, zero if it showed none.
+func (n *Node) PeerVersion(id string) uint64 {
 	if version, ok := n.heard.Load(id); ok {
 		return version.(*atomic.Uint64).Load()
 	}
--- a/process/node/show_test.go
+++ b/process/node/versionsampler_test.go
@@ -9,9 +9,9 @@
 
 // Guards against a sidecar that runs a call under an older rule because its entry left the version out, against versions that cost more
 // than their limit, and against an End that is taken for the Open's version when it has another.
-func TestShower(t *testing.T) {
+func TestVersionSampler(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	s := NewShower()
+	s := NewVersionSampler()
 	must.Eq(t, 0, s.InOpen(now, 7, 7, true), must.Sprint("the peer has it"))
 	must.Eq(t, 0, s.InOpen(now, 7, 8, true), must.Sprint("the peer has a newer one"))
 	sent := 0
@@ -21,7 +21,7 @@
 			sent++
 		}
 	}
-	must.Eq(t, shownBurst, sent)
+	must.Eq(t, versionBurst, sent)
 	must.Eq(t, 7, s.InOpen(now.Add(time.Second), 7, 0, false))
 	for _, c := range [][3]uint64{{7, 7, 0}, {7, 0, 0}, {7, 6, 7}, {6, 7, 6}} {
 		must.Eq(t, c[2], InEnd(c[0], c[1], false))
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -30,8 +30,8 @@
 	Go(f func(ctx context.Context))
 	// Send sends a message to an entry in the background. Messages may be lost.
 	Send(to platform.Instance, m wire.Message)
-	// TellSome sends the digests to some peers at once.
-	TellSome()
+	// GossipSome sends the digests to some peers at once.
+	GossipSome()
 }
 
 // Options describe a driver. KV may be nil; no rollout advances then.
--- a/process/shift/platform.go
+++ b/process/shift/platform.go
@@ -56,7 +56,7 @@
 	if out.Stop != nil && r.stop == nil {
 		r.stop = out.Stop
 		d.publish(now)
-		d.opts.Host.TellSome()
+		d.opts.Host.GossipSome()
 	}
 	if d.opts.KV == nil {
 		return
@@ -135,7 +135,7 @@
 			d.handle(now, r, apply(now))
 			d.publish(now)
 			if r.revision > before {
-				d.opts.Host.TellSome()
+				d.opts.Host.GossipSome()
 			}
 		}
 	}
@@ -184,8 +184,8 @@
 	return r.recordSent <= recordRounds || r.recordSent%recordInterval == 0
 }
 
-// Heard takes a peer's digests.
-func (d *Driver) Heard(now time.Time, g *wire.Gossip) {
+// HandleGossip takes a peer's digests.
+func (d *Driver) HandleGossip(now time.Time, g *wire.Gossip) {
 	for _, stop := range g.Stops {
 		if r := d.shifts[stop.Rollout]; r != nil {
 			d.handle(now, r, r.machine.StopReceived(now, stop))
--- a/process/sidecar/crash.go
+++ b/process/sidecar/crash.go
@@ -119,6 +119,6 @@
 	event.Log(event.UpstreamCrashed, "instance", s.opts.Settings.Instance, "in_flight", len(suspects))
 	metrics.Add("upstream_crashes", 1)
 	if found {
-		s.node.Tell(&wire.Gossip{ConfigVersion: s.node.Snapshot().Version(), Quarantine: digest})
+		s.node.Broadcast(&wire.Gossip{ConfigVersion: s.node.Snapshot().Version(), Quarantine: digest})
 	}
 }
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// Heard implements node.Role.
-func (s *Sidecar) Heard(g *wire.Gossip) {
+// HandleGossip implements node.Role.
+func (s *Sidecar) HandleGossip(g *wire.Gossip) {
 	if len(g.Quarantine)+len(g.Stops) == 0 {
 		return
 	}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -53,7 +53,7 @@
 guard order-pause process/order/order.go 's/g\.now\(\)\.Sub\(checked\) > g\.cfg\.Freshness/checked.IsZero()/' ./process/order TestPass_PausedAfterCheck
 guard quarantine process/quarantine/tracker.go 's/t\.list\.Add\(now, f\)//' ./test TestCrash_PoisonRequestIsQuarantined
 guard control-messages connection/link/conn.go 's/if !isControl\(m\) \|\| m\.Type\(\) == wire\.TypeHello/if m.Type() != wire.TypeGossip/' ./connection/link TestSend_AllControlMessagesArrive
-guard silent-sidecar process/entry/attempt.go 's/if a\.accepted \|\| !a\.x\.route\.Idempotent/if true/' ./test TestFreeze_ChatsGoElsewhere
+guard unresponsive-sidecar process/entry/attempt.go 's/if a\.accepted \|\| !a\.x\.route\.Idempotent/if true/' ./test TestFreeze_ChatsGoElsewhere
 guard load-bound process/admission/controller.go 's/if after > limit \&\&/if after > limit+1e18 \&\&/' ./process/admission TestBoundHoldsAndServiceProgresses
 guard cold-start process/admission/controller.go 's/if c\.cold\.limited\(&c\.limits\) \&\& !c\.coldRoom\(team\)/if false/' ./process/admission TestColdStart
 guard newer-only version/config/adopt.go 's/if h\.Version <= before/if h.Version == before/' ./version/config 'TestStateSources|TestProposersAndReaders'
