--- a/internal/bench/epidemic.go
+++ b/internal/bench/epidemic.go
@@ -11,7 +11,7 @@
 	entriesPerSidecar     = 2
 	pullTimeout           = 300 * time.Millisecond
 	gossipInterval        = time.Second
-	versionsPerSecond        = 12
+	versionsPerSecond     = 12
 	operatorCalls         = 5
 )
 
