Count runs in the shutdown test, since retries hide a cut

Change: the test also asserts that the engines received each request once. Ruled out: calls that may not be repeated, which would test claims as well.

Conclusion: a cut that a retry hides now counts as a failure.

--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -149,11 +149,14 @@
 	for _, e := range f.engines {
 		e.SetFaults(engine.Faults{})
 	}
-	f.chats("entry-1", "new", 40)
+	const newChats = 40
+	f.chats("entry-1", "new", newChats)
 	for range inProgress {
 		must.Eq(t, http.StatusOK, (<-replies).status)
 	}
 	must.Eq(t, received, f.received("press-1")+f.received("press-3"))
+	// A request that was cut would have run a second time elsewhere, and its caller would not have noticed.
+	must.Eq(t, inProgress+newChats, f.total(func(c engine.Counters) int { return c.Received }))
 	<-f.procs["press-1"].exited
 	<-f.procs["press-3"].exited
 	must.Zero(t, f.procs["press-1"].cmd.ProcessState.ExitCode())
