Take the code after a missed deadline from the retry policy

Cause: the entry had its own copy of the rule which code a caller is told when attempts may have run. It took the first such attempt instead of the latest and did not correct a "not run" after Accepted, as the policy does.

Change: retry.FinalCode is exported and used; afterDeadline is gone. Ruled out: asking Decide, which could answer "retry" to a caller that left.

Conclusion: the rule stands once.

--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -115,7 +115,7 @@
 		}
 		metrics.Add("retries", 1)
 		if !pause(ctx, decision.Backoff) {
-			last.code = x.afterDeadline()
+			last.code = retry.FinalCode(retry.Request{Attempts: x.attempts, Delivered: x.delivered})
 			return last
 		}
 	}
@@ -169,16 +169,6 @@
 	return x.e.policy.Decide(now, request, x.e.budget, x.e.random)
 }
 
-// afterDeadline is the result when the deadline passes between two attempts.
-func (x *exchange) afterDeadline() result.Code {
-	for _, a := range x.attempts {
-		if a.Accepted || a.Code.Outcome() != result.NotRun {
-			return a.Code
-		}
-	}
-	return result.DeadlineBeforeRun
-}
-
 // skipDataCentre drops the candidates of a data centre unless no others are left.
 func skipDataCentre(candidates []candidate.Candidate, dataCentre string) []candidate.Candidate {
 	var others []candidate.Candidate
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -103,7 +103,7 @@
 // Decide returns what to do after the latest attempt. It takes the cost of a retry from budget. random jitters the backoff.
 // Neither is safe for concurrent use.
 func (p *Policy) Decide(now time.Time, r Request, budget *Budget, random *rand.Rand) Decision {
-	giveUp := Decision{Action: GiveUp, Code: finalCode(r)}
+	giveUp := Decision{Action: GiveUp, Code: FinalCode(r)}
 	action := p.allowed(r)
 	if action == GiveUp {
 		return giveUp
@@ -185,9 +185,9 @@
 	return refusals < p.cfg.MaxTeamRefusals
 }
 
-// finalCode is the code that the caller is told: that of the latest attempt that may have run, else the deadline's, else that
+// FinalCode is the code that the caller is told: that of the latest attempt that may have run, else the deadline's, else that
 // of the latest attempt.
-func finalCode(r Request) result.Code {
+func FinalCode(r Request) result.Code {
 	for i := len(r.Attempts) - 1; i >= 0; i-- {
 		if r.Attempts[i].mayHaveRun() {
 			return r.Attempts[i].verdict()
