Use the platform budget's full jitter for the node's waits

Cause: process/node had a second implementation of exponential backoff with full jitter beside budget.FullJitter.

Change: the node's backoff calls it; limits are the same. Ruled out: budget.Reread, which repeats a read and not a watch.

Conclusion: one formula for the waits.

--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/platform/budget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/version/config"
@@ -154,17 +156,23 @@
 	}
 }
 
-// backoff grows from a short wait to maxBackoff with full jitter.
-type backoff struct{ limit time.Duration }
-
+// firstBackoff is the longest wait after the first failure; it doubles with each further one.
 const firstBackoff = 100 * time.Millisecond
 
-func newBackoff() *backoff { return &backoff{firstBackoff} }
+// backoff gives the waits between tries, with full jitter.
+type backoff struct {
+	random  *rand.Rand
+	attempt int
+}
+
+func newBackoff() *backoff {
+	return &backoff{random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
 
 func (b *backoff) next() time.Duration {
-	d := jitter(b.limit)
-	b.limit = min(2*b.limit, maxBackoff)
+	d := budget.FullJitter(b.random, b.attempt, firstBackoff, maxBackoff)
+	b.attempt++
 	return d
 }
 
-func (b *backoff) reset() { b.limit = firstBackoff }
+func (b *backoff) reset() { b.attempt = 0 }
