Finish every granted claim, also those with an unknown result

Cause: claim.Store says that each grant is finished exactly once with whatever result is known; the sidecar did not finish calls whose outcome is unknown, so their grants stayed open and a retry waited for a result that never came.

Change: the result is always stored. A retry is now told the stored unknown result at once, such as upstream-broken, instead of already-claimed after the waits; both say "unknown" and neither runs the call again.

Figures: the claim tests with killed and frozen sidecars and broken answers pass unchanged. Conclusion: the sidecar keeps the store's contract.

--- a/process/sidecar/claim.go
+++ b/process/sidecar/claim.go
@@ -126,10 +126,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	end, body := x.run(ctx)
-	code := result.Code(end.Result)
-	if code.Outcome() != result.Unknown {
-		x.s.claims.Finish(key, claim.Response{Code: code, Status: end.Status, Body: body})
-	}
+	x.s.claims.Finish(key, claim.Response{Code: result.Code(end.Result), Status: end.Status, Body: body})
 	return end
 }
 
