Remove what nothing uses

Cause: four events were never logged, Open.Stream was never read, the count of dropped outcomes was never shown, first returned a flag that nobody took, and a rollout's salt was hashed twice for no reason.

Change: events 201, 203, 304 and 305 and the field are gone; dropped outcomes are counted in jayridge_entry.outcomes_dropped; the salt is hashed once, which gives a shift other cohorts than before (nothing is released, so no fleet mixes the two); a comment of the pool says what it does.

Conclusion: less to read.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -80,8 +80,6 @@
 	DeadlineMS uint32 `msgpack:"d"`
 	// IdempotencyKey is empty when the caller gave none.
 	IdempotencyKey string `msgpack:"k,omitempty"`
-	// Stream asks for the answer in chunks as the upstream produces them.
-	Stream bool `msgpack:"st,omitempty"`
 	// WorkUnits estimates the request's load in tokens.
 	WorkUnits uint32 `msgpack:"w"`
 	// Method and Path are those of the caller's HTTP request.
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -119,7 +119,7 @@
 	open := &wire.Open{
 		Identity: wire.Identity{Request: x.id, Attempt: uint8(len(x.attempts) + 1)},
 		Service:  x.service.Name, Route: x.route.Path, Team: x.team, Priority: int8(x.priority - rules.Normal),
-		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key, Stream: x.answer.streams(),
+		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key,
 		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, Body: x.body,
 	}
 	open.ConfigVersion = x.e.versionSampler.InOpen(time.Now(), x.snapshot.Version(), x.e.node.PeerVersion(a.target.ID), !x.route.Idempotent)
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -86,7 +86,10 @@
 	if target.Version == x.plan.To {
 		side = rollout.New
 	}
-	x.e.shifts.Observe(shift.Outcome{Plan: x.plan, Observation: rollout.Observation{
+	observation := rollout.Observation{
 		Side: side, Route: x.route.Path, DataCentre: target.DataCentre, Failed: code != result.OK, Latency: latency, Step: x.plan.Step,
-	}})
+	}
+	if !x.e.shifts.Observe(shift.Outcome{Plan: x.plan, Observation: observation}) {
+		metrics.Add("outcomes_dropped", 1)
+	}
 }
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -23,17 +23,13 @@
 	ShutdownExpired ID = 104
 
 	ConfigAdopted     ID = 200
-	ConfigIgnored     ID = 201
 	ConfigInvalid     ID = 202
-	ConfigPullFailed  ID = 203
 	ConfigWatchFailed ID = 204
 
 	PeerConnected    ID = 300
 	PeerLost         ID = 301
 	PeerRefused      ID = 302
 	BadFrame         ID = 303
-	InstanceJoined   ID = 304
-	InstanceLeft     ID = 305
 	InstanceListFail ID = 306
 
 	RequestFailed      ID = 400
@@ -89,17 +85,13 @@
 	{ShutdownExpired, "shutdown deadline passed with requests in progress", Warning, "raise shutdown_timeout_ms"},
 
 	{ConfigAdopted, "configuration version adopted", Info, ""},
-	{ConfigIgnored, "older configuration version ignored", Info, ""},
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
-	{ConfigPullFailed, "configuration pull from a peer failed", Warning, ""},
 	{ConfigWatchFailed, "configuration watch failed", Warning, "check the platform's key-value service"},
 
 	{PeerConnected, "peer connected", Info, ""},
 	{PeerLost, "peer connection lost", Info, ""},
 	{PeerRefused, "peer refused in the handshake", Warning, "replace the instance whose protocol major version differs"},
 	{BadFrame, "bad frame, connection closed", Warning, "look for a faulty or foreign sender on the peer address"},
-	{InstanceJoined, "instance joined", Info, ""},
-	{InstanceLeft, "instance left", Info, ""},
 	{InstanceListFail, "instance list unavailable", Warning, "check the platform's instance list"},
 
 	{RequestFailed, "request failed after it was handed over", Warning, "look at the upstream's own log"},
--- a/process/node/pool.go
+++ b/process/node/pool.go
@@ -151,7 +151,7 @@
 	p.n.connected(conn)
 }
 
-// retain closes connections to instances that are not known any more.
+// retain forgets the instances that are neither known any more nor connected.
 func (p *Pool) retain(known ...[]platform.Instance) {
 	keep := map[string]bool{}
 	for _, instances := range known {
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -95,7 +94,6 @@
 	shifts   map[string]*running
 	order    []string
 	outcomes chan Outcome
-	dropped  atomic.Uint64
 	view     atomic.Pointer[view]
 	// reported and forwarded are the windows in which the last report of this entry and of its data centre were sent.
 	reported, forwarded int64
@@ -134,13 +132,14 @@
 // Status returns the rollouts. It may be called from any goroutine.
 func (d *Driver) Status() []Status { return d.view.Load().status }
 
-// Observe notes the outcome of an attempt. It may be called from any goroutine and does not block; outcomes that the control goroutine
-// cannot keep up with are dropped and counted.
-func (d *Driver) Observe(o Outcome) {
+// Observe notes the outcome of an attempt. It may be called from any goroutine and does not block; it reports false for an outcome that
+// is dropped because the control goroutine cannot keep up.
+func (d *Driver) Observe(o Outcome) bool {
 	select {
 	case d.outcomes <- o:
+		return true
 	default:
-		d.dropped.Add(1)
+		return false
 	}
 }
 
@@ -207,8 +206,8 @@
 }
 
 func (d *Driver) tick(now time.Time, r *running, report, forward bool) {
-	aggregator, _ := first(d.entries, r.shift.Service, func(i platform.Instance) bool { return i.DataCentre == d.opts.DataCentre })
-	leader, _ := first(d.entries, r.shift.Service, func(platform.Instance) bool { return true })
+	aggregator := first(d.entries, r.shift.Service, func(i platform.Instance) bool { return i.DataCentre == d.opts.DataCentre })
+	leader := first(d.entries, r.shift.Service, func(platform.Instance) bool { return true })
 	aggregates := aggregator.ID == d.opts.Instance
 	leads := leader.ID == d.opts.Instance
 	d.keepLease(r, leads)
@@ -281,7 +280,8 @@
 }
 
 // first returns the entry that comes first by hash among those that match, the same one for all entries that see the same list.
-func first(entries []platform.Instance, service string, match func(platform.Instance) bool) (platform.Instance, bool) {
+// The zero Instance means that none matches.
+func first(entries []platform.Instance, service string, match func(platform.Instance) bool) platform.Instance {
 	var chosen platform.Instance
 	var lowest uint64
 	found := false
@@ -293,7 +293,7 @@
 			chosen, lowest, found = e, h, true
 		}
 	}
-	return chosen, found
+	return chosen
 }
 
 // publish makes plans and status visible to other goroutines.
@@ -303,7 +303,7 @@
 		r := d.shifts[id]
 		s := r.shift
 		next.plans[s.Service] = &Plan{
-			ID: id, From: s.From, To: s.To, Share: r.machine.Share(), Step: r.machine.Step(), Salt: saltOf(id),
+			ID: id, From: s.From, To: s.To, Share: r.machine.Share(), Step: r.machine.Step(), Salt: xxhash.Sum64String(id),
 		}
 		leads := false
 		if r.keeper != nil {
@@ -316,10 +316,3 @@
 	}
 	d.view.Store(next)
 }
-
-func saltOf(id string) uint64 {
-	sum := xxhash.Sum64String(id)
-	var bytes [8]byte
-	binary.BigEndian.PutUint64(bytes[:], sum)
-	return xxhash.Sum64(bytes[:])
-}
