Wait for both sidecars to be leaving before the leave test counts requests

Its log has press-1 leaving at .925 s and press-3 at .936 s; the test waited for press-1 only, then counted and sent new chats, which press-3 may still take. Change: the test waits for both. Ruled out: a sidecar that takes work while leaving; admission refuses before the status says leaving. Conclusion: a fault of the test; what it checks is unchanged.

--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -144,7 +144,9 @@
 	f.await("requests are in progress", func() bool { return f.total(inFlight) == inProgress })
 	f.signal("press-1", syscall.SIGTERM)
 	f.signal("press-3", syscall.SIGTERM)
-	f.await("press-1 is leaving", func() bool { s := f.status("press-1"); return s != nil && s.Leaving })
+	for _, name := range []string{"press-1", "press-3"} {
+		f.await(name+" is leaving", func() bool { s := f.status(name); return s != nil && s.Leaving })
+	}
 	received := f.received("press-1") + f.received("press-3")
 	for _, e := range f.engines {
 		e.SetFaults(engine.Faults{})
