Return an upstream's redirect to the caller instead of following it

Cause: the HTTP client followed redirects. A call that had run and answered 303 with a target that refuses connections was reported as unreachable, 'not run', and could then run again at another upstream. Found while reading; guard 'redirect' shows it: 'platform unavailable', although the call had run. Change: redirects are answers. The answer's Content-Type and Location reach the caller, and the caller's Content-Type the plain service; both were application/json before whatever they were. Older peers skip the new fields. Ruled out: passing all headers; nobody asked for them, and hop-by-hop ones must not pass. Conclusion: 'not run' holds for redirects too. A repeated call with a key still gets its stored answer as application/json.

--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -20,10 +20,10 @@
 // samples has every message type with every field set.
 var samples = []Message{
 	&Hello{1, 2, "press-7", "sidecar", "nadi", "press-model", "v2", "127.0.0.1:7000", math.MaxUint64},
-	&Open{identity, "press-model", "/chat", "drivers", math.MaxUint64, -3, 60_000, "key", 900, "POST", "/chat/1", []byte("body"), 4, true, 77, 12},
+	&Open{identity, "press-model", "/chat", "drivers", math.MaxUint64, -3, 60_000, "key", 900, "POST", "/chat/1", "text/plain", []byte("body"), 4, true, 77, 12},
 	&Accepted{identity},
 	&Chunk{identity, math.MaxUint32, []byte("data")},
-	&End{identity, 80, 502, 9, math.MaxUint64, 250, "upstream closed", &LoadReport{5, 2, true}, 13},
+	&End{identity, 80, 502, "text/html", "/other", 9, math.MaxUint64, 250, "upstream closed", &LoadReport{5, 2, true}, 13},
 	&Cancel{identity},
 	&Window{identity, 1 << 20},
 	&Ping{14},
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -85,7 +85,9 @@
 	// Method and Path are those of the caller's HTTP request.
 	Method string `msgpack:"m"`
 	Path   string `msgpack:"pa"`
-	Body   []byte `msgpack:"b"`
+	// ContentType is that of the body; empty means application/json.
+	ContentType string `msgpack:"ct,omitempty"`
+	Body        []byte `msgpack:"b"`
 	// ResumeOffset is the number of chunks that the entry already passed on; the upstream continues after them.
 	ResumeOffset uint32 `msgpack:"of,omitempty"`
 	// Suspect says that an upstream broke during an earlier attempt of the request; it must run alone.
@@ -122,6 +124,9 @@
 	Result uint8 `msgpack:"rc"`
 	// Status is the upstream's HTTP status, zero if the request was not run.
 	Status uint16 `msgpack:"st,omitempty"`
+	// ContentType and Location are headers of the upstream's answer; empty if it had none or is a model.
+	ContentType string `msgpack:"ct,omitempty"`
+	Location    string `msgpack:"lo,omitempty"`
 	// Chunks and Checksum (xxhash64 over all data) let the receiver detect an incomplete answer.
 	Chunks       uint32 `msgpack:"n"`
 	Checksum     uint64 `msgpack:"x"`
--- a/process/entry/answer.go
+++ b/process/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"math"
@@ -102,16 +103,22 @@
 		return
 	}
 	setResult(b.w.Header(), o)
-	if b.model {
-		b.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	} else {
-		b.w.Header().Set("Content-Type", "application/json")
+	b.w.Header().Set("Content-Type", b.contentType(o))
+	if o.location != "" {
+		b.w.Header().Set("Location", o.location)
 	}
 	b.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	b.w.WriteHeader(max(o.status, http.StatusOK))
 	_, _ = b.w.Write(b.body)
 }
 
+func (b *buffered) contentType(o outcome) string {
+	if b.model {
+		return "text/plain; charset=utf-8"
+	}
+	return cmp.Or(o.contentType, "application/json")
+}
+
 // eventStream sends parts as server-sent events and ends with a terminal event.
 type eventStream struct {
 	w       http.ResponseWriter
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -120,7 +120,7 @@
 		Identity: wire.Identity{Request: x.id, Attempt: uint8(len(x.attempts) + 1)},
 		Service:  x.service.Name, Route: x.route.Path, Team: x.team, Priority: int8(x.priority - rules.Normal),
 		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key,
-		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, Body: x.body,
+		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, ContentType: x.contentType, Body: x.body,
 	}
 	open.ConfigVersion = x.e.versionSampler.InOpen(time.Now(), x.snapshot.Version(), x.e.node.PeerVersion(a.target.ID), !x.route.Idempotent)
 	a.shown = open.ConfigVersion
@@ -223,7 +223,7 @@
 	}
 	o := outcome{
 		code: result.Code(m.Result), status: int(m.Status), reason: m.Reason, chunks: m.Chunks,
-		retryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
+		contentType: m.ContentType, location: m.Location, retryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
 	}
 	if o.code.Outcome() == result.NotRun && !a.accepted {
 		return o
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -36,15 +36,17 @@
 	service  rules.Service
 	method   string
 	path     string
-	body     []byte
-	team     string
-	chat     uint64
-	inChat   bool
-	key      string
-	deadline time.Duration
-	priority rules.Priority
-	work     uint32
-	answer   answer
+	// contentType is that of the body; empty if the caller gave none.
+	contentType string
+	body        []byte
+	team        string
+	chat        uint64
+	inChat      bool
+	key         string
+	deadline    time.Duration
+	priority    rules.Priority
+	work        uint32
+	answer      answer
 
 	// plan is the shift between versions that the request was routed by, or nil.
 	plan     *shift.Plan
@@ -63,6 +65,8 @@
 	retryAfter time.Duration
 	upstream   string
 	chunks     uint32
+	// contentType and location are headers of a plain service's answer.
+	contentType, location string
 }
 
 // estimateWork sets the expected load of the request in tokens: its prompt and its answer.
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -37,7 +37,7 @@
 	HeaderUpstream       = "Jayridge-Upstream"
 )
 
-// maxNameBytes bounds the team, chat and idempotency key headers.
+// maxNameBytes bounds the team, chat, idempotency key and content type headers.
 const maxNameBytes = 256
 
 // defaultRetryAfter is what a caller is told to wait when no sidecar said how long.
@@ -121,7 +121,7 @@
 
 // readHeaders returns what is wrong with the headers, or an empty text.
 func (x *exchange) readHeaders(h http.Header) string {
-	for _, name := range []string{HeaderTeam, HeaderChat, HeaderIdempotencyKey} {
+	for _, name := range []string{HeaderTeam, HeaderChat, HeaderIdempotencyKey, "Content-Type"} {
 		if len(h.Get(name)) > maxNameBytes {
 			return name + " exceeds " + strconv.Itoa(maxNameBytes) + " bytes"
 		}
@@ -130,6 +130,9 @@
 	if x.team == "" {
 		return HeaderTeam + " is required"
 	}
+	if x.service.Kind != rules.Model {
+		x.contentType = h.Get("Content-Type")
+	}
 	x.key = h.Get(HeaderIdempotencyKey)
 	x.chat = x.affinity(h.Get(HeaderChat))
 	fault := x.readDeadline(h.Get(HeaderDeadline))
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -160,7 +160,8 @@
 
 func (x *exchange) call(ctx context.Context) (wire.End, []byte) {
 	response, err := x.s.opts.Plain.Call(ctx, platform.CallRequest{
-		Method: x.open.Method, Path: x.open.Path, Body: x.open.Body, IdempotencyKey: x.open.IdempotencyKey, OnSend: x.handOver,
+		Method: x.open.Method, Path: x.open.Path, ContentType: x.open.ContentType, Body: x.open.Body, IdempotencyKey: x.open.IdempotencyKey,
+		OnSend: x.handOver,
 	})
 	if err != nil {
 		return x.failed(ctx, err), nil
@@ -169,7 +170,9 @@
 	x.work = x.open.WorkUnits
 	// The call ran; if its caller is gone, the result is kept for a retry with the same key.
 	_ = x.r.Write(ctx, response.Body)
-	end := wire.End{Result: uint8(result.OK), Status: uint16(response.Status)}
+	end := wire.End{
+		Result: uint8(result.OK), Status: uint16(response.Status), ContentType: response.ContentType, Location: response.Location,
+	}
 	if response.Status >= http.StatusInternalServerError {
 		end.Result = uint8(result.UpstreamError)
 	}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -62,4 +62,5 @@
 guard redial process/node/control.go 's/c\.redial\(now\)//' ./process/node TestMembers_UnreachableInstanceReturns
 guard lagging-address process/node/pool.go 's/conn := s\.live\(\)\n\tif p/conn := s.live(); if s.address != instance.Address { conn = nil }\n\tif p/' ./process/node TestPool_AddressChanges
 guard other-instance process/node/pool.go 's/instance\.ID != "" \&\& remote != instance\.ID/remote == ""/' ./process/node TestPool_OtherInstanceAnswers
+guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
 exit $missed
