Answer from the old version when a shift's new version fails

Cause: a request whose chat belongs to the new version tried that version's upstreams only. When the version is bad its one rerun failed there too, and refusals of a version that is taken back reached callers until their entry had heard of the stop. Change: the old version's upstreams follow the new one's, and a failure at the new version, or its 'version-stopped', goes straight to the old one. Never the reverse: a full old version would give the new one more than its share. Outcomes are counted by the version that ran, as before. Choosing moved to choice.go. The order is tested instead; guard 'old-version-answers' is noticed.

--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -23,8 +23,6 @@
 	// plainCallUnits is the load of a call to a plain service. Means are whole numbers of units, so a call must be many units for the
 	// load bound to be exact with a few calls per upstream.
 	plainCallUnits = 100
-	// maxCandidates bounds the upstreams that a request may try.
-	maxCandidates = 8
 )
 
 // exchange is one caller's request. It lives on the goroutine that serves the caller.
@@ -90,33 +88,23 @@
 	x.countRequest()
 	var buffer [maxCandidates]candidate.Candidate
 	routing := x.e.routing.Load()
-	all := x.candidates(routing, buffer[:0])
-	if len(all) == 0 {
+	c := x.choose(routing, x.versions(), buffer[:0])
+	if len(c.all) == 0 {
 		return outcome{code: result.NoUpstream}
 	}
-	left := all
 	for {
-		if len(left) == 0 {
-			left = all
-		}
-		target := left[0]
-		left = left[1:]
-		last := x.try(ctx, routing.sidecars[target.ID])
+		target := routing.sidecars[c.next().ID]
+		last := x.try(ctx, target)
 		if last.code == result.OK {
 			return last
 		}
-		decision := x.decide(ctx, last, target.DataCentre, x.candidatesLeft(last.code, len(left), len(all)))
-		switch {
-		case decision.Action == retry.GiveUp:
+		decision := x.decide(ctx, last, target.DataCentre, x.candidatesLeft(last.code, &c))
+		if decision.Action == retry.GiveUp {
 			last.code = decision.Code
 			last.retryAfter = x.retryAfter
 			return last
-		case decision.Action == retry.Resume:
-			// Only the engine that produced the first parts continues them exactly.
-			left = []candidate.Candidate{target}
-		case decision.SkipDataCentre:
-			left = skipDataCentre(left, target.DataCentre)
 		}
+		x.narrow(&c, target, last.code, decision)
 		metrics.Add("retries", 1)
 		if !pause(ctx, decision.Backoff) {
 			last.code = retry.FinalCode(retry.Request{Attempts: x.attempts, Delivered: x.delivered})
@@ -125,39 +113,12 @@
 	}
 }
 
-// candidatesLeft returns how many candidates may be tried next. The list starts over after a refusal for load, because the load changes
-// within milliseconds; an answer that has begun can only go on at its upstream.
-func (x *exchange) candidatesLeft(last result.Code, left, all int) int {
-	if x.delivered > 0 {
-		return 1
-	}
-	if left == 0 && isLoadRefusal(last) {
-		return all
-	}
-	return left
-}
-
-func isLoadRefusal(code result.Code) bool {
-	return code == result.OverBound || code == result.ColdStart || code == result.Full
-}
-
 func (x *exchange) countRequest() {
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	x.e.budget.Request(time.Now())
 }
 
-// candidates returns the upstreams that the request may try, in order: those of the preferred version that has any.
-func (x *exchange) candidates(r *routing, dst []candidate.Candidate) []candidate.Candidate {
-	for _, version := range x.versions() {
-		if found := r.view.Candidates(x.service.Name, version, nil, x.chat, dst); len(found) > 0 {
-			x.e.unresponsive.order(time.Now(), found)
-			return found
-		}
-	}
-	return nil
-}
-
 func (x *exchange) decide(ctx context.Context, last outcome, dataCentre string, left int) retry.Decision {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
@@ -173,20 +134,6 @@
 	return x.e.policy.Decide(now, request, x.e.budget, x.e.random)
 }
 
-// skipDataCentre drops the candidates of a data centre unless no others are left.
-func skipDataCentre(candidates []candidate.Candidate, dataCentre string) []candidate.Candidate {
-	var others []candidate.Candidate
-	for _, c := range candidates {
-		if c.DataCentre != dataCentre {
-			others = append(others, c)
-		}
-	}
-	if len(others) == 0 {
-		return candidates
-	}
-	return others
-}
-
 func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -63,4 +63,5 @@
 guard lagging-address process/node/pool.go 's/conn := s\.live\(\)\n\tif p/conn := s.live(); if s.address != instance.Address { conn = nil }\n\tif p/' ./process/node TestPool_AddressChanges
 guard other-instance process/node/pool.go 's/instance\.ID != "" \&\& remote != instance\.ID/remote == ""/' ./process/node TestPool_OtherInstanceAnswers
 guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
+guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
 exit $missed
