Keep changes of connections when the control goroutine's queue is full

Cause: a full queue dropped any change. Found while reading. Change: connections, announcements and heads go to a list when the queue is full and are applied in order after it. Ruled out: a larger queue, which only moves the limit; blocking the connection's reader, which its contract forbids. Guard full-queue: without the list the test fails after 30 s, with it it passes.

--- a/process/node/control.go
+++ b/process/node/control.go
@@ -54,6 +54,7 @@
 		select {
 		case f := <-c.n.events:
 			f(c)
+			c.applyBacklog()
 			c.publishMembers(ctx)
 		case <-ticker.C:
 			c.tick(ctx)
@@ -63,7 +64,18 @@
 	}
 }
 
+// applyBacklog applies the changes that did not fit the queue, once those that did are applied.
+func (c *control) applyBacklog() {
+	if len(c.n.events) > 0 {
+		return
+	}
+	for _, f := range c.n.takeBacklog() {
+		f(c)
+	}
+}
+
 func (c *control) tick(ctx context.Context) {
+	c.applyBacklog()
 	c.publishMembers(ctx)
 	now := time.Now()
 	c.n.opts.Role.Tick(now, c.n.Snapshot())
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -94,8 +94,11 @@
 	opts     Options
 	snapshot atomic.Pointer[Snapshot]
 	events   chan func(*control)
-	server   *link.Server
-	pool     *Pool
+	// backlog holds changes that found events full and must not be lost.
+	backlogMu sync.Mutex
+	backlog   []func(*control)
+	server    *link.Server
+	pool      *Pool
 	// heard holds the configuration version that each peer last showed, by instance id.
 	heard sync.Map
 	// lastObserved is when any peer last showed its version, in nanoseconds since 1970.
@@ -226,6 +229,30 @@
 	}
 }
 
+// postAlways is post for changes of which nothing else tells again, such as the end of a connection. They are applied in the order in
+// which they are posted.
+func (n *Node) postAlways(f func(*control)) {
+	n.backlogMu.Lock()
+	defer n.backlogMu.Unlock()
+	if len(n.backlog) == 0 {
+		select {
+		case n.events <- f:
+			return
+		default:
+		}
+	}
+	n.backlog = append(n.backlog, f)
+	metrics.Add("control_events_delayed", 1)
+}
+
+func (n *Node) takeBacklog() []func(*control) {
+	n.backlogMu.Lock()
+	defer n.backlogMu.Unlock()
+	taken := n.backlog
+	n.backlog = nil
+	return taken
+}
+
 func (n *Node) hello() wire.Hello {
 	s := n.opts.Settings
 	h := wire.Hello{
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -60,12 +60,17 @@
 }
 
 func start(t *testing.T, opts Options) *Node {
+	n := create(t, opts)
+	n.Start()
+	return n
+}
+
+func create(t *testing.T, opts Options) *Node {
 	opts.Link = link.DefaultConfig()
 	opts.Member = membership.DefaultConfig()
 	opts.Member.DownAfter = 50 * time.Millisecond
 	n, err := New(opts)
 	must.NoError(t, err)
-	n.Start()
 	t.Cleanup(n.Stop)
 	return n
 }
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -24,7 +24,7 @@
 		ID: remote.Instance, Role: remote.Role, DataCentre: remote.DataCentre, Address: remote.Address,
 		Service: remote.Service, Version: remote.Version, State: platform.InstanceLive,
 	}
-	n.post(func(c *control) { c.members.Connected(self) })
+	n.postAlways(func(c *control) { c.members.Connected(self) })
 	n.ObserveVersion(conn, remote.ConfigVersion)
 	event.Log(event.PeerConnected, "peer", remote.Instance, "address", remote.Address)
 }
@@ -105,7 +105,7 @@
 	case *wire.Order:
 		n.Go(func(ctx context.Context) { h.order(ctx, conn, m) })
 	case *wire.Leaving:
-		n.post(func(c *control) { c.members.Leaving(time.Now(), conn.Remote().Instance) })
+		n.postAlways(func(c *control) { c.members.Leaving(time.Now(), conn.Remote().Instance) })
 	}
 }
 
@@ -142,7 +142,7 @@
 	}
 	event.Log(event.PeerLost, "peer", id, "error", err)
 	h.n.heard.Delete(id)
-	h.n.post(func(c *control) {
+	h.n.postAlways(func(c *control) {
 		if c.n.pool.Connected(id) == nil {
 			c.members.Disconnected(time.Now(), id)
 		}
--- a/process/node/pool.go
+++ b/process/node/pool.go
@@ -163,7 +163,7 @@
 	p.mu.Unlock()
 	switch {
 	case err != nil && !connected:
-		p.n.post(func(c *control) { c.members.Disconnected(time.Now(), instance.ID) })
+		p.n.postAlways(func(c *control) { c.members.Disconnected(time.Now(), instance.ID) })
 	case err != nil:
 	case closed:
 		_ = conn.Close()
--- a/process/node/pool_test.go
+++ b/process/node/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,6 +83,31 @@
 	must.ErrorIs(t, err, ErrRecentlyFailed)
 }
 
+// Guards against a control goroutine that is busy for seconds, as while it builds large tables, and then never hears of a connection that
+// ended meanwhile, or hears of it before the connection was made.
+func TestMembers_FullQueueLosesNoConnection(t *testing.T) {
+	var seen []int
+	entry := create(t, Options{Settings: testSettings("entry", loopback.Address()), Role: idleRole{}})
+	for entry.Post(func() {}) {
+	}
+	done := make(chan struct{})
+	for i := range 100 {
+		entry.postAlways(func(*control) { seen = append(seen, i) })
+	}
+	entry.postAlways(func(*control) { close(done) })
+	entry.Start()
+	eventually(t, func() bool {
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	})
+	must.Len(t, 100, seen)
+	must.True(t, slices.IsSorted(seen))
+}
+
 // Guards against an instance that was out of reach for longer than it stays a candidate, and that nobody connects to afterwards.
 func TestMembers_UnreachableInstanceReturns(t *testing.T) {
 	entry := startNode(t, "entry", nil)
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -90,7 +90,7 @@
 		event.Log(event.ConfigInvalid, "peer", "key-value service", "error", err)
 		return
 	}
-	n.post(func(c *control) { c.adoptHead(ctx, head, false) })
+	n.postAlways(func(c *control) { c.adoptHead(ctx, head, false) })
 }
 
 // readWholeHead reads the configuration with its whole text, after its latest changes did not fit what is in force here.
@@ -100,7 +100,7 @@
 		event.Log(event.ConfigWatchFailed, "error", err)
 		return
 	}
-	n.post(func(c *control) { c.adoptHead(ctx, head, true) })
+	n.postAlways(func(c *control) { c.adoptHead(ctx, head, true) })
 }
 
 // readHeadUntilKnown reads the configuration head directly while no peer has brought one.
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -64,4 +64,5 @@
 guard other-instance process/node/pool.go 's/instance\.ID != "" \&\& remote != instance\.ID/remote == ""/' ./process/node TestPool_OtherInstanceAnswers
 guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
 guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
+guard full-queue process/node/node.go 's/n\.backlog = append\(n\.backlog, f\)//' ./process/node TestMembers_FullQueueLosesNoConnection
 exit $missed
