Try sidecars again that left or could not be reached

Cause: an entry dials eligible sidecars only. One that was away for more than 5 s, or that said that it leaves, is not eligible, so an entry never dialed it again when it came back under its name and address: the instance list shows no change and sidecars dial nobody. A rolling replacement in place took all sidecars out of the fleet one by one.

Change: with each gossip interval an entry dials up to 8 listed sidecars that are away. A connection ends the announcement and the absence, as before. Ruled out: believing the list again after a while, which would send work to instances that are gone. The test harness keeps each process's role and program, for tests with two builds.

Conclusion: a sidecar that comes back gets work within seconds; a data centre of 435 within a minute (435 / 8 intervals of 1 s, derived, not measured).

--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -221,6 +221,26 @@
 	return m.connected || !expired(now, m.downSince, t.cfg.DownAfter)
 }
 
+// Returning returns up to n listed instances of a role that get no work because they could not be reached or said that they leave, and
+// that are not connected: only a new connection shows that they are back. They are in the order of their ids and begin after the given
+// one, so that repeated calls with the last id reach all of them.
+func (t *Table) Returning(now time.Time, role, after string, n int) []platform.Instance {
+	var away []platform.Instance
+	for _, m := range t.pending {
+		if m.Role == role && m.listed && !m.connected && m.State == platform.InstanceLive && !t.eligible(now, m) {
+			away = append(away, m.Instance)
+		}
+	}
+	// Those up to the given id come last.
+	sort.Slice(away, func(i, j int) bool {
+		if iLater, jLater := away[i].ID > after, away[j].ID > after; iLater != jLater {
+			return iLater
+		}
+		return away[i].ID < away[j].ID
+	})
+	return away[:min(n, len(away))]
+}
+
 // Known returns all instances of a role, ordered by id, whether or not they may get new work.
 func (t *Table) Known(role string) []platform.Instance {
 	var known []platform.Instance
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// Guards against an instance that came back and is never tried again: its address in the list is the same, so no row changes.
+func TestReturning(t *testing.T) {
+	table := New(DefaultConfig())
+	table.ApplyList([]platform.Instance{
+		row("a", platform.InstanceLive), row("b", platform.InstanceLive), row("c", platform.InstanceLive), row("d", platform.InstanceLeaving),
+	})
+	for _, id := range []string{"a", "c", "d"} {
+		table.Disconnected(start, id)
+	}
+	table.Connected(row("b", platform.InstanceLive))
+	table.Leaving(start, "b")
+	returning := func(after time.Duration, last string, n int) []string {
+		return ids(table.Returning(start.Add(after), "sidecar", last, n))
+	}
+	must.Eq(t, []string{}, returning(time.Second, "", 9))
+	must.Eq(t, []string{"a", "c"}, returning(5*time.Second, "", 9))
+	must.Eq(t, []string{"c"}, returning(5*time.Second, "a", 1))
+	must.Eq(t, []string{"a"}, returning(5*time.Second, "c", 1))
+	// The connection of an instance that leaves ends; from then on it may be back.
+	table.Disconnected(start, "b")
+	must.Eq(t, []string{"b"}, returning(time.Second, "", 9))
+	table.Connected(row("a", platform.InstanceLive))
+	must.Eq(t, []string{"a", "b"}, append(ids(table.Eligible(start.Add(time.Hour), "sidecar")), returning(time.Hour, "a", 1)...))
+}
+
 // Guards against an expiry that nobody notices because no message comes with it.
 func TestChanged_SeesExpiry(t *testing.T) {
 	table := New(DefaultConfig())
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -25,6 +25,9 @@
 	unreadablePause = 10 * time.Second
 	// adoptFanout is how many random peers hear at once of a version that was just adopted. Requests and gossip tell the rest.
 	adoptFanout = 8
+	// redials bounds the sidecars per gossip interval that an entry tries again after they could not be reached. With 8 a second, a
+	// data centre of 435 runners that returns is found within a minute, and one that is gone costs below 1 KB/s of connection requests.
+	redials = 8
 	// sidecarFanout is adoptFanout of a sidecar. Its peers are entries, which mostly have the version already.
 	sidecarFanout = 1
 )
@@ -41,6 +44,8 @@
 	// stopWatch ends the watch of the configuration head; nil while this process does not watch.
 	stopWatch  context.CancelFunc
 	lastGossip time.Time
+	// redialed is the id of the last sidecar that was tried again.
+	redialed string
 }
 
 func newControl(n *Node) *control {
@@ -70,6 +75,7 @@
 	if now.Sub(c.lastGossip) >= settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS) {
 		c.lastGossip = now
 		c.n.opts.Role.Connect(c.n.Snapshot())
+		c.redial(now)
 		c.gossip(ctx)
 	}
 }
@@ -88,6 +94,18 @@
 	c.n.pool.retain(c.members.Known(settings.RoleSidecar), c.members.Known(settings.RoleEntry))
 }
 
+// redial tries some sidecars again that get no work because they could not be reached or left. One that is restarted under its name and
+// address changes nothing in the instance list, and sidecars connect to nobody themselves.
+func (c *control) redial(now time.Time) {
+	if c.n.opts.Settings.Role != settings.RoleEntry {
+		return
+	}
+	for _, i := range c.members.Returning(now, settings.RoleSidecar, c.redialed, redials) {
+		c.n.pool.Prepare(i)
+		c.redialed = i.ID
+	}
+}
+
 func (c *control) publish(next *Snapshot) {
 	c.n.opts.Role.Publish(next)
 	c.n.snapshot.Store(next)
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -59,4 +59,5 @@
 guard newer-only version/config/adopt.go 's/if h\.Version <= before/if h.Version == before/' ./version/config 'TestStateSources|TestProposersAndReaders'
 guard retry-safety request/retry/policy.go 's/ran > 0 \&\& \(!r\.Idempotent \|\|/ran > 0 \&\& (false ||/' ./request/retry 'TestEveryCode|TestDecisionsAreSafe'
 guard leaving-announced process/membership/membership.go 's/if !m\.announced\.IsZero\(\) \&\& !expired/if false \&\& !expired/' ./process/membership TestTable_MergesSources
+guard redial process/node/control.go 's/c\.redial\(now\)\n//' ./test TestRestart_SidecarGetsWorkAgain
 exit $missed
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -93,7 +93,7 @@
 	n, err := io.ReadAtLeast(resp.Body, first, 100)
 	must.NoError(t, err)
 	f.kill("press-1")
-	f.restart("press-1", "sidecar")
+	f.restart("press-1")
 	rest, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
 	stream := string(first[:n]) + string(rest)
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -63,7 +63,7 @@
 		p.gate.cut.Store(true)
 	}
 	f.kill("press-3")
-	f.restart("press-3", "sidecar")
+	f.restart("press-3")
 	before := f.nadi()
 	f.chats("entry-1", "outage", 30)
 	f.awaitVersion(version, "press-3")
@@ -83,7 +83,7 @@
 		f.kill(name)
 	}
 	for _, name := range []string{"entry-1", "entry-2"} {
-		f.restart(name, "entry")
+		f.restart(name)
 	}
 	f.awaitVersion(version, "entry-1", "entry-2")
 	before := f.nadi()
@@ -98,7 +98,7 @@
 	f.awaitVersion(version)
 	f.kv.SetFaults(staleReads(1000))
 	f.kill("entry-1")
-	f.restart("entry-1", "entry")
+	f.restart("entry-1")
 	f.awaitVersion(version, "entry-1")
 	before := f.nadi()
 	f.chats("entry-1", "stale", 30)
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -34,6 +34,9 @@
 // binary is the program under test, built once.
 var binary string
 
+// oldBinary is a build of an earlier revision, empty if none is given. With it, every second process of a role runs that build.
+var oldBinary = os.Getenv("JAYRIDGE_OLD_BINARY")
+
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "jayridge-test")
 	if err != nil {
@@ -76,6 +79,8 @@
 // process is one running role.
 type process struct {
 	name     string
+	role     string
+	binary   string
 	settings string
 	admin    string
 	http     string
@@ -98,6 +103,8 @@
 	procs    map[string]*process
 	entries  []string
 	client   *http.Client
+	// old chooses the processes of a role, counted from zero, that run oldBinary if one is given.
+	old func(n int) bool
 
 	ids int
 }
@@ -107,6 +114,7 @@
 	f := &fleet{
 		t: t, dir: t.TempDir(), kv: kv.New(), list: instances.New(nil),
 		engines: map[string]*engine.Server{}, services: map[string]*service.Server{}, servers: map[string]*httptest.Server{},
+		old:   func(n int) bool { return n%2 == 1 },
 		procs: map[string]*process{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	store, err := httpkv.New(httpkv.DefaultConfig(f.serve("kv", f.kv)))
@@ -141,7 +149,10 @@
 // start writes a role's settings and starts it.
 func (f *fleet) start(name, role, dataCentre string, extra map[string]any) *process {
 	f.t.Helper()
-	p := &process{name: name, admin: loopback.Address(), gate: &gate{next: f.kv}, settings: filepath.Join(f.dir, name+".json")}
+	p := &process{
+		name: name, role: role, binary: f.binaryOf(role), admin: loopback.Address(), gate: &gate{next: f.kv},
+		settings: filepath.Join(f.dir, name+".json"),
+	}
 	peer := loopback.Address()
 	s := map[string]any{
 		"instance": name, "role": role, "data_centre": dataCentre, "peer_address": peer, "admin_address": p.admin,
@@ -161,7 +172,7 @@
 	must.NoError(f.t, err)
 	must.NoError(f.t, os.WriteFile(p.settings, text, 0o600))
 	f.procs[name] = p
-	f.run(p, role)
+	f.run(p)
 	serviceName, _ := s["service"].(string)
 	upstream, _ := s["upstream"].(map[string]any)
 	version, _ := upstream["version"].(string)
@@ -171,10 +182,24 @@
 	return p
 }
 
+// binaryOf returns the program of the next process of a role.
+func (f *fleet) binaryOf(role string) string {
+	n := 0
+	for _, p := range f.procs {
+		if p.role == role {
+			n++
+		}
+	}
+	if oldBinary != "" && f.old(n) {
+		return oldBinary
+	}
+	return binary
+}
+
 // run starts or restarts a process with its settings.
-func (f *fleet) run(p *process, role string) {
+func (f *fleet) run(p *process) {
 	p.log = &bytes.Buffer{}
-	p.cmd = exec.Command(binary, role, "--settings", p.settings)
+	p.cmd = exec.Command(p.binary, p.role, "--settings", p.settings)
 	p.cmd.Stderr = p.log
 	p.exited = make(chan struct{})
 	must.NoError(f.t, p.cmd.Start())
@@ -357,4 +382,4 @@
 }
 
 // restart starts a process again that has exited.
-func (f *fleet) restart(name, role string) { f.run(f.procs[name], role) }
+func (f *fleet) restart(name string) { f.run(f.procs[name]) }
--- a/test/order_test.go
+++ b/test/order_test.go
@@ -25,7 +25,7 @@
 	must.Zero(t, order())
 	f.kill("press-1")
 	f.procs["press-1"].gate.cut.Store(true)
-	f.restart("press-1", "sidecar")
+	f.restart("press-1")
 	f.await("the sidecar listens again", func() bool { return f.status("press-1") != nil })
 	must.Eq(t, int(result.FenceUnknown), order())
 	f.procs["press-1"].gate.cut.Store(false)
