Note the loss of a connection although the pool still has it

Cause: HandleClose runs before the connection's Done is closed. The control goroutine asked the pool for a live connection, and when it was faster than the close it found the one that had just ended: the instance counted as connected for good. After a graceful replacement in place the announcement then kept the new process without work for 60 s. HandleClose also forgot the peer's configuration version when another connection to the peer lived, as between two entries that dialed each other.

Change: both ask for a connection beside the one that ended, in the pool or accepted.

Guards loss-noted and version-kept: "expected slice to be empty", "expected equality".

--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -141,10 +142,32 @@
 		return
 	}
 	event.Log(event.PeerLost, "peer", id, "error", err)
-	h.n.heard.Delete(id)
+	h.n.forgetVersion(conn)
 	h.n.post(func(c *control) {
-		if c.n.pool.Connected(id) == nil {
+		if !c.n.connectedBeside(conn) {
 			c.members.Disconnected(time.Now(), id)
 		}
 	})
 }
+
+// forgetVersion forgets the configuration version of the peer of a connection that ended, unless another connection to it lives. A
+// connection that is made meanwhile is registered before its version is noted, so either its version or the old one stays.
+func (n *Node) forgetVersion(ended *link.Conn) {
+	id := ended.Remote().Instance
+	version, known := n.heard.LoadAndDelete(id)
+	if known && n.connectedBeside(ended) {
+		n.heard.LoadOrStore(id, version)
+	}
+}
+
+// connectedBeside reports whether there is another connection to the peer of one that ended. The ended one still counts as live in the
+// pool while its HandleClose runs.
+func (n *Node) connectedBeside(ended *link.Conn) bool {
+	id := ended.Remote().Instance
+	if conn := n.pool.Connected(id); conn != nil && conn != ended {
+		return true
+	}
+	return slices.ContainsFunc(n.server.Conns(), func(conn *link.Conn) bool {
+		return conn != ended && conn.Remote().Instance == id && conn.Err() == nil
+	})
+}
--- /dev/null
+++ b/process/node/peers_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/settings"
+)
+
+// ignore is a handler that does nothing.
+type ignore struct{ idleRole }
+
+func (ignore) HandleControl(*link.Conn, wire.Message) {}
+func (ignore) HandleClose(*link.Conn, error)          {}
+
+// Guards against a peer whose configuration version is forgotten although another connection to it lives: status would list it as
+// unconfirmed until it speaks again.
+func TestHandleClose_KeepsVersionOfConnectedPeer(t *testing.T) {
+	n := startNode(t, "first", nil)
+	dial := func() *link.Conn {
+		hello := func() wire.Hello {
+			return wire.Hello{Instance: "peer", Role: settings.RoleEntry, DataCentre: "suva", ConfigVersion: 7}
+		}
+		conn, err := link.Dial(t.Context(), n.opts.Settings.PeerAddress, link.DefaultConfig(), hello, ignore{})
+		must.NoError(t, err)
+		return conn
+	}
+	awaitConns := func(count int) {
+		for len(n.server.Conns()) != count {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	one, two := dial(), dial()
+	awaitConns(2)
+	for n.Confirmations()["peer"] != 7 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = one.Close()
+	awaitConns(1)
+	must.Eq(t, 7, n.Confirmations()["peer"])
+	_ = two.Close()
+	awaitConns(0)
+	must.MapNotContainsKey(t, n.Confirmations(), "peer")
+}
+
+// Guards against an instance that counts as connected for ever: the pool still has the connection while HandleClose runs for it, so the
+// control goroutine may look before it is gone.
+func TestHandleClose_NotesLossAtOnce(t *testing.T) {
+	n, peer := startNode(t, "first", nil), startNode(t, "second", nil)
+	conn, err := n.Pool().Get(t.Context(), platform.Instance{ID: "second", Address: peer.opts.Settings.PeerAddress})
+	must.NoError(t, err)
+	eligible := func() []platform.Instance {
+		found := make(chan []platform.Instance)
+		n.post(func(c *control) {
+			found <- c.members.Eligible(time.Now().Add(membership.DefaultConfig().DownAfter), settings.RoleEntry)
+		})
+		return <-found
+	}
+	for len(eligible()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	(&peerHandler{n}).HandleClose(conn, link.ErrClosed)
+	must.SliceEmpty(t, eligible())
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -60,4 +60,6 @@
 guard retry-safety request/retry/policy.go 's/ran > 0 \&\& \(!r\.Idempotent \|\|/ran > 0 \&\& (false ||/' ./request/retry 'TestEveryCode|TestDecisionsAreSafe'
 guard leaving-announced process/membership/membership.go 's/if !m\.announced\.IsZero\(\) \&\& !expired/if false \&\& !expired/' ./process/membership TestTable_MergesSources
 guard redial process/node/control.go 's/c\.redial\(now\)\n//' ./test TestRestart_SidecarGetsWorkAgain
+guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
+guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
 exit $missed
