Answer protocol-version for a peer of another major version

Cause: the entry answered `unreachable`, so that an operator would look at the network, although code 24 is documented for this case. The pool kept the cause of a failed dial to itself, so also later requests lost it.

Change: the pool joins the last dial's error with ErrRecentlyFailed, and the entry maps link.ErrProtocolVersion to result.ProtocolVersion.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -56,12 +56,12 @@
 	x := a.x
 	conn, err := x.e.node.Pool().Get(ctx, a.target)
 	if err != nil {
-		return outcome{code: a.unsent(ctx), reason: err.Error()}
+		return outcome{code: a.unsent(ctx, err), reason: err.Error()}
 	}
 	open := a.open(ctx)
 	stream, err := conn.Open(ctx, open)
 	if err != nil {
-		return outcome{code: a.unsent(ctx), reason: err.Error()}
+		return outcome{code: a.unsent(ctx, err), reason: err.Error()}
 	}
 	defer stream.Cancel()
 	body := assembly.New(open.Identity, x.delivered)
@@ -70,7 +70,7 @@
 		if err != nil {
 			stream.Cancel()
 			a.noteUnresponsive(conn, err)
-			return outcome{code: a.interrupted(ctx, stream.Sent()), reason: err.Error()}
+			return outcome{code: a.interrupted(ctx, stream.Sent(), err), reason: err.Error()}
 		}
 		switch m := m.(type) {
 		case *wire.Accepted:
@@ -149,24 +149,26 @@
 	return load.Upstream{ID: a.target.ID, DataCentre: a.target.DataCentre, Group: a.target.Service + "/" + a.target.Version}
 }
 
-// unsent is the result of an attempt of which nothing was sent.
-func (a *attempt) unsent(ctx context.Context) result.Code {
+// unsent is the result of an attempt of which nothing was sent because of err.
+func (a *attempt) unsent(ctx context.Context, err error) result.Code {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result.DeadlineBeforeRun
 	case ctx.Err() != nil:
 		return result.CanceledBeforeRun
+	case errors.Is(err, link.ErrProtocolVersion):
+		return result.ProtocolVersion
 	default:
 		return result.Unreachable
 	}
 }
 
-// interrupted is the result of an attempt that ended without a result from the sidecar. From the moment the Open may have been sent the
+// interrupted is the result of an attempt that err ended without a result from the sidecar. From the moment the Open may have been sent the
 // request may have run.
-func (a *attempt) interrupted(ctx context.Context, sent bool) result.Code {
+func (a *attempt) interrupted(ctx context.Context, sent bool, err error) result.Code {
 	switch {
 	case !sent:
-		return a.unsent(ctx)
+		return a.unsent(ctx, err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result.DeadlineInRun
 	case ctx.Err() != nil:
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -214,12 +214,16 @@
 // rawSidecar answers every attempt with frames of its own making, which a sidecar of ours would never send.
 type rawSidecar struct {
 	frames func(open *wire.Open) []wire.Message
+	// newer is added to the major protocol version.
+	newer uint16
 }
 
 // serve speaks the protocol on one connection.
 func (s *rawSidecar) serve(nc net.Conn, row platform.Instance) {
 	defer nc.Close()
-	hello := &wire.Hello{Major: wire.MajorVersion, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version, Address: row.Address}
+	hello := &wire.Hello{
+		Major: wire.MajorVersion + s.newer, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version, Address: row.Address,
+	}
 	sendFrame(nc, 0, hello)
 	for {
 		f, err := wire.Read(nc)
@@ -306,6 +310,18 @@
 	}
 }
 
+// Guards against a peer of another major version that looks like one that cannot be reached: the operator would look at the network. The
+// second request finds the attempt of the first in the pool.
+func TestProtocolVersion(t *testing.T) {
+	_, url := newTestEntry(t, &rawSidecar{newer: 1})
+	for _, path := range []string{"/bookings", "/bookings", "/chat"} {
+		answer := send(t, url, path)
+		must.Eq(t, "not-run", answer.outcome)
+		must.StrContains(t, answer.body, `"name":"protocol-version"`)
+		must.StrContains(t, answer.body, "other major protocol version: peer has 2.")
+	}
+}
+
 // Guards against a refusal that says "not run" when no attempt was made, or that does not say how long to wait.
 func TestRefusals(t *testing.T) {
 	fakes, url := newTestEntry(t, nil)
--- a/process/node/pool.go
+++ b/process/node/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 // redialAfter is the time for which an instance that could not be reached is not dialed again.
 const redialAfter = 250 * time.Millisecond
 
-// ErrRecentlyFailed says that an instance could not be reached a moment ago and was not tried again.
+// ErrRecentlyFailed says that an instance could not be reached a moment ago and was not tried again. Pool.Get joins it with the cause.
 var ErrRecentlyFailed = trace.ConnectionProblem(nil, "instance could not be reached a moment ago")
 
 // Pool keeps one connection to each instance that this process talks to. It may be used by any goroutine.
@@ -35,6 +36,8 @@
 	conn     *link.Conn
 	dialing  chan struct{}
 	failedAt time.Time
+	// failure is why the attempt at failedAt failed.
+	failure error
 }
 
 func newPool(n *Node, handler link.Handler) *Pool {
@@ -42,7 +45,7 @@
 }
 
 // Get returns the connection to an instance and makes it if needed. Concurrent callers share one attempt to connect. An error means
-// that nothing was sent to the instance.
+// that nothing was sent to the instance; it wraps link.ErrProtocolVersion for a peer of another major version.
 func (p *Pool) Get(ctx context.Context, instance platform.Instance) (*link.Conn, error) {
 	for {
 		p.mu.Lock()
@@ -52,8 +55,9 @@
 			return conn, p.closedError(conn)
 		}
 		if s.dialing == nil && time.Since(s.failedAt) < redialAfter {
+			err := errors.Join(ErrRecentlyFailed, s.failure)
 			p.mu.Unlock()
-			return nil, ErrRecentlyFailed
+			return nil, err
 		}
 		if s.dialing == nil {
 			s.dialing = make(chan struct{})
@@ -134,7 +138,7 @@
 	s.conn = conn
 	if err != nil {
 		s.conn = nil
-		s.failedAt = time.Now()
+		s.failedAt, s.failure = time.Now(), err
 	}
 	closed := p.closed
 	close(s.dialing)
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -62,4 +62,6 @@
 guard redial process/node/control.go 's/c\.redial\(now\)\n//' ./test TestRestart_SidecarGetsWorkAgain
 guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
 guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
+guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
+guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
 exit $missed
