--- a/process/membership/redial.go
+++ b/process/membership/redial.go
@@ -34,8 +34,10 @@
 	return nil
 }
 
-// unreachable reports whether the last attempt to reach a listed instance failed.
-func (m *member) unreachable() bool { return m.listed && !m.connected && !m.downSince.IsZero() }
+// unreachable reports whether the last attempt to reach an instance that is listed as live failed.
+func (m *member) unreachable() bool {
+	return m.listed && m.State == platform.InstanceLive && !m.connected && !m.downSince.IsZero()
+}
 
 // Redial returns the unreachable instances that are to be tried again now. Without it an instance that was cut off for longer than
 // Config.DownAfter would get no work, and therefore no connection, ever after. It is called about once a second; each attempt ends in
--- a/process/membership/redial_test.go
+++ b/process/membership/redial_test.go
@@ -70,13 +70,18 @@
 	must.Eq(t, 435, back)
 }
 
-// Guards against attempts to reach instances that left, went, or are connected again.
+// Guards against attempts to reach instances that leave, went, or are connected, and against an instance that left and is back under its
+// name and address, of which the list shows no change.
 func TestRedial_OnlyUnreachable(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := unreachableTable(now, 3, "suva")
+	table := unreachableTable(now, 4, "suva")
 	table.Connected(platform.Instance{ID: "suva-0"})
-	table.ApplyChanges(nil, []string{"suva-1"})
-	due := table.Redial(now)
-	must.Len(t, 1, due)
-	must.Eq(t, "suva-2", due[0].ID)
+	table.ApplyChanges([]platform.Instance{{ID: "suva-3", DataCentre: "suva", State: platform.InstanceLeaving}}, []string{"suva-1"})
+	must.Eq(t, []string{"suva-2"}, ids(table.Redial(now)))
+	table.Leaving(now, "suva-0")
+	table.Connected(platform.Instance{ID: "suva-2"})
+	must.Eq(t, []string{}, ids(table.Redial(now.Add(time.Second))))
+	// The connection of an instance that leaves ends; from then on it may be back.
+	table.Disconnected(now.Add(time.Second), "suva-0")
+	must.Eq(t, []string{"suva-0"}, ids(table.Redial(now.Add(2*time.Second))))
 }
--- a/process/node/pool.go
+++ b/process/node/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 // redialAfter is the time for which an instance that could not be reached is not dialed again.
 const redialAfter = 250 * time.Millisecond
 
-// ErrRecentlyFailed says that an instance could not be reached a moment ago and was not tried again.
+// ErrRecentlyFailed says that an instance could not be reached a moment ago and was not tried again. Pool.Get joins it with the cause.
 var ErrRecentlyFailed = trace.ConnectionProblem(nil, "instance could not be reached a moment ago")
 
 // Pool keeps one connection to each instance that this process talks to. It may be used by any goroutine.
@@ -40,6 +41,8 @@
 	// failedAddress could not be reached at failedAt.
 	failedAddress string
 	failedAt      time.Time
+	// failure is why the attempt at failedAt failed.
+	failure error
 }
 
 func newPool(n *Node, handler link.Handler) *Pool {
@@ -49,7 +52,7 @@
 // Get returns the connection to an instance and makes it if needed. An instance without an id is a seed, of which only the address is
 // known. Concurrent callers share one attempt to connect. When the instance has another address than the one it is connected at, the
 // connection stays in use until the new address has answered: the instance list may be older than the connection. An error means that
-// nothing was sent to the instance.
+// nothing was sent to the instance; it wraps link.ErrProtocolVersion for a peer of another major version.
 func (p *Pool) Get(ctx context.Context, instance platform.Instance) (*link.Conn, error) {
 	for {
 		conn, dialing, err := p.connect(instance)
@@ -78,7 +81,7 @@
 		p.n.run(func() { p.dial(instance, s) })
 	}
 	if conn == nil && s.dialing == nil {
-		return nil, nil, ErrRecentlyFailed
+		return nil, nil, errors.Join(ErrRecentlyFailed, s.failure)
 	}
 	return conn, s.dialing, nil
 }
@@ -151,7 +154,7 @@
 	p.mu.Lock()
 	var previous *link.Conn
 	if err != nil {
-		s.failedAddress, s.failedAt = instance.Address, time.Now()
+		s.failedAddress, s.failedAt, s.failure = instance.Address, time.Now(), err
 	} else {
 		previous = s.live()
 		s.conn, s.address = conn, instance.Address
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -65,4 +65,9 @@
 guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
 guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
 guard full-queue process/node/node.go 's/n\.backlog = append\(n\.backlog, f\)//' ./process/node TestMembers_FullQueueLosesNoConnection
+guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
+guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
+guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
+guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
+guard redial-process process/node/control.go 's/c\.redial\(now\)//' ./test TestRestart_SidecarGetsWorkAgain
 exit $missed
