--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -70,4 +70,5 @@
 guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
 guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
 guard redial-process process/node/control.go 's/c\.redial\(now\)//' ./test TestRestart_SidecarGetsWorkAgain
+guard unchanged-confirmed version/config/propose.go 's/if _, err := s\.kv\.CompareAndSwap\(ctx, HeadKey, head\.revision, head\.value, 0\); err != nil/if err := error(nil); err != nil/' ./version/config 'TestPropose_UnchangedIsNoStaleAnswer'
 exit $missed
--- a/version/config/audit.go
+++ b/version/config/audit.go
@@ -12,7 +12,7 @@
 // It reads one key for each record. With an error it returns the records that were read before it.
 func Audit(ctx context.Context, kv platform.KV, limit int) ([]Record, error) {
 	s := newStore(kv)
-	head, _, err := s.head(ctx)
+	head, err := s.head(ctx)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -27,7 +27,7 @@
 // TextAt returns the text of an accepted version. It reads the head and one record for each version since.
 func TextAt(ctx context.Context, kv platform.KV, version uint64) (string, error) {
 	s := newStore(kv)
-	head, _, err := s.head(ctx)
+	head, err := s.head(ctx)
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
--- a/version/config/head.go
+++ b/version/config/head.go
@@ -35,6 +35,9 @@
 	// record is the encoded audit record of Version. It is written as it is when the version is replaced, so that every
 	// writer writes the same bytes.
 	record []byte
+	// value is the encoded head as it was read by a proposal, and revision its revision.
+	value    []byte
+	revision platform.Revision
 }
 
 // storedHead is the encoding of a Head.
--- a/version/config/propose.go
+++ b/version/config/propose.go
@@ -40,7 +40,7 @@
 type Outcome struct {
 	// Version is the version that has the proposal's text.
 	Version uint64
-	// Unchanged means that the accepted text was already the proposed one and nothing was written.
+	// Unchanged means that the accepted text was already the proposed one. Its version stays in force.
 	Unchanged bool
 	// Head is the version that was accepted last when Propose returned; it is higher than Version if others have changed
 	// the configuration since.
@@ -137,7 +137,7 @@
 
 // try reads the head and acts on it once. It returns false if the proposal is not decided and may be tried again.
 func (s *store) try(ctx context.Context, a *attempt) (Outcome, bool, error) {
-	head, revision, err := s.head(ctx)
+	head, err := s.head(ctx)
 	if err != nil {
 		return Outcome{}, !a.pending && !errors.Is(err, platform.ErrUnavailable), err
 	}
@@ -151,13 +151,22 @@
 		return Outcome{}, !a.pending, err
 	}
 	if head.Text == a.Text {
-		return Outcome{Version: head.Version, Unchanged: true, Head: head.Version}, true, nil
+		return s.confirm(ctx, &head)
 	}
 	value, err := s.prepare(ctx, a, &head)
 	if err != nil {
 		return Outcome{}, !a.pending, err
 	}
-	return s.swap(ctx, a, revision, value)
+	return s.swap(ctx, a, head.revision, value)
+}
+
+// confirm reports a proposal as unchanged if the head, which has the proposed text, is the accepted one and no stale answer: only then can
+// the same value replace it. Otherwise an operator would take a change for accepted that another one has undone.
+func (s *store) confirm(ctx context.Context, head *Head) (Outcome, bool, error) {
+	if _, err := s.kv.CompareAndSwap(ctx, HeadKey, head.revision, head.value, 0); err != nil {
+		return Outcome{}, false, err
+	}
+	return Outcome{Version: head.Version, Unchanged: true, Head: head.Version}, true, nil
 }
 
 // prepare writes everything that the next head refers to and returns the value of that head.
--- a/version/config/settle.go
+++ b/version/config/settle.go
@@ -31,7 +31,7 @@
 		return Outcome{}, false, err
 	}
 	if head.Text == a.Text {
-		return Outcome{Version: head.Version, Unchanged: true, Head: head.Version}, true, nil
+		return s.confirm(ctx, head)
 	}
 	return Outcome{}, true, s.conflict(ctx, a, head)
 }
--- a/version/config/store.go
+++ b/version/config/store.go
@@ -44,16 +44,17 @@
 }
 
 // head reads the head without loading its parts. Without a head it returns version zero with an empty text.
-func (s *store) head(ctx context.Context) (Head, platform.Revision, error) {
+func (s *store) head(ctx context.Context) (Head, error) {
 	kv, err := s.kv.Get(ctx, HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return Head{Loaded: true, TextHash: Hash("")}, 0, nil
+		return Head{Loaded: true, TextHash: Hash("")}, nil
 	}
 	if err != nil {
-		return Head{}, 0, err
+		return Head{}, err
 	}
 	h, err := DecodeHead(kv.Value)
-	return h, kv.Revision, err
+	h.value, h.revision = kv.Value, kv.Revision
+	return h, err
 }
 
 // get reads a key that was written before something that refers to it, so that "not found" is a stale answer.
@@ -182,10 +183,11 @@
 // ReadHead reads the head and completes it for a process that has accepted have, which may be nil. Without a head it returns
 // version zero and revision zero. Errors wrap those of the platform or ErrFormat.
 func ReadHead(ctx context.Context, kv platform.KV, have *Accepted) (Head, platform.Revision, error) {
-	h, revision, err := newStore(kv).head(ctx)
+	h, err := newStore(kv).head(ctx)
 	if err != nil {
 		return Head{}, 0, trace.Wrap(err)
 	}
+	revision := h.revision
 	h, err = Complete(ctx, kv, h, have)
 	return h, revision, trace.Wrap(err)
 }
