Encode small control structs as arrays and evidence in columns

An entry that sums a data centre's evidence spent 2,285 B/s and one that leads a shift 2,064 B/s of the control budget of 2,000 B/s. A third of a load report, and 12 of 50 bytes of a load summary, were keys of a map; a report of evidence repeated names and mixed columns of different kinds, which deflate compresses badly.

Load reports, load summaries, rollout records, quarantine entries and configuration changes are now arrays. Decoders of minor version 0 read a struct from either form. Evidence goes as deflated columns behind tables of names to peers of minor version 1 or higher, and as rows to others. Columns as msgpack arrays were tried: 368 bytes a report instead of 337 (rows: 547).

The sums that the leader receives are now measured with separate counts of each entry. 34 times the same counts compress better than real ones: with columns it would have been 1,794 B/s at the leader.

--- /dev/null
+++ b/connection/wire/array.go
@@ -0,0 +1,53 @@
+package wire
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// The small structs that make up most of the control traffic are encoded as arrays of their fields, since the keys of a map took up to a
+// third of them. Decoders of all minor versions read a struct from a map as well as from an array, but only from one with as many elements
+// as they know fields. A field that is added to one of these structs therefore needs a new major version; a minor one adds it to the
+// message.
+
+var (
+	_ msgpack.CustomEncoder = (*LoadReport)(nil)
+	_ msgpack.CustomEncoder = (*LoadSummary)(nil)
+	_ msgpack.CustomEncoder = (*RolloutRecord)(nil)
+	_ msgpack.CustomEncoder = (*QuarantineEntry)(nil)
+	_ msgpack.CustomEncoder = (*ConfigChange)(nil)
+)
+
+// encodeArray encodes a struct, and the structs in it, as arrays.
+func encodeArray(enc *msgpack.Encoder, v any) error {
+	enc.UseArrayEncodedStructs(true)
+	defer enc.UseArrayEncodedStructs(false)
+	return enc.Encode(v)
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r *LoadReport) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields LoadReport
+	return encodeArray(enc, (*fields)(r))
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (s *LoadSummary) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields LoadSummary
+	return encodeArray(enc, (*fields)(s))
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r *RolloutRecord) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields RolloutRecord
+	return encodeArray(enc, (*fields)(r))
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (e *QuarantineEntry) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields QuarantineEntry
+	return encodeArray(enc, (*fields)(e))
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (c *ConfigChange) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields ConfigChange
+	return encodeArray(enc, (*fields)(c))
+}
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -35,7 +35,7 @@
 		&ConfigSnapshotPart{20, "id", "josefa", 1, 2, 3, []byte("part"), 21},
 	},
 	&Leaving{"press-7"},
-	&Evidence{"r", "nadi", true, []byte("counts")},
+	&Evidence{"r", "nadi", true, []byte("rows"), []byte("columns")},
 	&Order{1, "load-version", "v2", 7},
 	&OrderDone{1, 25, "stale"},
 }
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -7,9 +7,12 @@
 // Protocol version of this build. Peers with another major version are refused.
 const (
 	MajorVersion = 1
-	MinorVersion = 0
+	MinorVersion = 1
 )
 
+// MinorEvidenceColumns is the first minor version that reads Evidence.Columns.
+const MinorEvidenceColumns = 1
+
 // MaxFrameBytes bounds the length field of a frame.
 const MaxFrameBytes = 1 << 20
 
@@ -244,7 +247,9 @@
 	// Source is the entry, or the data centre if ToLeader is set.
 	Source   string `msgpack:"s"`
 	ToLeader bool   `msgpack:"l,omitempty"`
-	Data     []byte `msgpack:"d"`
+	// Data holds the counts as rows, for receivers that do not read Columns. One of the two is empty.
+	Data    []byte `msgpack:"d,omitempty"`
+	Columns []byte `msgpack:"c,omitempty"`
 }
 
 // Order tells the sidecar of a runner to pass an order to its engine.
--- a/internal/bench/slopes_processor.go
+++ b/internal/bench/slopes_processor.go
@@ -109,13 +109,13 @@
 	for range 2000 {
 		recorder.Record(window, t.observation())
 	}
-	data, err := recorder.Ended(window.Add(cfg.Window)).Encode()
+	data, err := recorder.Ended(window.Add(cfg.Window)).EncodeColumns()
 	if err != nil {
 		panic(err)
 	}
 	aggregator := rollout.NewAggregator(cfg, window)
 	add("report of evidence of 92 strata, received and summed", timePer(func(i int) {
-		evidence, err := rollout.DecodeEvidence(data)
+		evidence, err := rollout.DecodeColumns(data)
 		if err != nil {
 			panic(err)
 		}
--- a/internal/bench/traffic_platform.go
+++ b/internal/bench/traffic_platform.go
@@ -118,6 +118,22 @@
 // evidence counts what an entry reports of a shift of one model once a window: the counts of the requests that it routed in all data
 // centres.
 func (t *traffic) evidence() {
+	window := t.size.window.Seconds()
+	counts := t.counts()
+	report := evidenceBytes(t.size.entry(0).ID, counts)
+	t.entry.send("Evidence of a shift", report/window)
+	// An aggregator receives the reports of its data centre's entries and sends one sum, the leader receives the sums.
+	sum := counts
+	for range t.size.entries/t.size.dataCentres - 1 {
+		sum.Merge(t.counts())
+	}
+	total := evidenceBytes(t.size.dataCentre(0), sum)
+	t.aggregator = (float64(t.size.entries/t.size.dataCentres-1)*report + total) / window
+	t.leader = float64(t.size.dataCentres-1) * total / window
+}
+
+// counts is the evidence of one entry and window.
+func (t *traffic) counts() rollout.Evidence {
 	cfg := rollout.DefaultConfig()
 	cfg.Window = t.size.window
 	recorder := rollout.NewRecorder(cfg)
@@ -126,24 +142,15 @@
 	for range int(perModel * cfg.Window.Seconds()) {
 		recorder.Record(window, t.observation())
 	}
-	counts := recorder.Ended(window.Add(cfg.Window))
-	t.entry.send("Evidence of a shift", evidenceBytes(t.size.entry(0).ID, counts)/cfg.Window.Seconds())
-	// An aggregator receives the reports of its data centre's entries and sends one sum, the leader receives the sums.
-	var sum rollout.Evidence
-	for range t.size.entries / t.size.dataCentres {
-		sum.Merge(counts)
-	}
-	report, total := evidenceBytes(t.size.entry(0).ID, counts), evidenceBytes(t.size.dataCentre(0), sum)
-	t.aggregator = (float64(t.size.entries/t.size.dataCentres-1)*report + total) / cfg.Window.Seconds()
-	t.leader = float64(t.size.dataCentres-1) * total / cfg.Window.Seconds()
+	return recorder.Ended(window.Add(cfg.Window))
 }
 
 func evidenceBytes(source string, counts rollout.Evidence) float64 {
-	data, err := counts.Encode()
+	data, err := counts.EncodeColumns()
 	if err != nil {
 		panic(err)
 	}
-	return frameBytes(&wire.Evidence{Rollout: "press-model v1 v2 1", Source: source, Data: data})
+	return frameBytes(&wire.Evidence{Rollout: "press-model v1 v2 1", Source: source, Columns: data})
 }
 
 func (t *traffic) observation() rollout.Observation {
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -41,18 +41,26 @@
 func (h shiftHost) GossipSome() { h.e.node.GossipSome() }
 
 // Send implements shift.Host.
-func (h shiftHost) Send(to platform.Instance, m wire.Message) {
+func (h shiftHost) Send(to platform.Instance, build func(minor uint16) (wire.Message, error)) {
 	h.e.node.Go(func(ctx context.Context) {
-		conn, err := h.e.node.Pool().Get(ctx, to)
-		if err == nil {
-			err = conn.Send(m)
-		}
-		if err != nil {
+		if err := h.send(ctx, to, build); err != nil {
 			metrics.Add("evidence_unsent", 1)
 		}
 	})
 }
 
+func (h shiftHost) send(ctx context.Context, to platform.Instance, build func(minor uint16) (wire.Message, error)) error {
+	conn, err := h.e.node.Pool().Get(ctx, to)
+	if err != nil {
+		return err
+	}
+	m, err := build(conn.Remote().Minor)
+	if err != nil {
+		return err
+	}
+	return conn.Send(m)
+}
+
 // Tick implements node.Role.
 func (e *Entry) Tick(now time.Time, snapshot *node.Snapshot) { e.shifts.Tick(now, snapshot.Entries) }
 
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -27,8 +27,9 @@
 	Post(f func()) bool
 	// Go runs f on a goroutine of its own until the process stops.
 	Go(f func(ctx context.Context))
-	// Send sends a message to an entry in the background. Messages may be lost.
-	Send(to platform.Instance, m wire.Message)
+	// Send sends an entry the message that build returns for its minor version of the protocol. It does so in the background, and
+	// messages may be lost.
+	Send(to platform.Instance, build func(minor uint16) (wire.Message, error))
 	// GossipSome sends the digests to some peers at once.
 	GossipSome()
 }
@@ -251,15 +252,29 @@
 	_ = r.fleet.Add(now, d.opts.DataCentre, sum)
 }
 
+// sendEvidence sends evidence that nothing else refers to.
 func (d *Driver) sendEvidence(to platform.Instance, r *running, source string, toLeader bool, evidence rollout.Evidence) {
 	if to.ID == "" || evidence.Len() == 0 {
 		return
 	}
-	data, err := evidence.Encode()
-	if err != nil {
-		return
+	m := wire.Evidence{Rollout: r.shift.ID, Source: source, ToLeader: toLeader}
+	d.opts.Host.Send(to, func(minor uint16) (wire.Message, error) {
+		var err error
+		if minor >= wire.MinorEvidenceColumns {
+			m.Columns, err = evidence.EncodeColumns()
+		} else {
+			m.Data, err = evidence.Encode()
+		}
+		return &m, err
+	})
+}
+
+// decodeEvidence reads the form that the sender chose.
+func decodeEvidence(m *wire.Evidence) (rollout.Evidence, error) {
+	if len(m.Columns) > 0 {
+		return rollout.DecodeColumns(m.Columns)
 	}
-	d.opts.Host.Send(to, &wire.Evidence{Rollout: r.shift.ID, Source: source, ToLeader: toLeader, Data: data})
+	return rollout.DecodeEvidence(m.Data)
 }
 
 // Evidence takes the counts of another entry or data centre.
@@ -268,7 +283,7 @@
 	if r == nil {
 		return
 	}
-	evidence, err := rollout.DecodeEvidence(m.Data)
+	evidence, err := decodeEvidence(m)
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/version/rollout/columns.go
@@ -0,0 +1,195 @@
+package rollout
+
+import (
+	"bufio"
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+
+	"github.com/gravitational/trace"
+)
+
+// errColumns says that columns of evidence are malformed.
+var errColumns = errors.New("malformed columns of evidence")
+
+// Columns of the encoding. The names are indexes of tables, and the windows are relative to the first one.
+const (
+	columnWindow = iota
+	columnStep
+	columnDataCentre
+	columnRoute
+	columnCounts
+	columns = columnCounts + 6
+)
+
+// row is a cell as numbers.
+type row [columns]uint64
+
+// nameTable numbers names in the order of their first use.
+type nameTable []string
+
+func (t *nameTable) index(name string) uint64 {
+	i := slices.Index(*t, name)
+	if i < 0 {
+		i = len(*t)
+		*t = append(*t, name)
+	}
+	return uint64(i)
+}
+
+func (t nameTable) append(buf []byte) []byte {
+	buf = binary.AppendUvarint(buf, uint64(len(t)))
+	for _, name := range t {
+		buf = binary.AppendUvarint(buf, uint64(len(name)))
+		buf = append(buf, name...)
+	}
+	return buf
+}
+
+// EncodeColumns returns the evidence as compressed columns of numbers behind the tables of names, in about 60% of the bytes of Encode: a
+// column holds values of one kind, of which some have few values and others repeat a pattern. Receivers know it from minor version 1 on.
+func (e Evidence) EncodeColumns() ([]byte, error) {
+	var buf bytes.Buffer
+	// The level is valid, and writes to a buffer do not fail.
+	compressed, _ := flate.NewWriter(&buf, flate.BestCompression)
+	if _, err := compressed.Write(e.columns()); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := compressed.Close(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return buf.Bytes(), nil
+}
+
+// columns returns the columns before compression: the number of cells, the first window, both tables, and the columns one by one.
+func (e Evidence) columns() []byte {
+	cells := e.Cells()
+	var first int64
+	if len(cells) > 0 {
+		first = cells[0].Key.Window
+	}
+	var dataCentres, routes nameTable
+	rows := make([]row, len(cells))
+	for i, c := range cells {
+		rows[i] = row{
+			uint64(c.Key.Window - first), uint64(c.Key.Step), dataCentres.index(c.Key.DataCentre), routes.index(c.Key.Route),
+			uint64(c.Old.OK), uint64(c.New.OK), uint64(c.Old.Slow), uint64(c.New.Slow), uint64(c.Old.Failed), uint64(c.New.Failed),
+		}
+	}
+	buf := binary.AppendUvarint(nil, uint64(len(rows)))
+	buf = binary.AppendVarint(buf, first)
+	buf = routes.append(dataCentres.append(buf))
+	for column := range columns {
+		for i := range rows {
+			buf = binary.AppendUvarint(buf, rows[i][column])
+		}
+	}
+	return buf
+}
+
+// DecodeColumns reverses EncodeColumns. It rejects evidence with more than maxCells cells.
+func DecodeColumns(data []byte) (Evidence, error) {
+	e, err := readColumns(bufio.NewReader(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEvidenceBytes)))
+	return e, trace.Wrap(err)
+}
+
+func readColumns(r *bufio.Reader) (Evidence, error) {
+	// The number is checked first, because a few compressed bytes can announce cells that fill the memory.
+	n, err := readUpTo(r, maxCells)
+	if err != nil {
+		return Evidence{}, err
+	}
+	first, err := binary.ReadVarint(r)
+	if err != nil {
+		return Evidence{}, err
+	}
+	dataCentres, err := readNames(r, n)
+	if err != nil {
+		return Evidence{}, err
+	}
+	routes, err := readNames(r, n)
+	if err != nil {
+		return Evidence{}, err
+	}
+	rows, err := readRows(r, int(n), uint64(len(dataCentres)), uint64(len(routes)))
+	if err != nil {
+		return Evidence{}, err
+	}
+	var e Evidence
+	for _, row := range rows {
+		e.AddCell(row.cell(first, dataCentres, routes))
+	}
+	return e, nil
+}
+
+// readUpTo reads a number and refuses one above limit.
+func readUpTo(r *bufio.Reader, limit uint64) (uint64, error) {
+	n, err := binary.ReadUvarint(r)
+	if err == nil && n > limit {
+		err = fmt.Errorf("%w: %d exceeds %d", errColumns, n, limit)
+	}
+	return n, err
+}
+
+// readNames reads a table of at most limit names.
+func readNames(r *bufio.Reader, limit uint64) (nameTable, error) {
+	n, err := readUpTo(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	var names nameTable
+	for range n {
+		size, err := readUpTo(r, maxNameBytes)
+		if err != nil {
+			return nil, err
+		}
+		name := make([]byte, size)
+		if _, err := io.ReadFull(r, name); err != nil {
+			return nil, err
+		}
+		names = append(names, string(name))
+	}
+	return names, nil
+}
+
+// maxNameBytes bounds the name of a route or data centre, the rows of which a peer announces.
+const maxNameBytes = 1 << 12
+
+// readRows reads n rows. The limit of a column follows from the field that it fills or the table that it refers to.
+func readRows(r *bufio.Reader, n int, dataCentres, routes uint64) ([]row, error) {
+	if n > 0 && (dataCentres == 0 || routes == 0) {
+		return nil, fmt.Errorf("%w: cells without names", errColumns)
+	}
+	limits := row{math.MaxInt32, math.MaxUint8, dataCentres - 1, routes - 1}
+	for i := columnCounts; i < columns; i++ {
+		limits[i] = math.MaxUint32
+	}
+	rows := make([]row, n)
+	for column, limit := range limits {
+		for i := range rows {
+			value, err := readUpTo(r, limit)
+			if err != nil {
+				return nil, err
+			}
+			rows[i][column] = value
+		}
+	}
+	return rows, nil
+}
+
+func (r row) cell(first int64, dataCentres, routes nameTable) Cell {
+	counts := r[columnCounts:]
+	return Cell{
+		Key: Key{
+			DataCentre: dataCentres[r[columnDataCentre]], Route: routes[r[columnRoute]],
+			Window: first + int64(r[columnWindow]), Step: uint8(r[columnStep]),
+		},
+		Old: Counts{OK: uint32(counts[0]), Slow: uint32(counts[2]), Failed: uint32(counts[4])},
+		New: Counts{OK: uint32(counts[1]), Slow: uint32(counts[3]), Failed: uint32(counts[5])},
+	}
+}
--- a/version/rollout/evidence_test.go
+++ b/version/rollout/evidence_test.go
@@ -47,6 +47,11 @@
 		decoded, err := DecodeEvidence(data)
 		must.NoError(t, err)
 		must.Eq(t, ab.Cells(), decoded.Cells())
+		data, err = ab.EncodeColumns()
+		must.NoError(t, err)
+		decoded, err = DecodeColumns(data)
+		must.NoError(t, err)
+		must.Eq(t, ab.Cells(), decoded.Cells())
 	})
 }
 
