Send further hints of a changed mean out of a budget of their own

Hints to upstreams whose last hint is off by more than HintChange now have a second budget of 48 B/s with a burst of 2,048 bytes, which is saved up while the load is steady. The usual budget stays at 160 B/s.

A new figure of the control traffic is the minute in which the load grows, with all hint budgets used up, at the entry with the most expensive duty; its bound is the control budget.

--- a/internal/bench/bytes.go
+++ b/internal/bench/bytes.go
@@ -47,6 +47,7 @@
 		figures = append(figures, t.entry.figures("control traffic", "entry at "+s.name, controlBytesPerSecond)...)
 		figures = append(figures, t.sidecar.figures("control traffic", "sidecar at "+s.name, controlBytesPerSecond)...)
 		figures = append(figures, t.duties()...)
+		figures = append(figures, t.growth())
 		if !o.Short {
 			t.entry.print(os.Stdout, "entry at "+s.name)
 			t.sidecar.print(os.Stdout, "sidecar at "+s.name)
@@ -73,6 +74,20 @@
 	}
 }
 
+// growth returns the total of the entry with the most expensive duty in a minute in which the mean load changes all the time, so that
+// hints cost their whole budgets.
+func (t *traffic) growth() Figure {
+	const minute = 60
+	cfg := load.DefaultConfig()
+	hints := cfg.HintBytesPerSecond + cfg.ChangeBytesPerSecond + float64(cfg.HintBurstBytes+cfg.ChangeBurstBytes)/minute
+	usual := t.entry["mean hint in Open"].sent
+	return Figure{
+		Measure: "control traffic", Name: "entry with the most expensive duty at " + t.size.name + ", minute of growing load",
+		Value: t.entry.total() + max(t.watcher, t.aggregator, t.leader) + max(hints-usual, 0), Unit: "B/s",
+		Bound: controlBytesPerSecond, Bounded: true,
+	}
+}
+
 func newTraffic(s size, o Options) *traffic {
 	return &traffic{size: s, random: rand.New(rand.NewPCG(o.Seed, 1)), seconds: 60, entry: ledger{}, sidecar: ledger{}}
 }
--- a/process/load/config.go
+++ b/process/load/config.go
@@ -34,18 +34,27 @@
 	HintBytesPerSecond float64
 	// HintBurstBytes is how many bytes of hints may be sent at once. Default 512. Zero sends no hints.
 	HintBurstBytes int
+	// ChangeBytesPerSecond bounds the bytes of further hints to upstreams that know a mean which has changed by more than HintChange.
+	// Default 48. They cost nothing while the load is steady; while it grows, an upstream that knows an old mean refuses work
+	// within the bound, and chats lose their caches. Zero sends only the first burst.
+	ChangeBytesPerSecond float64
+	// ChangeBurstBytes is how many bytes of such hints may be sent at once, which is saved up while the load is steady. Default
+	// 2,048, with the rate 82 B/s of the minute in which the load grows. Zero sends none of them.
+	ChangeBurstBytes int
 }
 
 // DefaultConfig returns the default configuration of a Table.
 func DefaultConfig() Config {
 	return Config{
-		ReportMaxAge:       10 * time.Second,
-		SummaryMaxAge:      10 * time.Second,
-		HintChange:         0.05,
-		HintMaxAge:         time.Second,
-		HintBytes:          5,
-		HintBytesPerSecond: 160,
-		HintBurstBytes:     512,
+		ReportMaxAge:         10 * time.Second,
+		SummaryMaxAge:        10 * time.Second,
+		HintChange:           0.05,
+		HintMaxAge:           time.Second,
+		HintBytes:            5,
+		HintBytesPerSecond:   160,
+		HintBurstBytes:       512,
+		ChangeBytesPerSecond: 48,
+		ChangeBurstBytes:     2048,
 	}
 }
 
@@ -65,6 +74,8 @@
 	check(c.HintBytes > 0, "HintBytes", c.HintBytes)
 	check(c.HintBytesPerSecond >= 0 && !math.IsInf(c.HintBytesPerSecond, 1), "HintBytesPerSecond", c.HintBytesPerSecond)
 	check(c.HintBurstBytes >= 0, "HintBurstBytes", c.HintBurstBytes)
+	check(c.ChangeBytesPerSecond >= 0 && !math.IsInf(c.ChangeBytesPerSecond, 1), "ChangeBytesPerSecond", c.ChangeBytesPerSecond)
+	check(c.ChangeBurstBytes >= 0, "ChangeBurstBytes", c.ChangeBurstBytes)
 	return errors.Join(errs...)
 }
 
--- a/process/load/table.go
+++ b/process/load/table.go
@@ -69,7 +69,8 @@
 	own     string
 	records map[string]*record
 	groups  map[string]*group
-	hints   *rate.Limiter
+	// hints is the budget of all hints, changes an additional one of hints that tell of a changed mean.
+	hints, changes *rate.Limiter
 	// removed are the latest removed upstreams, whose late reports do not count.
 	removed *simplelru.LRU[string, struct{}]
 	// turn counts the digests.
@@ -91,6 +92,7 @@
 		records: make(map[string]*record),
 		groups:  make(map[string]*group),
 		hints:   rate.NewLimiter(rate.Limit(cfg.HintBytesPerSecond), cfg.HintBurstBytes),
+		changes: rate.NewLimiter(rate.Limit(cfg.ChangeBytesPerSecond), cfg.ChangeBurstBytes),
 	}
 }
 
@@ -287,7 +289,7 @@
 }
 
 // Hint returns the mean to attach to an Open to an upstream now, or zero for none. The upstream counts again if it was removed. A hint is due if the mean changed or the
-// last hint to this upstream is old, and it is sent if the byte budget allows it.
+// last hint to this upstream is old, and it is sent if a byte budget allows it.
 func (t *Table) Hint(now time.Time, u Upstream) uint32 {
 	t.removed.Remove(u.ID)
 	mean, found := t.Mean(now, u.Group)
@@ -299,8 +301,8 @@
 		r = &record{Upstream: u}
 		t.records[u.ID] = r
 	}
-	// The budget comes last, since its bytes are not given back.
-	if !t.due(now, r, mean) || !t.hints.AllowN(now, t.cfg.HintBytes) {
+	// The budgets come last, since their bytes are not given back.
+	if !t.due(now, r, mean) || !t.allow(now, r, mean) {
 		return 0
 	}
 	r.hintMean, r.hintAt = mean, now
@@ -308,9 +310,16 @@
 }
 
 func (t *Table) due(now time.Time, r *record, mean uint32) bool {
-	if r.hintMean == 0 || now.Sub(r.hintAt) >= t.cfg.HintMaxAge {
-		return true
-	}
-	changed := math.Abs(float64(mean) - float64(r.hintMean))
-	return changed > t.cfg.HintChange*float64(r.hintMean)
+	return r.hintMean == 0 || now.Sub(r.hintAt) >= t.cfg.HintMaxAge || t.changed(r, mean)
+}
+
+// changed says whether the mean is no longer the one of the last hint to the upstream.
+func (t *Table) changed(r *record, mean uint32) bool {
+	difference := math.Abs(float64(mean) - float64(r.hintMean))
+	return r.hintMean != 0 && difference > t.cfg.HintChange*float64(r.hintMean)
+}
+
+// allow takes the bytes of a hint out of the usual budget, or out of the other one if the hint tells of a change.
+func (t *Table) allow(now time.Time, r *record, mean uint32) bool {
+	return t.hints.AllowN(now, t.cfg.HintBytes) || t.changed(r, mean) && t.changes.AllowN(now, t.cfg.HintBytes)
 }
