Measure an entry with a region at the design scale

The tables of CAPACITY.md were for an empty `region`, and what an entry with a region costs was only estimated. The control traffic and the slopes of candidate tables and membership changes now also run for a fleet whose entries reach their region only; the measured entry is in the largest region, with 4 of 23 data centres and 1,739 runners. The other figures follow from the measured slopes and its sizes.

--- a/internal/bench/bytes.go
+++ b/internal/bench/bytes.go
@@ -41,7 +41,7 @@
 // carries and the real adapters of the platform's services.
 func controlTraffic(o Options) []Figure {
 	var figures []Figure
-	for _, s := range []size{smallFleet, designFleet} {
+	for _, s := range []size{smallFleet, designFleet, designFleet.inRegion()} {
 		t := newTraffic(s, o)
 		t.count()
 		figures = append(figures, t.entry.figures("control traffic", "entry at "+s.name, controlBytesPerSecond)...)
@@ -124,10 +124,11 @@
 	open := wire.Open{Service: "press-model-0", Route: "/chat/fabric-care", Team: "drivers", Body: []byte("{}"), WorkUnits: 900}
 	end := wire.End{Chunks: 256, Checksum: math.MaxUint64}
 	openBytes, endBytes := frameBytes(&open), frameBytes(&end)
+	reached := s.reachedSidecars()
 	openVersions, hintBytes, endVersions, reportBytes := 0.0, 0.0, 0.0, 0.0
 	for at := t.next(0); at < float64(t.seconds); at = t.next(at) {
 		now := start.Add(time.Duration(at * float64(time.Second)))
-		i := t.random.IntN(s.sidecars)
+		i := reached[t.random.IntN(len(reached))]
 		target := s.sidecar(i)
 		key := load.Upstream{ID: target.ID, DataCentre: target.DataCentre, Group: s.model(i)}
 		o, e := open, end
@@ -186,13 +187,14 @@
 	return &wire.LoadReport{WorkUnits: uint32(20_000 + t.random.IntN(20_000)), InFlight: uint32(10 + t.random.IntN(30))}
 }
 
-// keepalive counts Ping and Pong on idle connections; on others, frames arrive all the time. All entries hold connections to all sidecars, since chats hash over all data centres, and to all
-// entries, since gossip chooses among them.
+// keepalive counts Ping and Pong on idle connections; on others, frames arrive all the time. Entries hold connections to all sidecars that
+// they reach, since chats hash over the data centres, and to all entries, since gossip chooses among them.
 func (t *traffic) keepalive() {
 	s := t.size
 	pair := frameBytes(&wire.Ping{ConfigVersion: s.version()}) + frameBytes(&wire.Pong{ConfigVersion: s.version()})
 	interval := link.DefaultConfig().IdleInterval
-	toSidecars := float64(s.sidecars) * pings(s.requestsPerEntry()/float64(s.sidecars), interval) * pair
+	sidecars := s.reach() * float64(s.sidecars)
+	toSidecars := sidecars * pings(s.requestsPerEntry()/sidecars, interval) * pair
 	t.toSidecars("Ping and Pong with sidecars", toSidecars/2)
 	t.fromSidecars("Ping and Pong with sidecars", toSidecars/2)
 	others := float64(s.entries - 1)
@@ -262,10 +264,10 @@
 	changes := s.changesPerSecond()
 	pull := frameBytes(&wire.ConfigPull{Since: s.version()}) * changes
 	push := frameBytes(&wire.ConfigPush{Changes: []wire.ConfigChange{s.change()}}) * changes
-	peers := float64(s.sidecars + s.entries)
+	sidecars := s.reach() * float64(s.sidecars)
 	// Sidecars have connections from entries only, so that a sidecar tells entries and pulls from an entry.
 	news := adoptFanout * changes
-	tellSidecars := news * float64(s.sidecars) / peers
+	tellSidecars := news * sidecars / (sidecars + float64(s.entries))
 	digest := frameBytes(&wire.Gossip{ConfigVersion: s.version()})
 	t.toSidecars("Gossip on adoption", tellSidecars*digest)
 	t.entry.send("Gossip on adoption", (news-tellSidecars)*digest)
@@ -307,11 +309,11 @@
 	share := float64(s.sidecars) / float64(s.sidecars+s.entries)
 	leaving := frameBytes(&wire.Leaving{})
 	hello := s.hello(0) / 2
-	// Each restart of a sidecar reaches every entry, and each restart of an entry every sidecar and every other entry.
-	t.fromSidecars("Leaving and Hello", perSecond*share*(leaving+hello))
-	t.toSidecars("Leaving and Hello", perSecond*share*hello)
+	// Each restart of a sidecar reaches every entry that is connected to it, and each restart of an entry its sidecars and every other entry.
+	t.fromSidecars("Leaving and Hello", perSecond*share*s.reach()*(leaving+hello))
+	t.toSidecars("Leaving and Hello", perSecond*share*s.reach()*hello)
 	t.entry.send("Leaving and Hello", perSecond*(1-share)*2*hello)
 	t.entry.receive("Leaving and Hello", perSecond*(1-share)*(leaving+2*hello))
-	t.sidecar.receive("Leaving and Hello", perSecond*(1-share)*(leaving+hello))
-	t.sidecar.send("Leaving and Hello", perSecond*(1-share)*hello)
+	t.sidecar.receive("Leaving and Hello", perSecond*(1-share)*s.reach()*(leaving+hello))
+	t.sidecar.send("Leaving and Hello", perSecond*(1-share)*s.reach()*hello)
 }
--- a/internal/bench/size.go
+++ b/internal/bench/size.go
@@ -17,6 +17,8 @@
 	leavingSidecars, leavingEntries, shiftRoute int
 	// window is the setting rollout.window_ms of the fleet's entries.
 	window time.Duration
+	// regional says that entries reach the runners of their region only. The measured entry is in the largest region.
+	regional bool
 }
 
 const secondsPerDay = 24 * 3600.0
@@ -34,6 +36,44 @@
 	}
 )
 
+// regions is the number of regions over which dataCentre spreads the data centres.
+const regions = 7
+
+// inRegion returns the fleet with entries that reach their region only.
+func (s size) inRegion() size {
+	s.name += " with region"
+	s.regional = true
+	return s
+}
+
+// reaches says whether the measured entry, which is in data centre 0, sends requests to a data centre.
+func (s size) reaches(dataCentre int) bool { return !s.regional || dataCentre%regions == 0 }
+
+// reached returns the numbers of the data centres that the measured entry sends requests to.
+func (s size) reached() []int {
+	var numbers []int
+	for i := range s.dataCentres {
+		if s.reaches(i) {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
+// reachedSidecars returns the numbers of the sidecars that the measured entry is connected to.
+func (s size) reachedSidecars() []int {
+	var numbers []int
+	for i := range s.sidecars {
+		if s.reaches(i % s.dataCentres) {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
+// reach is the share of the sidecars that an entry is connected to, and of the entries that are connected to a sidecar.
+func (s size) reach() float64 { return float64(len(s.reachedSidecars())) / float64(s.sidecars) }
+
 // sidecarsPerEntry is the ratio by which what one sidecar exchanges with entries follows from what one entry exchanges with sidecars.
 func (s size) sidecarsPerEntry() float64 { return float64(s.sidecars) / float64(s.entries) }
 
@@ -44,7 +84,7 @@
 // version is a configuration version after two years of changes.
 func (s size) version() uint64 { return uint64(s.changesPerDay * 2 * 365) }
 
-func (s size) dataCentre(i int) string { return fmt.Sprintf("region-%d-%c", i%7, 'a'+i/7) }
+func (s size) dataCentre(i int) string { return fmt.Sprintf("region-%d-%c", i%regions, 'a'+i/regions) }
 
 func (s size) model(i int) string { return fmt.Sprintf("press-model-%d/v1", i%s.models) }
 
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -16,12 +16,14 @@
 		s.sidecars, s.entries, s.teams, s.dataCentres, s.models = 1000, 79, 4600, 3, 1
 	}
 	view := viewSlopes(s, add)
+	region := viewSlopes(s.inRegion(), add)
 	memorySlopes(o, s, add)
 	connectionSlopes(o, add)
 	configurationSlopes(s, add)
 	requestSlopes(s, view, add)
 	messageSlopes(s, add)
 	membershipSlopes(s, view, add)
+	membershipSlopes(s.inRegion(), region, add)
 	return figures
 }
 
--- a/internal/bench/slopes_memory.go
+++ b/internal/bench/slopes_memory.go
@@ -15,9 +15,10 @@
 )
 
 func (s size) upstreams() []candidate.Upstream {
-	ups := make([]candidate.Upstream, s.sidecars)
-	for i := range ups {
-		row := s.sidecar(i)
+	reached := s.reachedSidecars()
+	ups := make([]candidate.Upstream, len(reached))
+	for i, number := range reached {
+		row := s.sidecar(number)
 		ups[i] = candidate.Upstream{ID: row.ID, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version}
 	}
 	return ups
@@ -31,10 +32,11 @@
 		view = candidate.Build(nil, s.upstreams(), candidate.DefaultConfig())
 		return view
 	})
-	tables := float64(s.dataCentres * s.models)
-	add("candidate view, all of it", bytes/1e6, "MB")
-	add(fmt.Sprintf("candidate view per table, of which there are %.0f", tables), bytes/tables, "B")
-	add("candidate view built from nothing", (processorTime() - start).Seconds(), "s")
+	tables := float64(len(s.reached()) * s.models)
+	of := "candidate view at " + s.name
+	add(of+", all of it", bytes/1e6, "MB")
+	add(fmt.Sprintf("%s, per table, of which there are %.0f", of, tables), bytes/tables, "B")
+	add(of+", built from nothing", (processorTime() - start).Seconds(), "s")
 	return view
 }
 
--- a/internal/bench/slopes_processor.go
+++ b/internal/bench/slopes_processor.go
@@ -129,18 +129,25 @@
 	table := membership.New(membership.DefaultConfig())
 	table.ApplyList(s.instances())
 	table.Changed(now)
+	near := make(map[string]bool)
+	for _, number := range s.reached() {
+		near[s.dataCentre(number)] = true
+	}
 	add("look for expired instances, on each control event", timePer(func(int) { table.Changed(now) }), "us")
-	add("membership change, tables included", timePer(func(i int) {
-		row := s.sidecar(i / 2 * s.dataCentres % s.sidecars)
+	reached := s.reachedSidecars()
+	add("membership change at "+s.name+", tables included", timePer(func(i int) {
+		row := s.sidecar(reached[i/2%len(reached)])
 		if i%2 == 0 {
 			row.State = platform.InstanceLeaving
 		}
 		table.ApplyChanges([]platform.Instance{row}, nil)
 		eligible := table.Eligible(now, settings.RoleSidecar)
 		table.Eligible(now, settings.RoleEntry)
-		ups := make([]candidate.Upstream, len(eligible))
-		for j, e := range eligible {
-			ups[j] = candidate.Upstream{ID: e.ID, DataCentre: e.DataCentre, Service: e.Service, Version: e.Version}
+		ups := make([]candidate.Upstream, 0, len(eligible))
+		for _, e := range eligible {
+			if near[e.DataCentre] {
+				ups = append(ups, candidate.Upstream{ID: e.ID, DataCentre: e.DataCentre, Service: e.Service, Version: e.Version})
+			}
 		}
 		view = candidate.Build(view, ups, candidate.DefaultConfig())
 	}), "us")
--- a/internal/bench/traffic_platform.go
+++ b/internal/bench/traffic_platform.go
@@ -154,12 +154,13 @@
 }
 
 func (t *traffic) observation() rollout.Observation {
+	reached := t.size.reached()
 	side := rollout.Old
 	if t.random.IntN(5) == 0 {
 		side = rollout.New
 	}
 	return rollout.Observation{
-		Side: side, Route: fmt.Sprintf("/chat/route-%d", t.random.IntN(t.size.shiftRoute)), DataCentre: t.size.dataCentre(t.random.IntN(t.size.dataCentres)),
+		Side: side, Route: fmt.Sprintf("/chat/route-%d", t.random.IntN(t.size.shiftRoute)), DataCentre: t.size.dataCentre(reached[t.random.IntN(len(reached))]),
 		Failed: t.random.IntN(200) == 0, Latency: time.Duration(100+t.random.IntN(900)) * time.Millisecond, Step: 1,
 	}
 }
@@ -187,7 +188,7 @@
 	return []Figure{
 		figure("entry", t.entry.total()),
 		figure("sidecar", t.sidecar.total()),
-		figure("leaving sidecar", t.sidecar.total()+float64(s.entries)*farewell),
+		figure("leaving sidecar", t.sidecar.total()+s.reach()*float64(s.entries)*farewell),
 		figure("leaving entry", t.entry.total()+float64(s.entries)*farewell),
 	}
 }
