--- a/internal/bench/bytes.go
+++ b/internal/bench/bytes.go
@@ -41,12 +41,13 @@
 // carries and the real adapters of the platform's services.
 func controlTraffic(o Options) []Figure {
 	var figures []Figure
-	for _, s := range []size{smallFleet, designFleet} {
+	for _, s := range []size{smallFleet, designFleet, designFleet.inRegion()} {
 		t := newTraffic(s, o)
 		t.count()
 		figures = append(figures, t.entry.figures("control traffic", "entry at "+s.name, controlBytesPerSecond)...)
 		figures = append(figures, t.sidecar.figures("control traffic", "sidecar at "+s.name, controlBytesPerSecond)...)
 		figures = append(figures, t.duties()...)
+		figures = append(figures, t.growth())
 		if !o.Short {
 			t.entry.print(os.Stdout, "entry at "+s.name)
 			t.sidecar.print(os.Stdout, "sidecar at "+s.name)
@@ -73,6 +74,20 @@
 	}
 }
 
+// growth returns the total of the entry with the most expensive duty in a minute in which the mean load changes all the time, so that
+// hints cost their whole budgets.
+func (t *traffic) growth() Figure {
+	const minute = 60
+	cfg := load.DefaultConfig()
+	hints := cfg.HintBytesPerSecond + cfg.ChangeBytesPerSecond + float64(cfg.HintBurstBytes+cfg.ChangeBurstBytes)/minute
+	usual := t.entry["mean hint in Open"].sent
+	return Figure{
+		Measure: "control traffic", Name: "entry with the most expensive duty at " + t.size.name + ", minute of growing load",
+		Value: t.entry.total() + max(t.watcher, t.aggregator, t.leader) + max(hints-usual, 0), Unit: "B/s",
+		Bound: controlBytesPerSecond, Bounded: true,
+	}
+}
+
 func newTraffic(s size, o Options) *traffic {
 	return &traffic{size: s, random: rand.New(rand.NewPCG(o.Seed, 1)), seconds: 60, entry: ledger{}, sidecar: ledger{}}
 }
@@ -109,10 +124,11 @@
 	open := wire.Open{Service: "press-model-0", Route: "/chat/fabric-care", Team: "drivers", Body: []byte("{}"), WorkUnits: 900}
 	end := wire.End{Chunks: 256, Checksum: math.MaxUint64}
 	openBytes, endBytes := frameBytes(&open), frameBytes(&end)
+	reached := s.reachedSidecars()
 	openVersions, hintBytes, endVersions, reportBytes := 0.0, 0.0, 0.0, 0.0
 	for at := t.next(0); at < float64(t.seconds); at = t.next(at) {
 		now := start.Add(time.Duration(at * float64(time.Second)))
-		i := t.random.IntN(s.sidecars)
+		i := reached[t.random.IntN(len(reached))]
 		target := s.sidecar(i)
 		key := load.Upstream{ID: target.ID, DataCentre: target.DataCentre, Group: s.model(i)}
 		o, e := open, end
@@ -171,13 +187,14 @@
 	return &wire.LoadReport{WorkUnits: uint32(20_000 + t.random.IntN(20_000)), InFlight: uint32(10 + t.random.IntN(30))}
 }
 
-// keepalive counts Ping and Pong on idle connections; on others, frames arrive all the time. All entries hold connections to all sidecars, since chats hash over all data centres, and to all
-// entries, since gossip chooses among them.
+// keepalive counts Ping and Pong on idle connections; on others, frames arrive all the time. Entries hold connections to all sidecars that
+// they reach, since chats hash over the data centres, and to all entries, since gossip chooses among them.
 func (t *traffic) keepalive() {
 	s := t.size
 	pair := frameBytes(&wire.Ping{ConfigVersion: s.version()}) + frameBytes(&wire.Pong{ConfigVersion: s.version()})
 	interval := link.DefaultConfig().IdleInterval
-	toSidecars := float64(s.sidecars) * pings(s.requestsPerEntry()/float64(s.sidecars), interval) * pair
+	sidecars := s.reach() * float64(s.sidecars)
+	toSidecars := sidecars * pings(s.requestsPerEntry()/sidecars, interval) * pair
 	t.toSidecars("Ping and Pong with sidecars", toSidecars/2)
 	t.fromSidecars("Ping and Pong with sidecars", toSidecars/2)
 	others := float64(s.entries - 1)
@@ -247,10 +264,10 @@
 	changes := s.changesPerSecond()
 	pull := frameBytes(&wire.ConfigPull{Since: s.version()}) * changes
 	push := frameBytes(&wire.ConfigPush{Changes: []wire.ConfigChange{s.change()}}) * changes
-	peers := float64(s.sidecars + s.entries)
+	sidecars := s.reach() * float64(s.sidecars)
 	// Sidecars have connections from entries only, so that a sidecar tells entries and pulls from an entry.
 	news := adoptFanout * changes
-	tellSidecars := news * float64(s.sidecars) / peers
+	tellSidecars := news * sidecars / (sidecars + float64(s.entries))
 	digest := frameBytes(&wire.Gossip{ConfigVersion: s.version()})
 	t.toSidecars("Gossip on adoption", tellSidecars*digest)
 	t.entry.send("Gossip on adoption", (news-tellSidecars)*digest)
@@ -292,11 +309,11 @@
 	share := float64(s.sidecars) / float64(s.sidecars+s.entries)
 	leaving := frameBytes(&wire.Leaving{})
 	hello := s.hello(0) / 2
-	// Each restart of a sidecar reaches every entry, and each restart of an entry every sidecar and every other entry.
-	t.fromSidecars("Leaving and Hello", perSecond*share*(leaving+hello))
-	t.toSidecars("Leaving and Hello", perSecond*share*hello)
+	// Each restart of a sidecar reaches every entry that is connected to it, and each restart of an entry its sidecars and every other entry.
+	t.fromSidecars("Leaving and Hello", perSecond*share*s.reach()*(leaving+hello))
+	t.toSidecars("Leaving and Hello", perSecond*share*s.reach()*hello)
 	t.entry.send("Leaving and Hello", perSecond*(1-share)*2*hello)
 	t.entry.receive("Leaving and Hello", perSecond*(1-share)*(leaving+2*hello))
-	t.sidecar.receive("Leaving and Hello", perSecond*(1-share)*(leaving+hello))
-	t.sidecar.send("Leaving and Hello", perSecond*(1-share)*hello)
+	t.sidecar.receive("Leaving and Hello", perSecond*(1-share)*s.reach()*(leaving+hello))
+	t.sidecar.send("Leaving and Hello", perSecond*(1-share)*s.reach()*hello)
 }
--- a/test/combined_test.go
+++ b/test/combined_test.go
@@ -56,7 +56,7 @@
 	answered atomic.Int64
 	// begun and drains count what the driver did.
 	begun, drains int
-	done     chan struct{}
+	done          chan struct{}
 }
 
 // processFaults breaks one process.
