Record how claims at a second writer are handled

The record also says why segments have no lease yet: a segment number that can come back lets a paused or newly started writer begin a second log.

--- a/request/claim/doc.go
+++ b/request/claim/doc.go
@@ -14,6 +14,19 @@
 // read, no part of the log is missing. Nothing else decides: no lease, no clock, no read that may be stale. A stale read makes a
 // later write fail with a conflict; a failed read makes claims unavailable and never makes a key look new.
 //
+// # Several writers
+//
+// A store that sees in the log that another one writes more than twice as many claims hands its batches over to that one, which appends
+// them unchanged in the same write as its own: one compare-and-swap carries batches of several stores. The answer says which claims
+// own their keys; it comes from a store that has read the log up to its own write, as for its own claims. A record with its address
+// in each writer's first batch of a segment tells the others where it is reached. The address is a hint: any store may append any batch
+// at any time.
+//
+// Without an answer the batch may be in the log, or be appended later. The store that owns it then reads the log, and appends the
+// same batch with the same sequence number if it is not there. The other store appends it only if it has not seen that number in
+// the log; what comes after it has looked makes its write fail. A duplicate is possible only if the other store was paused for longer than
+// the retention; its claims are released by the store whose they are.
+//
 // # Lost responses
 //
 // When the response to a write is lost, the writer reads the segment. If its batch is there the write took effect. If the
@@ -29,7 +42,8 @@
 //
 // # Retention
 //
-// A key is remembered for Config.Retention after it was claimed. A claim owns its key if no earlier claim in the log is younger
+// A key is remembered for Config.Retention after the last claim of it in the log, also one that did not get it, so that stores that began
+// to read at different segments agree on it. A claim owns its key if no earlier claim in the log is younger
 // than the retention, by the times in the batches, which never decrease along the log. Segments that hold nothing younger are
 // not read. A retry that comes after the retention is a new call and may run again, so the retention must exceed the longest
 // time over which callers retry, plus the greatest difference between the clocks of writers, plus the longest pause of a process
@@ -43,6 +57,7 @@
 // Until that is done the shard's claims wait, and are refused at Config.ClaimTimeout; reading goes on. Segments are read one
 // after the other, so the time is about one round trip for each Config.SegmentBytes written within the retention.
 //
-// The interface to the key-value service has no deletion, so segments past the retention stay in it. Giving segments a lease is
-// no way out: a segment that vanished would free its keys by a clock.
+// The interface to the key-value service has no deletion, so segments past the retention stay in it. A lease would remove them, but a
+// store creates a segment by a compare-and-swap with "does not exist": a writer that lags, or starts with a stale read, could begin
+// a second log at a number whose segment has ended. See docs/decisions/0009-claims-at-a-second-writer.md.
 package claim
