Test the hand-over of claims between real sidecars

Cause: the hand-over was tested with stores in one process and with one connection only. Change: TestClaim_AtSecondSidecar keeps one sidecar busy, books at another until it has handed more than 20 batches over, then kills the first; each booking has one effect and an answer. It would notice bookings that run twice or hang.

--- /dev/null
+++ b/test/claimwriter_test.go
@@ -0,0 +1,126 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+// caller sends calls to one sidecar, as an entry does that takes it for the first candidate.
+type caller struct {
+	f    *fleet
+	conn *link.Conn
+}
+
+func (caller) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
+func (caller) HandleControl(*link.Conn, wire.Message)                              {}
+func (caller) HandleClose(*link.Conn, error)                                       {}
+
+func (f *fleet) callerOf(sidecar string) *caller {
+	f.t.Helper()
+	text, err := os.ReadFile(f.procs[sidecar].settings)
+	must.NoError(f.t, err)
+	var s struct {
+		Peer string `json:"peer_address"`
+	}
+	must.NoError(f.t, json.Unmarshal(text, &s))
+	c := &caller{f: f}
+	hello := func() wire.Hello { return wire.Hello{Instance: "caller of " + sidecar, Role: "operator"} }
+	c.conn, err = link.Dial(f.t.Context(), s.Peer, link.DefaultConfig(), hello, c)
+	must.NoError(f.t, err)
+	return c
+}
+
+// book sends one booking and returns its result.
+func (c *caller) book(id string) result.Code {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	open := &wire.Open{
+		Service: "basket-app", Route: "/bookings", Team: "drivers", IdempotencyKey: id, WorkUnits: 1, Method: "POST", Path: "/bookings",
+		Body: fmt.Appendf(nil, `{"id":%q}`, id), DeadlineMS: 20_000,
+	}
+	for i := range open.Request {
+		open.Request[i] = byte(rand.Uint32())
+	}
+	stream, err := c.conn.Open(ctx, open)
+	if err != nil {
+		return result.ConnectionLost
+	}
+	defer stream.Cancel()
+	for {
+		m, err := stream.Recv(ctx)
+		if err != nil {
+			return result.ConnectionLost
+		}
+		if end, ok := m.(*wire.End); ok {
+			return result.Code(end.Result)
+		}
+	}
+}
+
+// claimBatches returns the number of batches of claims that a sidecar got from others.
+func (f *fleet) claimBatches(sidecar string) int {
+	resp, err := f.client.Get("http://" + f.procs[sidecar].admin + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Sidecar map[string]int `json:"jayridge_sidecar"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&vars)
+	return vars.Sidecar["claim_batches_received"]
+}
+
+// Guards against bookings that run twice, or are not answered, at a sidecar that hands its claims to another one, also when that one is
+// killed.
+func TestClaim_AtSecondSidecar(t *testing.T) {
+	f := bookings(t)
+	first, second := f.callerOf("basket-1"), f.callerOf("basket-2")
+	defer second.conn.Close()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for n := range 8 {
+		load.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+					first.book(fmt.Sprintf("load-%d-%d", n, i))
+				}
+			}
+		})
+	}
+	booked := 0
+	book := func() bool {
+		id := fmt.Sprintf("second-%d", booked)
+		booked++
+		f.await("the second sidecar books "+id, func() bool { return second.book(id) == result.OK })
+		must.Eq(t, 1, f.effects(id))
+		return f.claimBatches("basket-1") > 20
+	}
+	f.await("the second sidecar hands its claims over", book)
+	f.kill("basket-1")
+	for range 20 {
+		book()
+	}
+	close(stop)
+	load.Wait()
+	for i := range booked {
+		id := fmt.Sprintf("second-%d", i)
+		f.bookUntilSettled("entry-2", id)
+		must.Eq(t, 1, f.effects(id))
+	}
+}
