--- a/process/node/control.go
+++ b/process/node/control.go
@@ -54,6 +54,7 @@
 		select {
 		case f := <-c.n.events:
 			f(c)
+			c.applyBacklog()
 			c.publishMembers(ctx)
 		case <-ticker.C:
 			c.tick(ctx)
@@ -63,17 +64,36 @@
 	}
 }
 
+// applyBacklog applies the changes that did not fit the queue, once those that did are applied.
+func (c *control) applyBacklog() {
+	if len(c.n.events) > 0 {
+		return
+	}
+	for _, f := range c.n.takeBacklog() {
+		f(c)
+	}
+}
+
 func (c *control) tick(ctx context.Context) {
+	c.applyBacklog()
 	c.publishMembers(ctx)
 	now := time.Now()
 	c.n.opts.Role.Tick(now, c.n.Snapshot())
 	if now.Sub(c.lastGossip) >= settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS) {
 		c.lastGossip = now
 		c.n.opts.Role.Connect(c.n.Snapshot())
+		c.redial(now)
 		c.gossip(ctx)
 	}
 }
 
+// redial tries to reach some of the instances that could not be reached.
+func (c *control) redial(now time.Time) {
+	for _, instance := range c.members.Redial(now) {
+		c.n.pool.Prepare(instance)
+	}
+}
+
 // publishMembers publishes a new snapshot if the eligible instances may have changed.
 func (c *control) publishMembers(ctx context.Context) {
 	now := time.Now()
@@ -168,7 +188,7 @@
 		return
 	}
 	address := seeds[rand.IntN(len(seeds))]
-	c.n.run(func() { _, _ = c.n.pool.Get(ctx, platform.Instance{ID: "seed " + address, Address: address}) })
+	c.n.run(func() { _, _ = c.n.pool.Get(ctx, platform.Instance{Address: address}) })
 }
 
 // pull asks a peer for the configuration after the version in force, unless an earlier question is still open.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,7 @@
 		ID: remote.Instance, Role: remote.Role, DataCentre: remote.DataCentre, Address: remote.Address,
 		Service: remote.Service, Version: remote.Version, State: platform.InstanceLive,
 	}
-	n.post(func(c *control) { c.members.Connected(self) })
+	n.postAlways(func(c *control) { c.members.Connected(self) })
 	n.ObserveVersion(conn, remote.ConfigVersion)
 	event.Log(event.PeerConnected, "peer", remote.Instance, "address", remote.Address)
 }
@@ -109,7 +110,7 @@
 			n.Go(func(ctx context.Context) { _ = conn.Send(role.Claims(ctx, m)) })
 		}
 	case *wire.Leaving:
-		n.post(func(c *control) { c.members.Leaving(time.Now(), conn.Remote().Instance) })
+		n.postAlways(func(c *control) { c.members.Leaving(time.Now(), conn.Remote().Instance) })
 	}
 }
 
@@ -145,10 +146,32 @@
 		return
 	}
 	event.Log(event.PeerLost, "peer", id, "error", err)
-	h.n.heard.Delete(id)
-	h.n.post(func(c *control) {
-		if c.n.pool.Connected(id) == nil {
+	h.n.forgetVersion(conn)
+	h.n.postAlways(func(c *control) {
+		if !c.n.connectedBeside(conn) {
 			c.members.Disconnected(time.Now(), id)
 		}
 	})
 }
+
+// forgetVersion forgets the configuration version of the peer of a connection that ended, unless another connection to it lives. A
+// connection that is made meanwhile is registered before its version is noted, so either its version or the old one stays.
+func (n *Node) forgetVersion(ended *link.Conn) {
+	id := ended.Remote().Instance
+	version, known := n.heard.LoadAndDelete(id)
+	if known && n.connectedBeside(ended) {
+		n.heard.LoadOrStore(id, version)
+	}
+}
+
+// connectedBeside reports whether there is another connection to the peer of one that ended. The ended one still counts as live in the
+// pool while its HandleClose runs.
+func (n *Node) connectedBeside(ended *link.Conn) bool {
+	id := ended.Remote().Instance
+	if conn := n.pool.Connected(id); conn != nil && conn != ended {
+		return true
+	}
+	return slices.ContainsFunc(n.server.Conns(), func(conn *link.Conn) bool {
+		return conn != ended && conn.Remote().Instance == id && conn.Err() == nil
+	})
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -59,4 +59,16 @@
 guard newer-only version/config/adopt.go 's/if h\.Version <= before/if h.Version == before/' ./version/config 'TestStateSources|TestProposersAndReaders'
 guard retry-safety request/retry/policy.go 's/ran > 0 \&\& \(!r\.Idempotent \|\|/ran > 0 \&\& (false ||/' ./request/retry 'TestEveryCode|TestDecisionsAreSafe'
 guard leaving-announced process/membership/membership.go 's/if !m\.announced\.IsZero\(\) \&\& !expired/if false \&\& !expired/' ./process/membership TestTable_MergesSources
+guard redial process/node/control.go 's/c\.redial\(now\)//' ./process/node TestMembers_UnreachableInstanceReturns
+guard lagging-address process/node/pool.go 's/conn := s\.live\(\)\n\tif p/conn := s.live(); if s.address != instance.Address { conn = nil }\n\tif p/' ./process/node TestPool_AddressChanges
+guard other-instance process/node/pool.go 's/instance\.ID != "" \&\& remote != instance\.ID/remote == ""/' ./process/node TestPool_OtherInstanceAnswers
+guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
+guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
+guard full-queue process/node/node.go 's/n\.backlog = append\(n\.backlog, f\)//' ./process/node TestMembers_FullQueueLosesNoConnection
+guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
+guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
+guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
+guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
+guard redial-process process/node/control.go 's/c\.redial\(now\)//' ./test TestRestart_SidecarGetsWorkAgain
+guard unchanged-confirmed version/config/propose.go 's/if _, err := s\.kv\.CompareAndSwap\(ctx, HeadKey, head\.revision, head\.value, 0\); err != nil/if err := error(nil); err != nil/' ./version/config 'TestPropose_UnchangedIsNoStaleAnswer'
 exit $missed
