--- a/request/claim/model_test.go
+++ b/request/claim/model_test.go
@@ -17,6 +17,8 @@
 type modelCell struct {
 	value, oldValue       []byte
 	revision, oldRevision platform.Revision
+	// batches are those in value.
+	batches []batch
 }
 
 // modelCall is a call on its way. A write stays in the network after its writer was told that the outcome is unknown, and may
@@ -40,9 +42,9 @@
 
 // modelRecord identifies a claim in the log.
 type modelRecord struct {
-	writer WriterID
-	key    Key
-	atMS   int64
+	writer   WriterID
+	key      Key
+	sequence uint64
 }
 
 // modelGrant is a grant of a key that was not released.
@@ -59,6 +61,8 @@
 	cfg    Config
 	now    time.Time
 	faults bool
+	// leading is the number of further claims at the first actor with each claim; others hand their batches over to it then.
+	leading int
 
 	cells    map[uint64]*modelCell
 	revision platform.Revision
@@ -74,9 +78,11 @@
 	holders   []*modelClaim
 	grants    map[Key][]*modelGrant
 	responses map[Key][]Response
-	// everGranted has the writer, key and log time of each grant, released ones included.
+	// everGranted has the record of each grant, released ones included.
 	everGranted map[modelRecord]bool
 	counts      map[string]int
+	// hands are the hand-overs without an answer, by the receiver's number.
+	hands map[uint64]*modelHand
 }
 
 func newModel(t *rapid.T, actors int) *model {
@@ -88,6 +94,7 @@
 		cells: map[uint64]*modelCell{}, claims: map[uint64]*modelClaim{},
 		grants: map[Key][]*modelGrant{}, responses: map[Key][]Response{},
 		everGranted: map[modelRecord]bool{}, counts: map[string]int{},
+		hands:  map[uint64]*modelHand{},
 		actors: make([]*Log, actors), runs: make([]int, actors),
 	}
 	// rapid prefers small numbers, which shrinks failures and makes long outages; uniform numbers make long logs.
@@ -96,6 +103,7 @@
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		m.pick = func(_ string, n int) int { return random.IntN(n) }
 	}
+	m.leading = rapid.IntRange(0, 3).Draw(t, "leading")
 	for i := range actors {
 		m.restart(i)
 	}
@@ -106,6 +114,8 @@
 func (m *model) restart(i int) {
 	m.lastRun++
 	m.runs[i]++
+	m.loseHands(func(h *modelHand) bool { return h.to == i })
+	m.cfg.Address = modelAddress(i, m.runs[i])
 	log, err := NewLog(m.cfg, WriterID{m.lastRun}, rand.New(rand.NewPCG(1, uint64(m.lastRun))))
 	must.NoError(m.t, err)
 	// Segments of a few records, below what Validate allows, make many of them.
@@ -120,7 +130,9 @@
 	effects := slices.Clone(m.actors[i].Step(m.now, ev))
 	for _, e := range effects {
 		switch e := e.(type) {
-		case Read, Write, ReadBodies:
+		case BatchDone:
+			m.batchDone(e)
+		case Read, Write, ReadBodies, HandOver:
 			m.network = append(m.network, &modelCall{actor: i, run: m.runs[i], effect: e})
 		case Grant:
 			m.granted(i, m.closeClaim(e.ID))
@@ -141,7 +153,7 @@
 
 // granted checks that the claim's record is in the log and that no other grant of the key is valid.
 func (m *model) granted(i int, c *modelClaim) {
-	atMS, ok := m.recordTime(m.actors[i].writer, c.key)
+	sequence, atMS, ok := m.ownedRecord(m.actors[i].writer, c.key)
 	if !ok {
 		m.t.Fatalf("claim %d of key %v was granted without a record in the log", c.id, c.key[0])
 	}
@@ -151,27 +163,24 @@
 		}
 	}
 	c.granted = true
-	m.everGranted[modelRecord{m.actors[i].writer, c.key, atMS}] = true
+	m.everGranted[modelRecord{m.actors[i].writer, c.key, sequence}] = true
 	m.counts["granted"]++
 	m.grants[c.key] = append(m.grants[c.key], &modelGrant{claim: c, atMS: atMS})
 	m.holders = append(m.holders, c)
 }
 
-// recordTime returns the time of the last claim of key by writer that the service holds.
-func (m *model) recordTime(writer WriterID, key Key) (int64, bool) {
-	atMS, found := int64(0), false
+// ownedRecord returns the number and time of the last claim of key by writer that the service holds and that owned the key there.
+func (m *model) ownedRecord(writer WriterID, key Key) (sequence uint64, atMS int64, found bool) {
+	replay := newIndex(m.cfg.Retention, writer)
 	for segment := uint64(0); m.cells[segment] != nil; segment++ {
-		batches, err := decodeBatches(m.cells[segment].value)
-		must.NoError(m.t, err)
-		for _, b := range batches {
-			for _, r := range b.Records {
-				if b.Writer == writer && r.Kind == recordClaim && r.Key == key {
-					atMS, found = b.TimeMS, true
-				}
+		for _, b := range m.cells[segment].batches {
+			replay.applyModel(&b)
+			if e := replay.entries.get(key); e != nil && e.owner == self && e.sequence == uint32(b.Sequence) && b.Writer == writer {
+				sequence, atMS, found = b.Sequence, b.TimeMS, true
 			}
 		}
 	}
-	return atMS, found
+	return sequence, atMS, found
 }
 
 func (m *model) answered(a Answer, c *modelClaim) {
@@ -237,7 +246,8 @@
 
 // arrive lets the service handle a call, in any order and with any fault.
 func (m *model) arrive() {
-	waiting := m.calls(func(c *modelCall) bool { return c.result == nil })
+	m.loseHands(func(h *modelHand) bool { return !m.now.Before(h.due) })
+	waiting := m.calls(func(c *modelCall) bool { return c.result == nil && !m.waiting(c) })
 	if len(waiting) == 0 {
 		return
 	}
@@ -255,6 +265,11 @@
 		call.result = BodyResult{Segment: e.Segment, Value: value, Err: err}
 	case Write:
 		call.result = m.writeWith(call, e, fault)
+	case HandOver:
+		m.handOver(call, e, fault)
+		if call.run == 0 {
+			m.network = slices.DeleteFunc(m.network, func(c *modelCall) bool { return c == call })
+		}
 	}
 }
 
@@ -298,8 +313,10 @@
 		return 0, platform.ErrConflict
 	}
 	m.revision++
+	batches, err := decodeBatches(e.Value)
+	must.NoError(m.t, err)
 	m.cells[e.Segment] = &modelCell{
-		value: e.Value, revision: m.revision, oldValue: cell.value, oldRevision: cell.revision,
+		value: e.Value, revision: m.revision, oldValue: cell.value, oldRevision: cell.revision, batches: batches,
 	}
 	return m.revision, nil
 }
@@ -336,6 +353,9 @@
 	i := m.pick("actor", len(m.actors))
 	switch action := m.pick("action", 40); {
 	case action < 8:
+		for range m.leading {
+			m.submit(0, byte(20+m.pick("other key", 80)), 1)
+		}
 		m.submit(i, byte(m.pick("key", 5)), uint64(m.pick("fingerprint", 8)/7))
 	case action < 10:
 		m.cancel()
@@ -363,15 +383,15 @@
 		must.True(m.t, log.Idle(), must.Sprint("actor ", i, " has work left"))
 		replay := newIndex(m.cfg.Retention, log.writer)
 		for segment := uint64(0); m.cells[segment] != nil; segment++ {
-			batches, err := decodeBatches(m.cells[segment].value)
-			must.NoError(m.t, err)
-			for _, b := range batches {
+			for _, b := range m.cells[segment].batches {
 				replay.applyModel(&b)
 			}
 		}
-		for key, e := range replay.entries {
-			if e.owner == self && !m.everGranted[modelRecord{log.writer, key, e.atMS}] {
-				m.t.Fatalf("key %v is in doubt, although its claim of log time %d was not granted", key[0], e.atMS)
+		for position := replay.entries.head; position < replay.entries.next; position++ {
+			e := replay.entries.at(position)
+			key := e.key
+			if e.owner == self && !m.everGranted[modelRecord{log.writer, key, uint64(e.sequence)}] {
+				m.t.Fatalf("key %v is in doubt, although claim %d was not granted", key[0], e.sequence)
 			}
 		}
 	}
@@ -394,7 +414,7 @@
 	m.faults = false
 	for range 2000 {
 		// Calls that failed before are still to be delivered, even if no claim waits for them.
-		for len(m.network) > 0 {
+		for m.busy() {
 			m.arrive()
 			m.deliver()
 		}
--- a/request/claim/waiter.go
+++ b/request/claim/waiter.go
@@ -14,6 +14,8 @@
 	fingerprint uint64
 	// after is the last read or write that had started when the claim arrived; a later one tells the key's state then.
 	after uint64
+	// taken says that another store found the key claimed; a read that started after after tells by which claim.
+	taken bool
 	done  bool
 }
 
@@ -36,6 +38,8 @@
 	e := l.index.live(w.key, l.nextMS())
 	switch {
 	case w.done:
+	case (e == nil || e.abandoned) && w.taken && l.fresh <= w.after && !l.refusing():
+		l.stale = append(l.stale, w)
 	case e == nil || e.abandoned:
 		if l.refusing() {
 			l.end(w, l.lastErr)
@@ -65,7 +69,7 @@
 // answerFrom answers a claim whose key another claim owns.
 func (l *Log) answerFrom(w *waiter, e *entry) {
 	switch {
-	case e.fingerprint != w.fingerprint:
+	case e.fingerprint != fold(w.fingerprint):
 		l.answer(w, Decision{Kind: KeyReused}, nil)
 	case !e.finished:
 		l.answer(w, Decision{Kind: InDoubt}, nil)
@@ -99,7 +103,7 @@
 	switch {
 	case e == nil || e.abandoned:
 		l.answer(w, Decision{Kind: Unavailable}, reason)
-	case e.fingerprint != w.fingerprint:
+	case e.fingerprint != fold(w.fingerprint):
 		l.answer(w, Decision{Kind: KeyReused}, nil)
 	case e.finished:
 		body, _ := l.bodies.Get(w.key)
@@ -146,7 +150,7 @@
 	r := record{
 		Kind:      recordFinish,
 		Key:       ev.Key,
-		Claim:     e.sequence,
+		Claim:     l.claimOf(e),
 		Code:      uint8(ev.Response.Code),
 		Status:    ev.Response.Status,
 		Body:      ev.Response.Body,
@@ -166,5 +170,10 @@
 // abandon queues the release of a key that this store owns and that did not and will not run.
 func (l *Log) abandon(key Key, e *entry) {
 	e.abandoned = true
-	l.releases = append(l.releases, record{Kind: recordRelease, Key: key, Claim: e.sequence})
+	l.releases = append(l.releases, record{Kind: recordRelease, Key: key, Claim: l.claimOf(e)})
+}
+
+// claimOf returns the whole number of the own batch that claimed a key.
+func (l *Log) claimOf(e *entry) uint64 {
+	return l.sequence - uint64(uint32(l.sequence)-e.sequence)
 }
