Compile a configuration change from the set before it

Change: a Set keeps its lines in immutable chunks of 64 with the parsed team of each line, and an index of the teams in small shards. Draft applies edits to copies of the chunks that they touch; Compile parses the changed lines, copies the shards of the names in them, and parses the few rules that are not team rules only if one of them changed or moved. With any fault it parses the whole text, so the faults are those of Parse. Parse itself now fills chunks and the index. Ruled out: updating a map of all teams in place, which readers of the published set would see, and copying it, which costs milliseconds. config.State keeps no list of lines any more; changes are applied to the draft of the accepted set. The slope's pushes are made before the measurement, which counted the proposer's joining and hashing too.

--- a/internal/bench/slopes_processor.go
+++ b/internal/bench/slopes_processor.go
@@ -37,20 +37,33 @@
 		}
 		return state
 	}), "B")
+	pushes := changePushes(s, text, state.Version())
+	start := processorTime()
+	for _, push := range pushes {
+		if adopted, err := state.ApplyPush(push); !adopted || err != nil {
+			panic(fmt.Sprint("the change was not adopted: ", err))
+		}
+	}
+	used := micros(processorTime()-start) / float64(len(pushes))
+	add("change of one line", used, "us")
+	add("change of one line, per line of the file", used/float64(lines), "us")
+}
+
+// changePushes returns changes of one team line each. They are made beforehand, so that what the process that proposes a change does
+// is not measured with what each process does that adopts it.
+func changePushes(s size, text string, version uint64) []wire.ConfigPush {
+	pushes := make([]wire.ConfigPush, 100)
 	split := config.Lines(text)
-	add("change of one line, per line of the file", timePer(func(i int) {
-		team := i % s.teams
+	for i := range pushes {
+		team := i * 331 % s.teams
 		line := 2*s.models + team
 		split[line] = teamLine(team) + fmt.Sprint(" again ", i)
-		joined := config.Join(split)
-		push := wire.ConfigPush{Changes: []wire.ConfigChange{{
-			Version: state.Version() + 1, ChangeID: fmt.Sprint(i), TextHash: config.Hash(joined),
+		pushes[i] = wire.ConfigPush{Changes: []wire.ConfigChange{{
+			Version: version + uint64(i) + 1, ChangeID: fmt.Sprint(i), TextHash: config.Hash(config.Join(split)),
 			Edits: []wire.LineEdit{{Line: uint32(line), Removed: 1, Added: []string{split[line]}}},
 		}}}
-		if adopted, err := state.ApplyPush(push); !adopted || err != nil {
-			panic(fmt.Sprint("the change was not adopted: ", err))
-		}
-	})/float64(lines), "us")
+	}
+	return pushes
 }
 
 // requestSlopes measures the decisions of one request.
--- a/version/config/adopt.go
+++ b/version/config/adopt.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 // AdoptHead moves to the head's version if that is higher, and says whether it did. An older or equal head, as a stale read
@@ -33,7 +34,6 @@
 			Version: h.Version, ChangeID: h.ChangeID, Author: h.Author, Comment: h.Comment,
 			Time: time.UnixMilli(h.UnixMS).UTC(), Text: h.Text, TextHash: h.TextHash,
 		},
-		lines:   Lines(h.Text),
 		changes: h.Changes,
 	})
 }
@@ -94,10 +94,11 @@
 // follow applies consecutive changes to the current text; those that are not newer are skipped. Before there is a version, the
 // changes start from an empty text.
 func (s *State) follow(changes []wire.ConfigChange) (candidate, error) {
-	lines := s.lines
-	if s.current == nil {
-		lines = Lines("")
+	base := emptyRules
+	if s.current != nil {
+		base = s.current.Rules
 	}
+	draft := base.Edit()
 	version := s.Version()
 	var last wire.ConfigChange
 	for _, c := range changes {
@@ -107,31 +108,34 @@
 		if c.Version != version+1 {
 			return candidate{}, fmt.Errorf("%w: version %d follows %d", ErrGap, c.Version, version)
 		}
-		patched, err := Patch(lines, c.Edits)
-		if err != nil {
-			return candidate{}, fmt.Errorf("version %d: %w", c.Version, err)
+		if err := draft.Apply(ruleEdits(c.Edits)); err != nil {
+			return candidate{}, fmt.Errorf("version %d: %w: %v", c.Version, ErrPatch, err)
 		}
-		lines, version, last = patched, c.Version, c
-	}
-	return s.candidate(last, lines, changes)
-}
-
-func (s *State) candidate(last wire.ConfigChange, lines []string, changes []wire.ConfigChange) (candidate, error) {
-	bytes := len(lines)
-	for _, line := range lines {
-		bytes += len(line)
-	}
-	if bytes > MaxTextBytes+1 {
-		return candidate{}, fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, last.Version, bytes)
+		if draft.Bytes() > MaxTextBytes+1 {
+			return candidate{}, fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, c.Version, draft.Bytes())
+		}
+		version, last = c.Version, c
 	}
-	text := Join(lines)
 	return candidate{
 		Accepted: Accepted{
 			Version: last.Version, ChangeID: last.ChangeID, Author: last.Author, Time: time.UnixMilli(last.UnixMS).UTC(),
-			Text: text, TextHash: last.TextHash,
+			Text: draft.Text(), TextHash: last.TextHash,
 		},
-		// The lines refer to the one text that is kept, not to the messages that brought them.
-		lines:   Lines(text),
+		draft:   draft,
 		changes: changes,
 	}, nil
 }
+
+// emptyRules is the set of the text that version 1 changes.
+var emptyRules = func() *rules.Set {
+	set, _ := rules.Parse("", nil)
+	return set
+}()
+
+func ruleEdits(edits []wire.LineEdit) []rules.Edit {
+	list := make([]rules.Edit, len(edits))
+	for i, e := range edits {
+		list[i] = rules.Edit{Line: e.Line, Removed: e.Removed, Added: e.Added}
+	}
+	return list
+}
--- a/version/config/assembly.go
+++ b/version/config/assembly.go
@@ -89,7 +89,6 @@
 			Version: a.first.Version, ChangeID: a.first.ChangeID, Author: a.first.Author,
 			Time: time.UnixMilli(a.first.UnixMS).UTC(), Text: text, TextHash: a.first.TextHash,
 		},
-		lines: Lines(text),
 	})
 }
 
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -100,8 +100,6 @@
 type State struct {
 	cfg     Config
 	current *Accepted
-	// lines are the lines of the current text.
-	lines   []string
 	history history
 	// assemblies are snapshots of newer versions that have not been received completely, the one used last at the end.
 	assemblies []*assembly
@@ -142,7 +140,8 @@
 // candidate is a newer version that is not checked yet.
 type candidate struct {
 	Accepted
-	lines   []string
+	// draft is the text as edits of the current one; nil if the text was received as a whole.
+	draft   *rules.Draft
 	changes []wire.ConfigChange
 }
 
@@ -157,7 +156,7 @@
 	}
 	c.Rules = set
 	accepted := c.Accepted
-	s.current, s.lines, s.snapshot = &accepted, c.lines, nil
+	s.current, s.snapshot = &accepted, nil
 	s.history.extend(c.Version, c.changes, s.cfg)
 	s.dropAssemblies()
 	s.stats.Adopted++
@@ -168,13 +167,22 @@
 	if len(s.unreadable.faults) > 0 && s.unreadable.hash == c.TextHash {
 		return nil, s.unreadable.faults
 	}
-	set, faults := rules.Parse(fmt.Sprintf("version %d", c.Version), []byte(c.Text))
+	set, faults := c.compile()
 	if len(faults) > 0 {
 		s.unreadable = unreadable{hash: c.TextHash, faults: faults}
 	}
 	return set, faults
 }
 
+// compile costs what changed, or the whole text if it was received as a whole.
+func (c candidate) compile() (*rules.Set, rules.Faults) {
+	name := fmt.Sprintf("version %d", c.Version)
+	if c.draft != nil {
+		return c.draft.Compile(name, c.Text)
+	}
+	return rules.ParseString(name, c.Text)
+}
+
 // result counts the end of a call.
 func (s *State) result(before uint64, err error) (bool, error) {
 	if err != nil {
--- a/version/rules/fuzz_test.go
+++ b/version/rules/fuzz_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// origins returns the places of all values of a set.
-func origins(s *Set) []*Origin {
+// origins returns the places of all values of a set, of which teams are the teams.
+func origins(s *Set, teams []Team) []*Origin {
 	var list []*Origin
 	for i := range s.services {
 		list = append(list, &s.services[i].Origin, &s.services[i].Bound.Origin, &s.services[i].ColdStart.Origin)
@@ -75,8 +75,8 @@
 	for i := range s.routes {
 		list = append(list, &s.routes[i].Origin)
 	}
-	for i := range s.teams {
-		list = append(list, &s.teams[i].Origin)
+	for i := range teams {
+		list = append(list, &teams[i].Origin)
 	}
 	for i := range s.drains {
 		list = append(list, &s.drains[i].Origin)
@@ -90,7 +90,7 @@
 // linesOf returns the lines that the values of a set come from, in the order of the file.
 func linesOf(s *Set, lines []string) []string {
 	var numbers []int
-	for _, o := range origins(s) {
+	for _, o := range origins(s, s.Teams()) {
 		if o.Line > 0 {
 			numbers = append(numbers, o.Line)
 		}
@@ -105,8 +105,9 @@
 
 // withoutLines sets all line numbers of a set to zero and returns its values.
 func withoutLines(s *Set) []any {
-	for _, o := range origins(s) {
+	teams := s.Teams()
+	for _, o := range origins(s, teams) {
 		o.Line = 0
 	}
-	return []any{s.services, s.routes, s.teams, s.drains, s.shifts}
+	return []any{s.services, s.routes, teams, s.drains, s.shifts}
 }
--- a/version/rules/parse.go
+++ b/version/rules/parse.go
@@ -23,23 +23,31 @@
 	routeRefs   []routeRef
 	shiftRefs   []shiftRef
 	drains      map[drainKey]drainChange
+	// others are the lines of a chunk that hold no team rule; see teamOn.
+	others []int32
 }
 
 // Parse compiles the text of a rules file. If it returns any fault, the Set is nil. The name is used in faults only.
-func Parse(name string, text []byte) (*Set, Faults) {
-	whole := string(text)
-	p := &parser{
-		file: name, set: newSet(strings.Count(whole, "\nteam ")),
+func Parse(name string, text []byte) (*Set, Faults) { return parseText(name, string(text)) }
+
+// ParseString is Parse for a text that the Set may refer to, which spares a copy.
+func ParseString(name, text string) (*Set, Faults) { return parseText(name, text) }
+
+func newParser(name string, teams int) *parser {
+	return &parser{
+		file: name, set: newSet(teams),
 		declared: map[string]bool{},
 		bounds:   map[string]Bound{}, coldStarts: map[string]ColdStart{},
 		drains: map[drainKey]drainChange{},
 	}
-	number := 0
-	for line := range strings.SplitSeq(whole, "\n") {
-		number++
-		if p.read(number, line) {
-			p.rule()
-		}
+}
+
+func parseText(name, text string) (*Set, Faults) {
+	p := newParser(name, strings.Count(text, "\n"+teamRule+" "))
+	p.set.text, p.set.chunks = text, cut(text)
+	p.set.number()
+	for i, c := range p.set.chunks {
+		p.chunk(c, int32(i))
 	}
 	p.finish()
 	if len(p.faults) > 0 {
@@ -49,7 +57,28 @@
 	return p.set, nil
 }
 
-// rule parses the rule in the line buffer.
+// chunk parses all lines of a chunk.
+func (p *parser) chunk(c *chunk, index int32) {
+	first := p.set.firstLine[index]
+	for i, text := range c.lines {
+		if !p.read(first+i, text) {
+			continue
+		}
+		if p.line.fields[0].text != teamRule {
+			c.others = append(c.others, int32(i))
+			p.rule()
+			continue
+		}
+		if t, ok := p.team(); ok {
+			t.chunk = index
+			if p.addTeam(t) {
+				c.teams[i] = t
+			}
+		}
+	}
+}
+
+// rule parses the rule in the line buffer, which is no team rule.
 func (p *parser) rule() {
 	word := p.line.fields[0]
 	switch word.text {
@@ -57,8 +86,6 @@
 		p.service()
 	case "route":
 		p.route()
-	case "team":
-		p.team()
 	case "bound":
 		p.bound()
 	case "coldstart":
--- a/version/rules/set.go
+++ b/version/rules/set.go
@@ -6,7 +6,8 @@
 
 import "strings"
 
-// Set is a compiled rules file. It is immutable and safe for use by any number of goroutines. Lookups do not allocate.
+// Set is a compiled rules file. It is immutable and safe for use by any number of goroutines. Lookups by name do not
+// allocate. Sets of successive versions share what did not change; see Edit.
 type Set struct {
 	services     []Service
 	serviceIndex map[string]int32
@@ -15,22 +16,25 @@
 	// longestRoute is the length of the longest route path. Longer request paths are cut to it, so that a lookup costs no
 	// more for a hostile path.
 	longestRoute int
-	teams        []Team
-	teamIndex    map[string]int32
 	drains       []Drain
 	dataCentres  map[string]int32
 	upstreams    map[string]int32
 	shifts       []Shift
 	shiftIndex   map[string]int32
+
+	text string
+	// chunks are the lines of the text with their teams, firstLine the number of each chunk's first line.
+	chunks    []*chunk
+	firstLine []int
+	index     teamIndex
 }
 
-// newSet returns an empty set with room for a number of teams, of which a file has tens of thousands.
+// newSet returns an empty set without lines and with room for a number of teams, of which a file has tens of thousands.
 func newSet(teams int) *Set {
 	return &Set{
-		teams:        make([]Team, 0, teams),
 		serviceIndex: map[string]int32{},
 		routeIndex:   map[string]int32{},
-		teamIndex:    make(map[string]int32, teams),
+		index:        newTeamIndex(teams),
 		dataCentres:  map[string]int32{},
 		upstreams:    map[string]int32{},
 		shiftIndex:   map[string]int32{},
@@ -107,15 +111,25 @@
 
 // Team returns the team of a name. For a team without a rule it returns the default weight, no limit, and false.
 func (s *Set) Team(name string) (Team, bool) {
-	i, ok := s.teamIndex[name]
-	if !ok {
+	t := s.index.find(name)
+	if t == nil {
 		return Team{Name: name, Weight: DefaultWeight}, false
 	}
-	return s.teams[i], true
+	return t.public(s.lineOf(t)), true
 }
 
-// Teams returns all teams with a rule in the order of the file. Callers must not modify the slice.
-func (s *Set) Teams() []Team { return s.teams }
+// Teams returns all teams with a rule in the order of the file, in a new slice.
+func (s *Set) Teams() []Team {
+	teams := make([]Team, 0, s.index.count)
+	for i, c := range s.chunks {
+		for j, t := range c.teams {
+			if t != nil {
+				teams = append(teams, t.public(s.firstLine[i]+j))
+			}
+		}
+	}
+	return teams
+}
 
 // Drained returns the drain in force that names the data centre or, if there is none, the upstream.
 func (s *Set) Drained(dataCentre, upstream string) (Drain, bool) {
