Merge the changes of a peer that is far behind into one difference

Cause: after an hour's cut a region is 542 changes behind and peers keep 512, so that each of its processes pulled the whole text, 770 KB, in the same minute.

Change: the history keeps 4,096 changes with the lines that they removed. For a peer that is four or more behind they are merged into the difference of the two texts (ConfigRun): a line changed many times is in it once, and an added line is encoded by what it has not in common with the removed line at its place. The receiver checks the hash of the text and hands a run on as one step. Answers above 1,000 bytes are paced, except for a pull that a request waits for, a process without a configuration, and an older program; ConfigPull says whether its sender reads runs and whether a request waits. An entry asks with urgency after 3 s. An entry whose answers are spent does not show its version to sidecars that are far behind in calls that may be repeated.

--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -29,10 +29,11 @@
 	&Ping{14},
 	&Pong{15},
 	&Gossip{16, []RolloutStop{{"r", "errors"}}, []RolloutRecord{{"r", 5, []byte("record")}}, []QuarantineEntry{{1, 2}}, []LoadSummary{{"nadi", "s", 1, 2, 3}}},
-	&ConfigPull{17},
+	&ConfigPull{17, true, true},
 	&ConfigPush{
 		[]ConfigChange{{18, "id", "losana", -1, []LineEdit{{3, 1, []string{"bound press-model 1.25 # ops"}}}, 19}},
 		&ConfigSnapshotPart{20, "id", "josefa", 1, 2, 3, []byte("part"), 21},
+		&ConfigRun{22, 23, "id", "losana", 4, 24, []byte("run")},
 	},
 	&Leaving{"press-7"},
 	&Evidence{"r", "nadi", true, []byte("counts")},
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -197,6 +197,10 @@
 // ConfigPull asks for the configuration after version Since.
 type ConfigPull struct {
 	Since uint64 `msgpack:"s"`
+	// Runs says that the sender reads ConfigRun.
+	Runs bool `msgpack:"r,omitempty"`
+	// Urgent says that a request waits at the sender for the configuration.
+	Urgent bool `msgpack:"u,omitempty"`
 }
 
 // ConfigChange is one accepted change as a line diff. Lines are numbered from zero in the text before the change.
@@ -218,11 +222,25 @@
 	Added   []string `msgpack:"a,omitempty"`
 }
 
-// ConfigPush answers a ConfigPull: either the changes since the asked version, or one part of a whole snapshot.
+// ConfigPush answers a ConfigPull: the changes since the asked version, one by one or as a run, or one part of a whole snapshot.
 type ConfigPush struct {
 	Changes []ConfigChange `msgpack:"c,omitempty"`
 	// Snapshot is set when the changes do not reach back to the asked version.
 	Snapshot *ConfigSnapshotPart `msgpack:"s,omitempty"`
+	Run      *ConfigRun          `msgpack:"r,omitempty"`
+}
+
+// ConfigRun is the difference between the texts of two versions that may be many changes apart, for a peer that is far behind. The other
+// fields are those of the change that led to Version.
+type ConfigRun struct {
+	From     uint64 `msgpack:"f"`
+	Version  uint64 `msgpack:"v"`
+	ChangeID string `msgpack:"id"`
+	Author   string `msgpack:"au"`
+	UnixMS   int64  `msgpack:"ts"`
+	TextHash uint64 `msgpack:"h"`
+	// Data is a gzip member; version/config encodes its content.
+	Data []byte `msgpack:"b"`
 }
 
 // ConfigSnapshotPart is one part of the whole configuration text. Data is a gzip member; a receiver concatenates the content of Parts parts
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -122,7 +122,10 @@
 		DeadlineMS: uint32(max(0, time.Until(deadline).Milliseconds())), IdempotencyKey: x.key,
 		WorkUnits: x.work, ResumeOffset: x.delivered, Method: x.method, Path: x.path, Body: x.body,
 	}
-	open.ConfigVersion = x.e.versionSampler.InOpen(time.Now(), x.snapshot.Version(), x.e.node.PeerVersion(a.target.ID), !x.route.Idempotent)
+	peer := x.e.node.PeerVersion(a.target.ID)
+	if !x.route.Idempotent || x.e.node.MayShowVersion(peer) {
+		open.ConfigVersion = x.e.versionSampler.InOpen(time.Now(), x.snapshot.Version(), peer, !x.route.Idempotent)
+	}
 	a.shown = open.ConfigVersion
 	if x.inChat {
 		open.Chat = x.chat
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -21,6 +21,9 @@
 	tickInterval = 250 * time.Millisecond
 	// pullTimeout is the time after which an unanswered configuration pull is repeated with another peer.
 	pullTimeout = 300 * time.Millisecond
+	// entryPatience is how long an entry asks without urgency, so that peers with budget left answer first. It leaves ten of the 13
+	// seconds in which a change is to be in effect.
+	entryPatience = 3 * time.Second
 	// unreadablePause is the time between pulls of a configuration that this version of the program cannot read.
 	unreadablePause = 10 * time.Second
 	// adoptFanout is how many random peers hear at once of a version that was just adopted. Requests and gossip tell the rest.
@@ -33,9 +36,14 @@
 type control struct {
 	n       *Node
 	config  *config.State
+	pacer   *config.Pacer
 	members *membership.Table
 	// pulledAt is when the last configuration pull was sent; zero when none is under way.
 	pulledAt time.Time
+	// behindSince is when the first pull after the version in force was sent; zero before.
+	behindSince time.Time
+	// pulledUrgent says that a request waited for the last pull.
+	pulledUrgent bool
 	// noPullUntil holds pulls back after a configuration that this version of the program cannot read.
 	noPullUntil time.Time
 	// stopWatch ends the watch of the configuration head; nil while this process does not watch.
@@ -44,7 +52,7 @@
 }
 
 func newControl(n *Node) *control {
-	return &control{n: n, config: config.New(config.DefaultConfig()), members: membership.New(n.opts.Member)}
+	return &control{n: n, config: config.New(config.DefaultConfig()), pacer: config.NewPacer(), members: membership.New(n.opts.Member)}
 }
 
 func (c *control) run(ctx context.Context) {
@@ -66,6 +74,7 @@
 func (c *control) tick(ctx context.Context) {
 	c.publishMembers(ctx)
 	now := time.Now()
+	c.n.answersSpent.Store(c.pacer.Spent(now))
 	c.n.opts.Role.Tick(now, c.n.Snapshot())
 	if now.Sub(c.lastGossip) >= settings.Milliseconds(c.n.opts.Settings.GossipIntervalMS) {
 		c.lastGossip = now
@@ -98,7 +107,7 @@
 	next := *c.n.Snapshot()
 	next.Config = c.config.Current()
 	c.publish(&next)
-	c.pulledAt = time.Time{}
+	c.pulledAt, c.behindSince = time.Time{}, time.Time{}
 	fresh := make(chan struct{})
 	close(*c.n.adopted.Swap(&fresh))
 	event.Log(event.ConfigAdopted, "version", next.Config.Version, "author", next.Config.Author, "source", source)
@@ -171,21 +180,34 @@
 	c.n.run(func() { _, _ = c.n.pool.Get(ctx, platform.Instance{ID: "seed " + address, Address: address}) })
 }
 
-// pull asks a peer for the configuration after the version in force, unless an earlier question is still open.
-func (c *control) pull(conn *link.Conn, version uint64) {
+// pull asks a peer for the configuration after the version in force, unless an earlier question is still open. A peer may leave a
+// question that is not urgent unanswered, so an urgent one does not wait for it. Those of an entry become urgent after a while, because it
+// chooses the upstreams of new work by the rules.
+func (c *control) pull(conn *link.Conn, version uint64, urgent bool) {
 	now := time.Now()
 	mine := c.n.Snapshot().Version()
-	if version <= mine || now.Sub(c.pulledAt) < pullTimeout || now.Before(c.noPullUntil) {
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
+	urgent = urgent || c.n.opts.Settings.Role == settings.RoleEntry && now.Sub(c.behindSince) > entryPatience
+	open := now.Sub(c.pulledAt) < pullTimeout && (c.pulledUrgent || !urgent)
+	if version <= mine || open || now.Before(c.noPullUntil) {
 		return
 	}
-	c.pulledAt = now
-	if err := conn.Send(&wire.ConfigPull{Since: mine}); err != nil {
+	c.pulledAt, c.pulledUrgent = now, urgent
+	if err := conn.Send(&wire.ConfigPull{Since: mine, Runs: true, Urgent: urgent}); err != nil {
 		c.pulledAt = time.Time{}
 	}
 }
 
 func (c *control) answerPull(conn *link.Conn, pull wire.ConfigPull) {
-	for _, push := range c.config.Answer(pull) {
+	pushes := c.config.Answer(pull)
+	allowed := c.pacer.Allow(time.Now(), pull, pushes)
+	c.n.answersSpent.Store(c.pacer.Spent(time.Now()))
+	if !allowed {
+		return
+	}
+	for _, push := range pushes {
 		if err := conn.Send(&push); err != nil {
 			return
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -100,6 +100,8 @@
 	heard sync.Map
 	// lastObserved is when any peer last showed its version, in nanoseconds since 1970.
 	lastObserved atomic.Int64
+	// answersSpent says that the answers to pulls have used up their share of the control budget.
+	answersSpent atomic.Bool
 	// adopted is closed and replaced when a configuration version is adopted.
 	adopted  atomic.Pointer[chan struct{}]
 	leaving  atomic.Bool
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -12,6 +12,7 @@
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/version/config"
 )
 
 // metrics counts what the shared part of a process does; docs/operations.md lists the names.
@@ -30,16 +31,25 @@
 }
 
 // ObserveVersion notes the configuration version that a peer showed, and pulls the configuration from it if it is newer.
-func (n *Node) ObserveVersion(conn *link.Conn, version uint64) {
+func (n *Node) ObserveVersion(conn *link.Conn, version uint64) { n.observe(conn, version, false) }
+
+// observe is ObserveVersion; urgent says that a request waits for the version.
+func (n *Node) observe(conn *link.Conn, version uint64, urgent bool) {
 	id := conn.Remote().Instance
 	known, _ := n.heard.LoadOrStore(id, new(atomic.Uint64))
 	known.(*atomic.Uint64).Store(version)
 	n.lastObserved.Store(time.Now().UnixNano())
 	if version > n.Snapshot().Version() {
-		n.post(func(c *control) { c.pull(conn, version) })
+		n.post(func(c *control) { c.pull(conn, version, urgent) })
 	}
 }
 
+// MayShowVersion says whether to show a peer that last showed a version that this process has a newer one. It is false for a peer that is
+// far behind while the answers to others have used up the budget: the peer then hears of it from another process or by gossip.
+func (n *Node) MayShowVersion(peer uint64) bool {
+	return !n.answersSpent.Load() || !config.FarBehind(peer, n.Snapshot().Version())
+}
+
 // AwaitVersion waits until a configuration version of at least version is in force and returns the snapshot, or the latest one when
 // ctx ends first.
 func (n *Node) AwaitVersion(ctx context.Context, version uint64) *Snapshot {
@@ -81,7 +91,7 @@
 // HandleOpen implements link.Handler.
 func (h *peerHandler) HandleOpen(ctx context.Context, conn *link.Conn, open *wire.Open, r *link.Responder) {
 	if open.ConfigVersion > 0 {
-		h.n.ObserveVersion(conn, open.ConfigVersion)
+		h.n.observe(conn, open.ConfigVersion, true)
 	}
 	h.n.opts.Role.HandleOpen(ctx, conn, open, r)
 }
--- a/version/config/adopt.go
+++ b/version/config/adopt.go
@@ -34,7 +34,7 @@
 			Version: h.Version, ChangeID: h.ChangeID, Author: h.Author, Comment: h.Comment,
 			Time: time.UnixMilli(h.UnixMS).UTC(), Text: h.Text, TextHash: h.TextHash,
 		},
-		changes: h.Changes,
+		steps: stepsOf(h.Changes),
 	})
 }
 
@@ -62,6 +62,11 @@
 }
 
 func (s *State) applyPush(push wire.ConfigPush) error {
+	if push.Run != nil {
+		if err := s.applyRun(push.Run); err != nil {
+			return err
+		}
+	}
 	if push.Snapshot != nil {
 		if err := s.receive(push.Snapshot); err != nil {
 			return err
@@ -101,6 +106,7 @@
 	draft := base.Edit()
 	version := s.Version()
 	var last wire.ConfigChange
+	var steps []step
 	for _, c := range changes {
 		if c.Version <= version {
 			continue
@@ -108,22 +114,36 @@
 		if c.Version != version+1 {
 			return candidate{}, fmt.Errorf("%w: version %d follows %d", ErrGap, c.Version, version)
 		}
-		if err := draft.Apply(ruleEdits(c.Edits)); err != nil {
-			return candidate{}, fmt.Errorf("version %d: %w: %v", c.Version, ErrPatch, err)
-		}
-		if draft.Bytes() > MaxTextBytes+1 {
-			return candidate{}, fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, c.Version, draft.Bytes())
+		removed := removedLines(draft, c.Edits)
+		if err := apply(draft, c); err != nil {
+			return candidate{}, err
 		}
+		steps = append(steps, step{from: version, change: c, removed: removed})
 		version, last = c.Version, c
 	}
-	return candidate{
-		Accepted: Accepted{
-			Version: last.Version, ChangeID: last.ChangeID, Author: last.Author, Time: time.UnixMilli(last.UnixMS).UTC(),
-			Text: draft.Text(), TextHash: last.TextHash,
-		},
-		draft:   draft,
-		changes: changes,
-	}, nil
+	next := s.candidate(draft, last)
+	next.steps = steps
+	return next, nil
+}
+
+// apply makes the edits of a change.
+func apply(draft *rules.Draft, c wire.ConfigChange) error {
+	if err := draft.Apply(ruleEdits(c.Edits)); err != nil {
+		return fmt.Errorf("version %d: %w: %v", c.Version, ErrPatch, err)
+	}
+	if draft.Bytes() > MaxTextBytes+1 {
+		return fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, c.Version, draft.Bytes())
+	}
+	return nil
+}
+
+// removedLines returns the lines that each edit removes; fewer if an edit does not fit the text.
+func removedLines(draft *rules.Draft, edits []wire.LineEdit) [][]string {
+	removed := make([][]string, len(edits))
+	for i, e := range edits {
+		removed[i] = draft.Lines(int(e.Line), int(e.Removed))
+	}
+	return removed
 }
 
 // emptyRules is the set of the text that version 1 changes.
--- a/version/config/answer.go
+++ b/version/config/answer.go
@@ -2,16 +2,16 @@
 
 import "github.com/jayridge/jayridge/connection/wire"
 
-// Answer returns the pushes that bring a peer from the version it asks from to the current one: the changes between them, or if
-// those are no longer kept, the whole text in parts. It returns none if the peer has the current version or a newer one. A peer
+// Answer returns the pushes that bring a peer from the version it asks from to the current one: the changes between them, merged
+// into a run if they are many, or if they are no longer kept, the whole text in parts. It returns none if the peer has the current version or a newer one. A peer
 // that asks from zero always gets the whole text. The pushes are shared; callers must not modify them.
 func (s *State) Answer(pull wire.ConfigPull) []wire.ConfigPush {
 	if s.current == nil || pull.Since >= s.current.Version {
 		return nil
 	}
 	if pull.Since > 0 {
-		if changes, ok := s.history.since(pull.Since); ok {
-			return batches(changes, s.cfg.PushBytes)
+		if pushes := s.answerSteps(pull); pushes != nil {
+			return pushes
 		}
 	}
 	if s.snapshot == nil {
@@ -20,6 +20,24 @@
 	return s.snapshot
 }
 
+// answerSteps returns nil if the history does not reach back to the asked version, or only by a run that the peer does not read.
+func (s *State) answerSteps(pull wire.ConfigPull) []wire.ConfigPush {
+	steps, ok := s.history.since(pull.Since)
+	if !ok {
+		return nil
+	}
+	list, single := changes(steps)
+	if pull.Runs && (!single || len(list) >= runSteps) {
+		if push, ok := s.run(pull.Since, steps); ok {
+			return []wire.ConfigPush{push}
+		}
+	}
+	if !single {
+		return nil
+	}
+	return batches(list, s.cfg.PushBytes)
+}
+
 // batches divides changes into pushes of at most limit bytes.
 func batches(changes []wire.ConfigChange, limit int) []wire.ConfigPush {
 	var pushes []wire.ConfigPush
--- a/version/config/part.go
+++ b/version/config/part.go
@@ -33,7 +33,7 @@
 }
 
 // defaultLayout gives about 25 parts for 46,000 teams, 1 KB of the head, and keeps the changes of about 25 s at 13,000 changes a day. Every change sends the whole head to every watcher, and each KB of it costs a watcher 0.2 KB/s; a process that is further behind
-// pulls from a peer, which keeps 512 changes.
+// pulls from a peer, which keeps the changes of hours.
 var defaultLayout = layout{
 	inlineBytes:   24 << 10,
 	partLines:     2048,
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -29,10 +29,11 @@
 
 // Config has the settings of a State. Its limits apply to what the process sends and keeps; a peer may have others.
 type Config struct {
-	// HistoryChanges is the number of changes kept for peers that pull; default 512. Zero answers every pull with the whole
-	// text.
+	// HistoryChanges is the number of changes kept for peers that pull; default 4096, those of seven hours at 13,000 a day, so that a
+	// region that was cut off for an hour need not pull the whole text. Zero answers every pull with the whole text.
 	HistoryChanges int
-	// HistoryBytes bounds the size of those changes, in bytes; default 1 MiB. Zero is like zero HistoryChanges.
+	// HistoryBytes bounds the size of those changes with the lines that they removed, in bytes; default 2 MiB. Zero is like zero
+	// HistoryChanges.
 	HistoryBytes int
 	// PushBytes is the largest size of one push of changes, in bytes; default 256 KiB. Zero is invalid.
 	PushBytes int
@@ -49,8 +50,8 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		HistoryChanges: 512,
-		HistoryBytes:   1 << 20,
+		HistoryChanges: 4096,
+		HistoryBytes:   2 << 20,
 		PushBytes:      256 << 10,
 		PartBytes:      512 << 10,
 		Assemblies:     4,
@@ -105,6 +106,8 @@
 	assemblies []*assembly
 	// snapshot caches the parts of the current version, which many peers ask for after an outage.
 	snapshot []wire.ConfigPush
+	// lastRun is the last answer with a run; its Version is zero before there is one.
+	lastRun wire.ConfigRun
 	// unreadable is the last text that could not be parsed, so that peers that send it again cost no second parse.
 	unreadable unreadable
 	stats      Stats
@@ -141,8 +144,9 @@
 type candidate struct {
 	Accepted
 	// draft is the text as edits of the current one; nil if the text was received as a whole.
-	draft   *rules.Draft
-	changes []wire.ConfigChange
+	draft *rules.Draft
+	// steps are those that led to the version, as far as they are known.
+	steps []step
 }
 
 // adopt makes a candidate the current version if its text has the right hash and no faults.
@@ -157,7 +161,7 @@
 	c.Rules = set
 	accepted := c.Accepted
 	s.current, s.snapshot = &accepted, nil
-	s.history.extend(c.Version, c.changes, s.cfg)
+	s.history.extend(c.Version, c.steps, s.cfg)
 	s.dropAssemblies()
 	s.stats.Adopted++
 	return nil
--- a/version/config/state_test.go
+++ b/version/config/state_test.go
@@ -126,7 +126,7 @@
 func receive(t *rapid.T, r *State, peers ...*State) {
 	var pushes []wire.ConfigPush
 	for _, p := range peers {
-		pushes = append(pushes, p.Answer(wire.ConfigPull{Since: r.Version()})...)
+		pushes = append(pushes, p.Answer(wire.ConfigPull{Since: r.Version(), Runs: rapid.Bool().Draw(t, "runs")})...)
 	}
 	pushes = append(pushes, pushes...)
 	for _, push := range rapid.Permutation(pushes).Draw(t, "order") {
@@ -221,7 +221,8 @@
 	pushes := source.Answer(wire.ConfigPull{Since: 2})
 	must.Len(t, 1, pushes)
 	must.Len(t, 4, pushes[0].Changes)
-	all, _ := source.history.since(0)
+	steps, _ := source.history.since(0)
+	all, _ := changes(steps)
 	mixed := append(slices.Clone(all), all...)
 	slices.Reverse(mixed)
 	changed, err := New(smallConfig).ApplyPush(wire.ConfigPush{Changes: mixed})
--- a/version/rules/draft.go
+++ b/version/rules/draft.go
@@ -157,3 +157,25 @@
 	d.bytes += c.bytes - before
 	d.lines += len(added) - (end - start)
 }
+
+// Lines returns copies of up to n lines from a line, counted from zero; fewer if the text ends before. Copies do not keep the whole
+// text in memory.
+func (d *Draft) Lines(line, n int) []string {
+	var lines []string
+	for _, c := range d.chunks {
+		if n <= 0 {
+			break
+		}
+		if line >= len(c.lines) {
+			line -= len(c.lines)
+			continue
+		}
+		end := min(line+n, len(c.lines))
+		for _, text := range c.lines[line:end] {
+			lines = append(lines, strings.Clone(text))
+		}
+		n -= end - line
+		line = 0
+	}
+	return lines
+}
