Hold less for an idle connection, and look at it only after requests

Cause: each end of an idle connection held a writer goroutine, a read buffer of 4 KB, a buffer for frames and a timer that looked at it every 10 s: three quarters of an entry's memory at the design scale, and 4.1 to 5.5 ms/s.

Change: the reader waits on the socket without a buffer and takes one from a pool when data has arrived; frames are read into pooled buffers. The first queued frame starts the writer, which waits for more while a request is in progress and ends otherwise. A timer per connection fires while requests are in progress, once after the last one, and when the idle interval is over; the decision keepalive.next no longer asks to be called every interval when idle, so Open, a received Open and Probe plan a look.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -52,6 +51,7 @@
 	server  *Server
 	start   time.Time
 	out     *outbox
+	watch   watch
 	stats   stats
 	// lastReceived is when the last frame was received, in nanoseconds since start.
 	lastReceived atomic.Int64
@@ -86,7 +86,7 @@
 	return &Conn{
 		cfg:     cfg,
 		nc:      nc,
-		frames:  wire.NewReader(bufio.NewReaderSize(nc, readBufferBytes)),
+		frames:  wire.NewReader(newReader(nc)),
 		handler: h,
 		local:   local,
 		start:   time.Now(),
@@ -168,20 +168,15 @@
 	_ = c.nc.Close()
 }
 
-// run reads until the connection ends, then ends everything that belongs to it. It owns the writer goroutine.
+// run reads until the connection ends, then ends everything that belongs to it.
 func (c *Conn) run() {
-	var writer sync.WaitGroup
-	writer.Go(func() {
-		if err := c.writeLoop(); err != nil {
-			c.abort(err)
-			return
-		}
-		c.closeWrite()
-	})
+	c.out.start(c.write)
+	c.startWatch()
 	err := c.readLoop()
 	c.reportBadFrame(err)
 	c.abort(err)
-	writer.Wait()
+	c.stopWatch()
+	c.out.writers.Wait()
 	c.finish()
 }
 
--- a/connection/link/keepalive.go
+++ b/connection/link/keepalive.go
@@ -24,7 +24,8 @@
 	probeLost
 )
 
-// next returns what to do at time now, given when the last frame was received, and how long to wait before the next call.
+// next returns what to do at time now, given when the last frame was received, and how long to wait before the next call. A connection that
+// gets busy before that is due within an interval.
 // The peer is given up only a while after a Ping, so that a process that was itself paused first reads what has arrived.
 func (k *keepalive) next(now, received time.Duration, e expectation) (probe, time.Duration) {
 	if k.probing && received >= k.pinged {
@@ -32,8 +33,7 @@
 	}
 	if !k.probing {
 		if wait := k.due(received, e) - now; wait > 0 {
-			// An idle connection may get busy at any time, and is then due earlier.
-			return probeWait, min(wait, k.interval)
+			return probeWait, wait
 		}
 		k.probing = true
 		k.pinged = now
--- a/connection/link/outbox.go
+++ b/connection/link/outbox.go
@@ -18,10 +18,17 @@
 type outbox struct {
 	trafficLimit, controlLimit int
 
-	// ready wakes the writer. It has a capacity of one.
-	ready chan struct{}
+	// writers counts the writer, of which there is at most one.
+	writers sync.WaitGroup
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// write is the writer; nil before the connection runs. writing says that it has been started and has not come to rest. After
+	// an orderly close or an error it stays set, because nothing is written any more.
+	write   func()
+	writing bool
+	// ready wakes a writer that waits; it has a capacity of one. resting tells it to end instead of waiting.
+	ready   chan struct{}
+	resting bool
 	control lane
 	traffic lane
 	// opens are the Open frames in the traffic lane, in order.
@@ -52,7 +59,7 @@
 }
 
 func newOutbox(cfg Config) *outbox {
-	return &outbox{trafficLimit: cfg.QueueBytes, controlLimit: cfg.ControlQueueBytes, ready: make(chan struct{}, 1)}
+	return &outbox{trafficLimit: cfg.QueueBytes, controlLimit: cfg.ControlQueueBytes}
 }
 
 // pushControl queues a control frame or fails with ErrQueueFull.
@@ -204,13 +211,68 @@
 	}
 }
 
+// start lets the writer run whenever there is something to write, which may be already.
+func (o *outbox) start(write func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.write = write
+	if o.control.frames+o.traffic.frames > 0 || o.err != nil {
+		o.wake()
+	}
+}
+
+// wake starts the writer, or wakes it if it waits. The lock is held.
 func (o *outbox) wake() {
+	switch {
+	case o.write == nil:
+	case o.writing:
+		o.signal()
+	default:
+		o.writing, o.resting = true, false
+		if o.ready == nil {
+			o.ready = make(chan struct{}, 1)
+		}
+		o.writers.Go(o.write)
+	}
+}
+
+func (o *outbox) signal() {
 	select {
 	case o.ready <- struct{}{}:
 	default:
 	}
 }
 
+// await waits until there may be something to write. It returns false if the writer is to end, which it does when nothing is queued and
+// no request is in progress: it is started again for the next frame. During a request a waiting writer is cheaper than a new one for
+// each chunk.
+func (o *outbox) await(busy bool) bool {
+	o.mu.Lock()
+	switch {
+	case o.control.frames+o.traffic.frames > 0 || o.err != nil:
+		o.mu.Unlock()
+		return true
+	case !busy || o.resting:
+		o.writing, o.ready = false, nil
+		o.mu.Unlock()
+		return false
+	}
+	ready := o.ready
+	o.mu.Unlock()
+	<-ready
+	return true
+}
+
+// rest ends a writer that waits although no request is in progress any more.
+func (o *outbox) rest() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.writing {
+		o.resting = true
+		o.signal()
+	}
+}
+
 // Buffers are pooled across connections: a process holds thousands of connections, most of them idle.
 var buffers = sync.Pool{New: func() any { return new(make([]byte, 0, 4<<10)) }}
 
--- a/connection/link/serve.go
+++ b/connection/link/serve.go
@@ -28,6 +28,7 @@
 		r.cancel()
 		return nil
 	}
+	c.lookSoon()
 	go c.handle(open, r)
 	return nil
 }
--- /dev/null
+++ b/connection/link/socket_other.go
@@ -0,0 +1,12 @@
+//go:build !unix
+
+package link
+
+import (
+	"bufio"
+	"io"
+	"net"
+)
+
+// newReader returns a buffered reader of a connection.
+func newReader(nc net.Conn) io.Reader { return bufio.NewReaderSize(nc, readBufferBytes) }
--- a/connection/link/stream.go
+++ b/connection/link/stream.go
@@ -54,6 +54,7 @@
 	if err := c.register(s, frame, window); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	c.lookSoon()
 	return s, nil
 }
 
--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -122,15 +122,16 @@
 	binary.BigEndian.PutUint32(frame[streamOffset:], stream)
 }
 
-// retainedBytes bounds the buffer that a Reader keeps between frames. A process holds thousands of idle connections, and a
-// buffer of MaxFrameBytes on each would exceed its memory.
-const retainedBytes = 4 << 10
+// pooledBytes is the size of the buffers that readers share. A process holds thousands of connections, most of them idle, so a reader
+// holds a buffer only while it reads a frame. Larger frames get one of their own.
+const pooledBytes = 4 << 10
 
-// Reader reads frames and reuses its buffer. It is not safe for concurrent use.
+var bodies = sync.Pool{New: func() any { return new([pooledBytes]byte) }}
+
+// Reader reads frames. It is not safe for concurrent use.
 type Reader struct {
 	r    io.Reader
 	head [lengthBytes]byte
-	body []byte
 }
 
 // NewReader returns a Reader on r, which should be buffered.
@@ -150,33 +151,27 @@
 	if n < minBodyLength || n > MaxFrameBytes {
 		return Frame{}, fmt.Errorf("%w: length %d is outside %d to %d", ErrFrame, n, minBodyLength, MaxFrameBytes)
 	}
-	body, err := r.readBody(n)
-	if err != nil {
-		return Frame{}, err
-	}
-	m, err := Decode(Type(body[typeOffset-lengthBytes]), body[headerBytes-lengthBytes:])
-	if err != nil {
-		return Frame{}, err
+	if n > pooledBytes {
+		return r.frame(make([]byte, n))
 	}
-	return Frame{Stream: binary.BigEndian.Uint32(body[streamOffset-lengthBytes:]), Message: m, Bytes: n + lengthBytes}, nil
+	pooled := bodies.Get().(*[pooledBytes]byte)
+	defer bodies.Put(pooled)
+	return r.frame(pooled[:n])
 }
 
-func (r *Reader) readBody(n int) ([]byte, error) {
-	body := r.body
-	if n > cap(body) {
-		body = make([]byte, n)
-	}
-	body = body[:n]
-	if n <= retainedBytes {
-		r.body = body
-	}
+// frame reads the rest of a frame into body.
+func (r *Reader) frame(body []byte) (Frame, error) {
 	if _, err := io.ReadFull(r.r, body); err != nil {
 		if errors.Is(err, io.EOF) {
-			return nil, io.ErrUnexpectedEOF
+			return Frame{}, io.ErrUnexpectedEOF
 		}
-		return nil, err
+		return Frame{}, err
+	}
+	m, err := Decode(Type(body[typeOffset-lengthBytes]), body[headerBytes-lengthBytes:])
+	if err != nil {
+		return Frame{}, err
 	}
-	return body, nil
+	return Frame{Stream: binary.BigEndian.Uint32(body[streamOffset-lengthBytes:]), Message: m, Bytes: len(body) + lengthBytes}, nil
 }
 
 // Decode decodes the msgpack body of a frame. A type that this version does not know gives a nil message and no error, so
--- a/internal/bench/slopes_processor.go
+++ b/internal/bench/slopes_processor.go
@@ -30,14 +30,20 @@
 		return set
 	}), "B")
 	var state *config.State
+	pushes := changePushes(s, text, 1)
 	add("configuration per line, text and rules", heapOf(lines, func() any {
 		state = config.New(config.DefaultConfig())
-		if _, err := state.AdoptHead(config.Head{Version: 1, Text: text, Loaded: true, TextHash: config.Hash(text)}); err != nil {
+		head := config.Head{Version: 1, Text: strings.Clone(text), Loaded: true, TextHash: config.Hash(text)}
+		if _, err := state.AdoptHead(head); err != nil {
+			panic(err)
+		}
+		// After a change the lines still refer to the text of before.
+		if _, err := state.ApplyPush(pushes[0]); err != nil {
 			panic(err)
 		}
 		return state
 	}), "B")
-	pushes := changePushes(s, text, state.Version())
+	pushes = pushes[1:]
 	start := processorTime()
 	for _, push := range pushes {
 		if adopted, err := state.ApplyPush(push); !adopted || err != nil {
