--- a/version/config/adopt.go
+++ b/version/config/adopt.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 // AdoptHead moves to the head's version if that is higher, and says whether it did. An older or equal head, as a stale read
@@ -33,8 +34,7 @@
 			Version: h.Version, ChangeID: h.ChangeID, Author: h.Author, Comment: h.Comment,
 			Time: time.UnixMilli(h.UnixMS).UTC(), Text: h.Text, TextHash: h.TextHash,
 		},
-		lines:   Lines(h.Text),
-		changes: h.Changes,
+		steps: stepsOf(h.Changes),
 	})
 }
 
@@ -62,6 +62,11 @@
 }
 
 func (s *State) applyPush(push wire.ConfigPush) error {
+	if push.Run != nil {
+		if err := s.applyRun(push.Run); err != nil {
+			return err
+		}
+	}
 	if push.Snapshot != nil {
 		if err := s.receive(push.Snapshot); err != nil {
 			return err
@@ -94,12 +99,14 @@
 // follow applies consecutive changes to the current text; those that are not newer are skipped. Before there is a version, the
 // changes start from an empty text.
 func (s *State) follow(changes []wire.ConfigChange) (candidate, error) {
-	lines := s.lines
-	if s.current == nil {
-		lines = Lines("")
+	base := emptyRules
+	if s.current != nil {
+		base = s.current.Rules
 	}
+	draft := base.Edit()
 	version := s.Version()
 	var last wire.ConfigChange
+	var steps []step
 	for _, c := range changes {
 		if c.Version <= version {
 			continue
@@ -107,31 +114,48 @@
 		if c.Version != version+1 {
 			return candidate{}, fmt.Errorf("%w: version %d follows %d", ErrGap, c.Version, version)
 		}
-		patched, err := Patch(lines, c.Edits)
-		if err != nil {
-			return candidate{}, fmt.Errorf("version %d: %w", c.Version, err)
+		removed := removedLines(draft, c.Edits)
+		if err := apply(draft, c); err != nil {
+			return candidate{}, err
 		}
-		lines, version, last = patched, c.Version, c
+		steps = append(steps, step{from: version, change: c, removed: removed})
+		version, last = c.Version, c
 	}
-	return s.candidate(last, lines, changes)
+	next := s.candidate(draft, last)
+	next.steps = steps
+	return next, nil
 }
 
-func (s *State) candidate(last wire.ConfigChange, lines []string, changes []wire.ConfigChange) (candidate, error) {
-	bytes := len(lines)
-	for _, line := range lines {
-		bytes += len(line)
+// apply makes the edits of a change.
+func apply(draft *rules.Draft, c wire.ConfigChange) error {
+	if err := draft.Apply(ruleEdits(c.Edits)); err != nil {
+		return fmt.Errorf("version %d: %w: %v", c.Version, ErrPatch, err)
 	}
-	if bytes > MaxTextBytes+1 {
-		return candidate{}, fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, last.Version, bytes)
+	if draft.Bytes() > MaxTextBytes+1 {
+		return fmt.Errorf("%w: version %d has a text of %d bytes", ErrMessage, c.Version, draft.Bytes())
 	}
-	text := Join(lines)
-	return candidate{
-		Accepted: Accepted{
-			Version: last.Version, ChangeID: last.ChangeID, Author: last.Author, Time: time.UnixMilli(last.UnixMS).UTC(),
-			Text: text, TextHash: last.TextHash,
-		},
-		// The lines refer to the one text that is kept, not to the messages that brought them.
-		lines:   Lines(text),
-		changes: changes,
-	}, nil
+	return nil
+}
+
+// removedLines returns the lines that each edit removes; fewer if an edit does not fit the text.
+func removedLines(draft *rules.Draft, edits []wire.LineEdit) [][]string {
+	removed := make([][]string, len(edits))
+	for i, e := range edits {
+		removed[i] = draft.Lines(int(e.Line), int(e.Removed))
+	}
+	return removed
+}
+
+// emptyRules is the set of the text that version 1 changes.
+var emptyRules = func() *rules.Set {
+	set, _ := rules.Parse("", nil)
+	return set
+}()
+
+func ruleEdits(edits []wire.LineEdit) []rules.Edit {
+	list := make([]rules.Edit, len(edits))
+	for i, e := range edits {
+		list[i] = rules.Edit{Line: e.Line, Removed: e.Removed, Added: e.Added}
+	}
+	return list
 }
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -29,10 +29,11 @@
 
 // Config has the settings of a State. Its limits apply to what the process sends and keeps; a peer may have others.
 type Config struct {
-	// HistoryChanges is the number of changes kept for peers that pull; default 512. Zero answers every pull with the whole
-	// text.
+	// HistoryChanges is the number of changes kept for peers that pull; default 4096, those of seven hours at 13,000 a day, so that a
+	// region that was cut off for an hour need not pull the whole text. Zero answers every pull with the whole text.
 	HistoryChanges int
-	// HistoryBytes bounds the size of those changes, in bytes; default 1 MiB. Zero is like zero HistoryChanges.
+	// HistoryBytes bounds the size of those changes with the lines that they removed, in bytes; default 2 MiB. Zero is like zero
+	// HistoryChanges.
 	HistoryBytes int
 	// PushBytes is the largest size of one push of changes, in bytes; default 256 KiB. Zero is invalid.
 	PushBytes int
@@ -49,8 +50,8 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		HistoryChanges: 512,
-		HistoryBytes:   1 << 20,
+		HistoryChanges: 4096,
+		HistoryBytes:   2 << 20,
 		PushBytes:      256 << 10,
 		PartBytes:      512 << 10,
 		Assemblies:     4,
@@ -100,13 +101,13 @@
 type State struct {
 	cfg     Config
 	current *Accepted
-	// lines are the lines of the current text.
-	lines   []string
 	history history
 	// assemblies are snapshots of newer versions that have not been received completely, the one used last at the end.
 	assemblies []*assembly
 	// snapshot caches the parts of the current version, which many peers ask for after an outage.
 	snapshot []wire.ConfigPush
+	// lastRun is the last answer with a run; its Version is zero before there is one.
+	lastRun wire.ConfigRun
 	// unreadable is the last text that could not be parsed, so that peers that send it again cost no second parse.
 	unreadable unreadable
 	stats      Stats
@@ -142,8 +143,10 @@
 // candidate is a newer version that is not checked yet.
 type candidate struct {
 	Accepted
-	lines   []string
-	changes []wire.ConfigChange
+	// draft is the text as edits of the current one; nil if the text was received as a whole.
+	draft *rules.Draft
+	// steps are those that led to the version, as far as they are known.
+	steps []step
 }
 
 // adopt makes a candidate the current version if its text has the right hash and no faults.
@@ -157,8 +160,8 @@
 	}
 	c.Rules = set
 	accepted := c.Accepted
-	s.current, s.lines, s.snapshot = &accepted, c.lines, nil
-	s.history.extend(c.Version, c.changes, s.cfg)
+	s.current, s.snapshot = &accepted, nil
+	s.history.extend(c.Version, c.steps, s.cfg)
 	s.dropAssemblies()
 	s.stats.Adopted++
 	return nil
@@ -168,13 +171,22 @@
 	if len(s.unreadable.faults) > 0 && s.unreadable.hash == c.TextHash {
 		return nil, s.unreadable.faults
 	}
-	set, faults := rules.Parse(fmt.Sprintf("version %d", c.Version), []byte(c.Text))
+	set, faults := c.compile()
 	if len(faults) > 0 {
 		s.unreadable = unreadable{hash: c.TextHash, faults: faults}
 	}
 	return set, faults
 }
 
+// compile costs what changed, or the whole text if it was received as a whole.
+func (c candidate) compile() (*rules.Set, rules.Faults) {
+	name := fmt.Sprintf("version %d", c.Version)
+	if c.draft != nil {
+		return c.draft.Compile(name, c.Text)
+	}
+	return rules.ParseString(name, c.Text)
+}
+
 // result counts the end of a call.
 func (s *State) result(before uint64, err error) (bool, error) {
 	if err != nil {
