Limit load reports in the fleet model as sidecars do

Cause: the model put a load report into every answer and gave up at the end of the candidate list. Sidecars send 1.5 reports a second, and 6 more on a change, and entries start the list over after a refusal for load.

Change: the model uses load.Sampler and starts the list over. The skew measure prints the refusals of the first 30 s and the baselines' worst admission in that time.

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -136,7 +136,9 @@
 	entry          *entry
 	attempts       []retry.Attempt
 	candidates     []candidate.Candidate
-	done           func(*job, result.Code)
+	// all are the candidates from the first one on; the list starts over after a refusal for load.
+	all  []candidate.Candidate
+	done func(*job, result.Code)
 }
 
 // work is the entry's estimate, which does not know the answer's length.
@@ -237,6 +239,7 @@
 	j.start = f.elapsed
 	j.entry.budget.Request(f.now())
 	j.candidates = f.opts.router(j.entry, j)
+	j.all = j.candidates
 	j.entry.try(j)
 }
 
@@ -265,6 +268,9 @@
 		return
 	}
 	j.attempts = append(j.attempts, retry.Attempt{Code: code, Accepted: accepted, DataCentre: r.dataCentre})
+	if len(j.candidates) == 0 && (code == result.OverBound || code == result.ColdStart || code == result.Full) {
+		j.candidates = j.all
+	}
 	d := e.f.policy.Decide(now, retry.Request{
 		Attempts: j.attempts, Idempotent: true, Left: j.deadline - e.f.elapsed, CandidatesLeft: len(j.candidates),
 	}, e.budget, e.f.rng)
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -53,6 +53,7 @@
 	state            int
 	admission        *admission.Controller
 	mean             *load.MeanEstimator
+	reports          *load.Sampler
 	work             uint64
 	running          []*run
 	starts, served   int
@@ -64,12 +65,7 @@
 }
 
 func (f *fleet) addRunner(dataCentre string, warm bool) *runner {
-	cfg := admission.DefaultConfig()
-	cfg.DefaultCapacity = engineCapacity
-	r := &runner{
-		f: f, id: fmt.Sprintf("runner-%04d", len(f.runners)), dataCentre: dataCentre, listed: true,
-		admission: admission.New(cfg), mean: load.NewMeanEstimator(load.DefaultEstimatorConfig()),
-	}
+	r := &runner{f: f, id: fmt.Sprintf("runner-%04d", len(f.runners)), dataCentre: dataCentre, listed: true}
 	r.cache, _ = simplelru.NewLRU(1<<30, func(chat uint64, tokens int) { r.evicted(chat, tokens) })
 	if warm {
 		r.served = warmServed
@@ -77,12 +73,22 @@
 	f.runners = append(f.runners, r)
 	f.byID[r.id] = r
 	f.alive++
-	r.admission.SetLimits(f.now(), f.limits(false))
-	r.admission.Report(f.now(), r.load())
+	r.startSidecar()
 	f.every(time.Duration(f.rng.Int64N(int64(reportInterval))), reportInterval, r.report)
 	return r
 }
 
+// startSidecar gives the runner a sidecar that knows nothing but the rules and the engine's report.
+func (r *runner) startSidecar() {
+	cfg := admission.DefaultConfig()
+	cfg.DefaultCapacity = engineCapacity
+	r.admission = admission.New(cfg)
+	r.mean = load.NewMeanEstimator(load.DefaultEstimatorConfig())
+	r.reports = load.NewSampler()
+	r.admission.SetLimits(r.f.now(), r.f.limits(false))
+	r.admission.Report(r.f.now(), r.load())
+}
+
 func (r *runner) loadKey() load.Upstream {
 	return load.Upstream{ID: r.id, DataCentre: r.dataCentre, Group: loadGroup}
 }
@@ -143,9 +149,10 @@
 	r.start(&run{job: j, ticket: ticket})
 }
 
-// answer sends the end of an attempt with a load report.
+// answer sends the end of an attempt, with a load report if the sampler allows one.
 func (r *runner) answer(j *job, code result.Code, accepted bool) {
-	report, state, sent := r.admission.Load(), r.f.carried(r.state), !r.gone
+	report, state := r.admission.Load(), r.f.carried(r.state)
+	sent := !r.gone && r.reports.Allow(r.f.now(), report.WorkUnits)
 	r.f.after(hop, func() {
 		if sent {
 			j.entry.loads.Report(r.f.now(), r.loadKey(), report)
--- a/internal/bench/skew.go
+++ b/internal/bench/skew.go
@@ -30,6 +30,8 @@
 	// asked, refused and late count requests of the steady part: all, those refused as not run, and those admitted above the
 	// engine's capacity.
 	asked, refused, overload int
+	// growingAsked and growingRefused count the requests that came in the warm-up.
+	growingAsked, growingRefused int
 }
 
 func measureSkew(o Options) []Figure {
@@ -52,10 +54,11 @@
 }
 
 func skewFigures(d deployment, cases []reuseCase, results []*skewResult) []Figure {
-	var steady, refused, overload []Baseline
+	var steady, growing, refused, overload []Baseline
 	for i, c := range cases[1:] {
 		r := results[i+1]
 		steady = append(steady, Baseline{c.name, r.steady})
+		growing = append(growing, Baseline{c.name, r.growing})
 		overload = append(overload, Baseline{c.name + " above capacity", partOf(r.overload, r.asked)})
 	}
 	own := results[0]
@@ -65,7 +68,8 @@
 	return []Figure{
 		{Measure: "load skew", Name: d.String() + ", worst admission", Value: own.steady, Bound: loadBound, Bounded: true, Baselines: steady},
 		{Measure: "load skew", Name: d.String() + ", 99.9% of admissions", Value: tail},
-		{Measure: "load skew", Name: d.String() + ", worst while the load grows from nothing", Value: own.growing},
+		{Measure: "load skew", Name: d.String() + ", worst while the load grows from nothing", Value: own.growing, Baselines: growing},
+		{Measure: "load skew", Name: d.String() + ", refused as not run while the load grows from nothing", Value: partOf(own.growingRefused, own.growingAsked)},
 		{Measure: "load skew", Name: d.String() + ", refused as not run", Value: partOf(own.refused, own.asked), Baselines: refused},
 	}
 }
@@ -90,16 +94,19 @@
 	})
 	r := &skewResult{}
 	f.onAdmit = func(at *runner, j *job) { r.admitted(f, at, j) }
-	a := newArrivals(f, func(_ *job, code result.Code) { r.ended(f, code) })
+	a := newArrivals(f, r.ended)
 	a.next()
 	f.run(skewWarmUp + skewTime(o, d))
 	return r
 }
 
-// admitted compares the load of the upstream with the true mean, both with the new work. A single request is no skew.
+// ratio compares the load of the upstream with the true mean, both with the new work. A single request is no skew.
+func (f *fleet) ratio(at *runner, j *job) float64 {
+	return float64(at.work) / max(float64(f.work)/float64(f.alive), float64(j.work()))
+}
+
 func (r *skewResult) admitted(f *fleet, at *runner, j *job) {
-	mean := float64(f.work) / float64(f.alive)
-	ratio := float64(at.work) / max(mean, float64(j.work()))
+	ratio := f.ratio(at, j)
 	if f.elapsed < skewWarmUp {
 		r.growing = max(r.growing, ratio)
 		return
@@ -111,13 +118,14 @@
 	}
 }
 
-func (r *skewResult) ended(f *fleet, code result.Code) {
-	if f.elapsed < skewWarmUp {
-		return
+func (r *skewResult) ended(j *job, code result.Code) {
+	asked, refused := &r.asked, &r.refused
+	if j.start < skewWarmUp {
+		asked, refused = &r.growingAsked, &r.growingRefused
 	}
-	r.asked++
+	*asked++
 	if code.Outcome() == result.NotRun {
-		r.refused++
+		*refused++
 	}
 }
 
