--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -70,6 +70,10 @@
 	cfg := admission.DefaultConfig()
 	cfg.DefaultCapacity = uint64(opts.Settings.Upstream.CapacityWorkUnits)
 	cfg.FirstByteBase = settings.Milliseconds(opts.Settings.Upstream.FirstTokenSlowMS)
+	if opts.Plain != nil {
+		// Calls of a plain service end within milliseconds, so the mean is never as old as its load.
+		cfg.FillFor = 0
+	}
 	if err := cfg.Validate(); err != nil {
 		return nil, trace.Wrap(err)
 	}
