Count only dialed connections as a way to a peer that was lost

Cause: the fix for a loss that was not noted also let an accepted connection keep an instance among those that get work. A paused peer's accepted connection stays open without being probed, so it proves nothing.

Change: membership asks the pool only, as before, without the connection that ended; the configuration version is kept for either kind.

--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -144,7 +144,7 @@
 	event.Log(event.PeerLost, "peer", id, "error", err)
 	h.n.forgetVersion(conn)
 	h.n.post(func(c *control) {
-		if !c.n.connectedBeside(conn) {
+		if !c.n.dialedBeside(conn) {
 			c.members.Disconnected(time.Now(), id)
 		}
 	})
@@ -160,14 +160,16 @@
 	}
 }
 
-// connectedBeside reports whether there is another connection to the peer of one that ended. The ended one still counts as live in the
-// pool while its HandleClose runs.
+// connectedBeside reports whether there is another connection to the peer of one that ended.
 func (n *Node) connectedBeside(ended *link.Conn) bool {
-	id := ended.Remote().Instance
-	if conn := n.pool.Connected(id); conn != nil && conn != ended {
-		return true
-	}
-	return slices.ContainsFunc(n.server.Conns(), func(conn *link.Conn) bool {
-		return conn != ended && conn.Remote().Instance == id && conn.Err() == nil
+	return n.dialedBeside(ended) || slices.ContainsFunc(n.server.Conns(), func(conn *link.Conn) bool {
+		return conn != ended && conn.Remote().Instance == ended.Remote().Instance && conn.Err() == nil
 	})
 }
+
+// dialedBeside is connectedBeside for the connections that this process made. The pool still counts a connection that ended as live while
+// its HandleClose runs.
+func (n *Node) dialedBeside(ended *link.Conn) bool {
+	other := n.pool.Connected(ended.Remote().Instance)
+	return other != nil && other != ended
+}
