Prove with processes that a lagging instance list harms nothing

Cause: an instance list that lags in both directions was proved on the membership table only.

Change: TestList_LagsBothWays has a sidecar that left and is listed as live, one that runs and is not listed (its seed is an entry), and running ones that the list has dropped. TestList_EntriesDisagree has two entries whose lists have nothing in common, and then disagree on whether an upstream leaves. Callers are as many as runners that can take a request, so each chat must be answered at its first try; each is received by one runner; a leaving upstream gets nothing after it said so; bookings sent through both entries run once. The harness and the engine stand-in get what the rollout tests need: routes, faults under load and on one route, writes held on their way, settings for all processes. Both shift tests run in parallel with others.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -47,6 +47,10 @@
 type Faults struct {
 	// FailEvery makes each n-th request fail. Zero: none.
 	FailEvery int `json:"fail_every"`
+	// FailAbove makes a request fail that comes while n others are in progress or more. Zero: never.
+	FailAbove int `json:"fail_above"`
+	// FailPath makes the requests of one path fail. Empty: none.
+	FailPath string `json:"fail_path"`
 	// SlowMS is added before the first part, in milliseconds.
 	SlowMS int `json:"slow_ms"`
 	// CrashOn crashes the engine when a body contains the text.
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -60,7 +60,7 @@
 	s.counters.ByPath[request.Path]++
 	s.counters.InFlight++
 	s.counters.MaxInFlight = max(s.counters.MaxInFlight, s.counters.InFlight)
-	g.fail = g.faults.FailEvery > 0 && s.generated%g.faults.FailEvery == 0
+	g.fail = s.fails(request)
 	g.forgotten = request.Offset > 0 && !s.known.Contains(request.ID)
 	s.known.Add(request.ID, struct{}{})
 	g.prefill = s.cachePrompt(request)
@@ -79,6 +79,14 @@
 	return g, true
 }
 
+// fails reports whether a fault makes the request fail that was just counted in. The lock is held.
+func (s *Server) fails(request GenerateBody) bool {
+	f := s.faults
+	return f.FailEvery > 0 && s.generated%f.FailEvery == 0 ||
+		f.FailAbove > 0 && s.counters.InFlight > f.FailAbove ||
+		f.FailPath != "" && request.Path == f.FailPath
+}
+
 // cachePrompt looks up the chat's prompt prefix, stores the new one, and returns the prefill time of what was missing.
 func (s *Server) cachePrompt(request GenerateBody) time.Duration {
 	tokens := len(request.Body) / bytesPerToken
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -60,8 +60,12 @@
 guard retry-safety request/retry/policy.go 's/ran > 0 \&\& \(!r\.Idempotent \|\|/ran > 0 \&\& (false ||/' ./request/retry 'TestEveryCode|TestDecisionsAreSafe'
 guard leaving-announced process/membership/membership.go 's/if !m\.announced\.IsZero\(\) \&\& !expired/if false \&\& !expired/' ./process/membership TestTable_MergesSources
 guard redial process/node/control.go 's/c\.redial\(now\)\n//' ./test TestRestart_SidecarGetsWorkAgain
-guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
+guard loss-noted process/node/peers.go 's/other != nil && other != ended/other != nil/' ./process/node TestHandleClose_NotesLossAtOnce
 guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
 guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
 guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
+guard list-believed process/membership/membership.go 's/if !m\.listed && !m\.connected/if !m.listed/' ./test TestList_LagsBothWays
+guard unreachable-elsewhere request/result/result.go 's/(Unreachable, "unreachable", NotRun, 503), true/$1, false/' ./test TestList_LagsBothWays
+guard listed-leaving process/membership/membership.go 's/if m\.State == platform\.InstanceLeaving \{\n\t\treturn false/if m.State == platform.InstanceLeaving {\n\t\treturn true/' ./test TestList_EntriesDisagree
+guard claim-lists process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test TestList_EntriesDisagree
 exit $missed
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -7,12 +7,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -66,6 +68,7 @@
 // gate cuts one process off from the platform.
 type gate struct {
 	cut  atomic.Bool
+	hold atomic.Pointer[heldWrite]
 	next http.Handler
 }
 
@@ -73,6 +76,10 @@
 	if g.cut.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	if hold := g.hold.Load(); hold != nil && r.Method == http.MethodPut {
+		hold.serve(g.next, w, r)
+		return
+	}
 	g.next.ServeHTTP(w, r)
 }
 
@@ -92,17 +99,27 @@
 
 // fleet is a small deployment.
 type fleet struct {
-	t        *testing.T
-	dir      string
-	kv       *kv.Server
-	store    platform.KV
-	list     *instances.Server
+	t     *testing.T
+	dir   string
+	kv    *kv.Server
+	store platform.KV
+	list  *instances.Server
+	// rows is what the list says of each process once it is listed.
+	rows     map[string]platform.Instance
 	engines  map[string]*engine.Server
 	services map[string]*service.Server
 	servers  map[string]*httptest.Server
-	procs    map[string]*process
-	entries  []string
-	client   *http.Client
+	// mu guards procs against callers that send while the test starts more processes.
+	mu      sync.RWMutex
+	procs   map[string]*process
+	entries []string
+	client  *http.Client
+	// tokens is the length of the answers to chats.
+	tokens int
+	// settings are added to those of all processes.
+	settings map[string]any
+	// unlisted keeps the processes that are started out of the list; they have the first entry as their seed.
+	unlisted bool
 	// old chooses the processes of a role, counted from zero, that run oldBinary if one is given.
 	old func(n int) bool
 
@@ -114,7 +131,7 @@
 	f := &fleet{
 		t: t, dir: t.TempDir(), kv: kv.New(), list: instances.New(nil),
 		engines: map[string]*engine.Server{}, services: map[string]*service.Server{}, servers: map[string]*httptest.Server{},
-		old:   func(n int) bool { return n%2 == 1 },
+		rows: map[string]platform.Instance{}, tokens: 8, old: func(n int) bool { return n%2 == 1 },
 		procs: map[string]*process{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	store, err := httpkv.New(httpkv.DefaultConfig(f.serve("kv", f.kv)))
@@ -165,20 +182,29 @@
 		s["instances"] = map[string]any{"url": f.servers["list"].URL, "poll_interval_ms": 50}
 		f.entries = append(f.entries, name)
 	}
+	if f.unlisted {
+		s["seeds"] = []string{f.rows[f.entries[0]].Address}
+	}
+	maps.Copy(s, f.settings)
 	for key, value := range extra {
 		s[key] = value
 	}
 	text, err := json.Marshal(s)
 	must.NoError(f.t, err)
 	must.NoError(f.t, os.WriteFile(p.settings, text, 0o600))
+	f.mu.Lock()
 	f.procs[name] = p
+	f.mu.Unlock()
 	f.run(p)
 	serviceName, _ := s["service"].(string)
 	upstream, _ := s["upstream"].(map[string]any)
 	version, _ := upstream["version"].(string)
-	f.list.Put(platform.Instance{
+	f.rows[name] = platform.Instance{
 		ID: name, Role: role, DataCentre: dataCentre, Address: peer, Admin: p.admin, Service: serviceName, Version: version, State: platform.InstanceLive,
-	})
+	}
+	if !f.unlisted {
+		f.list.Put(f.rows[name])
+	}
 	return p
 }
 
@@ -305,7 +331,10 @@
 
 // post sends one request to an entry.
 func (f *fleet) post(entry, path, chat, key, body string, header ...string) reply {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.procs[entry].http+path, strings.NewReader(body))
+	f.mu.RLock()
+	address := f.procs[entry].http
+	f.mu.RUnlock()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -337,10 +366,13 @@
 	return r
 }
 
-// chat sends one chat and reports whether its answer is whole.
-func (f *fleet) chat(entry, chat string) reply {
-	body := fmt.Sprintf(`{"prompt":"%s","max_tokens":8}`, chat)
-	r := f.post(entry, "/chat", chat, "", body)
+// chat sends one chat and checks that an answer is whole.
+func (f *fleet) chat(entry, chat string) reply { return f.chatOn("/chat", entry, chat) }
+
+// chatOn is chat for another route.
+func (f *fleet) chatOn(path, entry, chat string) reply {
+	body := fmt.Sprintf(`{"prompt":"%s","max_tokens":%d}`, chat, f.tokens)
+	r := f.post(entry, path, chat, "", body)
 	if r.err == nil && r.status == http.StatusOK && r.body != strings.Join(engine.Answer([]byte(body)), "") {
 		f.t.Errorf("chat %s got a wrong answer: %q", chat, r.body)
 	}
