--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -69,10 +69,17 @@
 guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
 guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
 guard full-queue process/node/node.go 's/n\.backlog = append\(n\.backlog, f\)//' ./process/node TestMembers_FullQueueLosesNoConnection
-guard loss-noted process/node/peers.go 's/conn != nil && conn != ended/conn != nil/' ./process/node TestHandleClose_NotesLossAtOnce
+guard loss-noted process/node/peers.go 's/other != nil && other != ended/other != nil/' ./process/node TestHandleClose_NotesLossAtOnce
 guard version-kept process/node/peers.go 's/if known && n\.connectedBeside\(ended\)/if known && false/' ./process/node TestHandleClose_KeepsVersionOfConnectedPeer
 guard protocol-version process/entry/attempt.go 's/case errors\.Is\(err, link\.ErrProtocolVersion\):/case false:/' ./process/entry TestProtocolVersion
 guard dial-cause process/node/pool.go 's/errors\.Join\(ErrRecentlyFailed, s\.failure\)/errors.Join(ErrRecentlyFailed)/' ./process/entry TestProtocolVersion
 guard redial-process process/node/control.go 's/c\.redial\(now\)//' ./test TestRestart_SidecarGetsWorkAgain
 guard unchanged-confirmed version/config/propose.go 's/if _, err := s\.kv\.CompareAndSwap\(ctx, HeadKey, head\.revision, head\.value, 0\); err != nil/if err := error(nil); err != nil/' ./version/config 'TestPropose_UnchangedIsNoStaleAnswer'
+guard list-believed process/membership/membership.go 's/if !m\.listed && !m\.connected/if !m.listed/' ./test TestList_LagsBothWays
+guard unreachable-elsewhere request/result/result.go 's/(Unreachable, "unreachable", NotRun, 503), true/$1, false/' ./test TestList_LagsBothWays
+guard listed-leaving process/membership/membership.go 's/if m\.State == platform\.InstanceLeaving \{\n\t\treturn false/if m.State == platform.InstanceLeaving {\n\t\treturn true/' ./test TestList_EntriesDisagree
+guard claim-lists process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test TestList_EntriesDisagree
+guard sick-data-centre process/entry/shift.go 's/DataCentre: target\.DataCentre, Failed/DataCentre: "", Failed/' ./test TestRollout_SickDataCentreIsNotBlamed
+guard stop-without-lease version/rollout/machine.go 's/case v\.Blamed && m\.record/case v.Blamed \&\& m.lease.Held \&\& m.record/' ./test TestRollout_StoppedWhilePlatformIsDown
+guard slow-judged version/rollout/test.go 's/for kind := range kinds \{\n\t\t\tt\.judgeGroup/for kind := range 1 {\n\t\t\tt.judgeGroup/' ./test 'TestRollout_LateFaults/is_slow'
 exit $missed
