--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -143,7 +143,12 @@
 	records := make(chan []rollout.Record, 1)
 	go func() { records <- f.history(held.ID, done) }()
 	release()
-	must.Eq(t, http.StatusConflict, <-hold.status)
+	select {
+	case status := <-hold.status:
+		must.Eq(t, http.StatusConflict, status)
+	case <-time.After(patience):
+		t.Fatal("the platform did not answer the held write")
+	}
 	f.signal(holder, syscall.SIGCONT)
 	f.list.Put(f.rows[holder])
 	f.await("the paused entry knows", func() bool { return f.shift(holder).State == "canary" })
