Limit redials with the rate limiter that the project uses elsewhere

Package membership had a token bucket of its own beside golang.org/x/time/rate, which process/load and version/config use. The limits, the burst of one second and zero for none stay; the tests are unchanged.

--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -76,12 +76,14 @@
 	checked time.Time
 	// unreachable are tried again at RedialPerSecond, recovering at RecoverPerSecond.
 	unreachable, recovering redialQueue
-	redialed                time.Time
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, members: map[string]*member{}, pending: map[string]*member{}}
+	return &Table{
+		cfg: cfg, members: map[string]*member{}, pending: map[string]*member{},
+		unreachable: newRedialQueue(cfg.RedialPerSecond), recovering: newRedialQueue(cfg.RecoverPerSecond),
+	}
 }
 
 // ApplyList takes a new instance list. A listed instance that is leaving is believed at once. One that is missing goes only
--- a/process/membership/redial.go
+++ b/process/membership/redial.go
@@ -1,32 +1,38 @@
 package membership
 
 import (
-	"math"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/jayridge/jayridge/platform"
 )
 
 // redialQueue holds unreachable instances in the order in which they are tried again.
 type redialQueue struct {
-	members []*member
-	// tokens are the attempts that may be made now.
-	tokens float64
+	members  []*member
+	attempts *rate.Limiter
 }
 
-// refill adds the attempts of the time that passed, at most those of one second.
-func (q *redialQueue) refill(elapsed time.Duration, perSecond float64) {
-	limit := math.Max(1, perSecond)
-	q.tokens = math.Min(q.tokens+elapsed.Seconds()*perSecond, limit)
+// newRedialQueue returns a queue that tries at most the instances of one second at once.
+func newRedialQueue(perSecond float64) redialQueue {
+	burst := 0
+	if perSecond > 0 {
+		burst = max(1, int(perSecond))
+	}
+	return redialQueue{attempts: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
 // next removes the next unreachable member, or returns nil when there is none or no attempt is left.
-func (q *redialQueue) next() *member {
-	for q.tokens >= 1 && len(q.members) > 0 {
+func (q *redialQueue) next(now time.Time) *member {
+	for len(q.members) > 0 {
 		m := q.members[0]
+		unreachable := m.unreachable()
+		if unreachable && !q.attempts.AllowN(now, 1) {
+			return nil
+		}
 		q.members = q.members[1:]
-		if m.unreachable() {
-			q.tokens--
+		if unreachable {
 			return m
 		}
 		m.queued = false
@@ -43,14 +49,10 @@
 // Config.DownAfter would get no work, and therefore no connection, ever after. It is called about once a second; each attempt ends in
 // Connected or Disconnected.
 func (t *Table) Redial(now time.Time) []platform.Instance {
-	elapsed := min(now.Sub(t.redialed), time.Second)
-	t.redialed = now
-	t.unreachable.refill(elapsed, t.cfg.RedialPerSecond)
-	t.recovering.refill(elapsed, t.cfg.RecoverPerSecond)
 	var tried []*member
 	var due []platform.Instance
 	for _, q := range []*redialQueue{&t.recovering, &t.unreachable} {
-		for m := q.next(); m != nil; m = q.next() {
+		for m := q.next(now); m != nil; m = q.next(now) {
 			tried = append(tried, m)
 			due = append(due, m.Instance)
 		}
