Share the stand-ins' handlers and their hold switch

The key-value stand-in had its own copies of the JSON answer and the faults handler, and the engine and service stand-ins the same switch that holds requests. Package control has one of each now.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -120,7 +120,7 @@
 	answered int
 	work     uint64
 	crash    chan struct{}
-	released chan struct{}
+	hold     control.Hold
 	faults   Faults
 	counters Counters
 	cancels  map[string]chan struct{}
@@ -146,8 +146,6 @@
 	}
 	s := &Server{cfg: cfg, cancels: map[string]chan struct{}{}, blobs: map[uint64][]byte{}}
 	s.counters.ByPath = map[string]int{}
-	s.released = make(chan struct{})
-	close(s.released)
 	s.restart()
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/generate", s.generate).Methods(http.MethodPost)
@@ -214,12 +212,7 @@
 		s.restart()
 		s.cold = true
 	}
-	if s.faults.HoldRequests {
-		close(s.released)
-	}
-	if f.HoldRequests {
-		s.released = make(chan struct{})
-	}
+	s.hold.Set(f.HoldRequests)
 	s.faults = f
 }
 
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -22,7 +22,7 @@
 	forgotten bool
 	crash     chan struct{}
 	canceled  chan struct{}
-	released  chan struct{}
+	released  <-chan struct{}
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
@@ -54,7 +54,7 @@
 func (s *Server) begin(request GenerateBody) (*generation, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := &generation{request: request, faults: s.faults, canceled: make(chan struct{}), released: s.released}
+	g := &generation{request: request, faults: s.faults, canceled: make(chan struct{}), released: s.hold.Released()}
 	s.generated++
 	s.counters.Received++
 	s.counters.ByPath[request.Path]++
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -1,9 +1,10 @@
 package kv
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/jayridge/jayridge/internal/standin/control"
 )
 
 // Down says how the service fails all calls.
@@ -53,19 +54,10 @@
 	s.wake()
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	var f Faults
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
+func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) {
+	control.WriteJSON(w, s.Counters())
 }
 
-func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) }
-
 // injectFaults counts a call and applies the faults that precede it.
 func (s *Server) injectFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/kv/handlers.go
+++ b/internal/standin/kv/handlers.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/jayridge/jayridge/internal/standin/control"
 	"github.com/jayridge/jayridge/platform"
 )
 
@@ -59,7 +60,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, KeyValue(kv))
+	control.WriteJSON(w, KeyValue(kv))
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +75,7 @@
 	case err != nil:
 		writeError(w, err)
 	default:
-		writeJSON(w, PutResponse{Revision: revision})
+		control.WriteJSON(w, PutResponse{Revision: revision})
 	}
 }
 
@@ -107,7 +108,7 @@
 	s.store.expire(s.now())
 	names := s.store.list(r.URL.Query().Get("prefix"), limit)
 	s.mu.Unlock()
-	writeJSON(w, ListResponse{Keys: names})
+	control.WriteJSON(w, ListResponse{Keys: names})
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -126,7 +127,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if kv.Revision > platform.Revision(after) {
-			writeJSON(w, kv)
+			control.WriteJSON(w, kv)
 			return
 		}
 		select {
@@ -165,7 +166,7 @@
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, LeaseResponse{Lease: id})
+	control.WriteJSON(w, LeaseResponse{Lease: id})
 }
 
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
@@ -193,7 +194,7 @@
 	case err != nil:
 		writeError(w, err)
 	default:
-		writeJSON(w, struct{}{})
+		control.WriteJSON(w, struct{}{})
 	}
 }
 
@@ -209,12 +210,6 @@
 	return err == nil
 }
 
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A failure means that the client has gone; there is nobody to tell.
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -26,6 +26,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/jayridge/jayridge/internal/standin/control"
 	"github.com/jayridge/jayridge/platform"
 )
 
@@ -70,7 +71,7 @@
 }
 
 func (s *Server) route() {
-	s.router.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	s.router.HandleFunc("/faults", control.Faults(s.SetFaults)).Methods(http.MethodPost)
 	s.router.HandleFunc("/counters", s.getCounters).Methods(http.MethodGet)
 	v1 := s.router.PathPrefix("/v1").Subrouter()
 	v1.Use(s.injectFaults)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -56,14 +56,13 @@
 	startID  string
 	faults   Faults
 	counters Counters
-	released chan struct{}
+	hold     control.Hold
 }
 
 // New returns a plain service without effects so far.
 func New() *Server {
-	s := &Server{startID: strconv.FormatUint(rand.Uint64(), 16), released: make(chan struct{})}
+	s := &Server{startID: strconv.FormatUint(rand.Uint64(), 16)}
 	s.counters.Effects = map[string]int{}
-	close(s.released)
 	r := mux.NewRouter()
 	r.HandleFunc("/faults", control.Faults(s.SetFaults)).Methods(http.MethodPost)
 	r.HandleFunc("/counters", s.showCounters).Methods(http.MethodGet)
@@ -87,12 +86,7 @@
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.HoldRequests {
-		close(s.released)
-	}
-	if f.HoldRequests {
-		s.released = make(chan struct{})
-	}
+	s.hold.Set(f.HoldRequests)
 	s.faults = f
 }
 
@@ -143,7 +137,7 @@
 	control.WriteJSON(w, effect)
 }
 
-func (s *Server) begin() (failed, dropped bool, faults Faults, released chan struct{}) {
+func (s *Server) begin() (failed, dropped bool, faults Faults, released <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Calls++
@@ -153,7 +147,7 @@
 		s.faults.DropAnswers--
 		dropped = true
 	}
-	return failed, dropped, s.faults, s.released
+	return failed, dropped, s.faults, s.hold.Released()
 }
 
 func (s *Server) end() {
