--- a/cmd/jayridge/show.go
+++ b/cmd/jayridge/show.go
@@ -68,7 +68,7 @@
 
 // readHead reads the accepted configuration with its text.
 func readHead(ctx context.Context, kv platform.KV) (config.Head, error) {
-	head, _, err := config.ReadHead(ctx, kv, nil)
+	head, err := config.ReadHead(ctx, kv, nil)
 	if err != nil {
 		return config.Head{}, fail(result.PlatformDown, err)
 	}
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -95,7 +95,7 @@
 
 // readWholeHead reads the configuration with its whole text, after its latest changes did not fit what is in force here.
 func (n *Node) readWholeHead(ctx context.Context) {
-	head, _, err := config.ReadHead(ctx, n.opts.KV, nil)
+	head, err := config.ReadHead(ctx, n.opts.KV, nil)
 	if err != nil {
 		event.Log(event.ConfigWatchFailed, "error", err)
 		return
--- a/process/sidecar/sidecar_test.go
+++ b/process/sidecar/sidecar_test.go
@@ -94,7 +94,7 @@
 		})
 		must.NoError(f.t, err)
 	}
-	head, _, err := config.ReadHead(f.t.Context(), store, nil)
+	head, err := config.ReadHead(f.t.Context(), store, nil)
 	must.NoError(f.t, err)
 	if len(texts) > 0 {
 		_, err = f.entry.config.AdoptHead(head)
--- a/test/combined_test.go
+++ b/test/combined_test.go
@@ -220,7 +220,7 @@
 func (c *combined) propose(text string) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	head, _, err := config.ReadHead(ctx, c.store, nil)
+	head, err := config.ReadHead(ctx, c.store, nil)
 	if err != nil {
 		return 0, false
 	}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -259,7 +259,7 @@
 // apply accepts new rules on top of the accepted ones and returns the version.
 func (f *fleet) apply(text string) uint64 {
 	f.t.Helper()
-	head, _, err := config.ReadHead(context.Background(), f.store, nil)
+	head, err := config.ReadHead(context.Background(), f.store, nil)
 	must.NoError(f.t, err)
 	f.ids++
 	outcome, err := config.Propose(context.Background(), f.store, config.Proposal{
--- a/version/config/scale_test.go
+++ b/version/config/scale_test.go
@@ -42,7 +42,7 @@
 	_, err := s.propose(t.Context(), proposal(0, "c0", text))
 	must.NoError(t, err)
 	reader := New(DefaultConfig())
-	h, _, err := ReadHead(t.Context(), kv, nil)
+	h, err := ReadHead(t.Context(), kv, nil)
 	must.NoError(t, err)
 	_, err = reader.AdoptHead(h)
 	must.NoError(t, err)
@@ -67,7 +67,7 @@
 	t.Logf("%d bytes of text; largest value %d bytes; per change %.1f writes and %.1f reads", len(text), bytes,
 		float64(sum(kv.writes)-writes)/changes, float64(sum(kv.reads)-reads)/changes)
 	reads = sum(kv.reads)
-	h, _, err = ReadHead(t.Context(), kv, reader.Current())
+	h, err = ReadHead(t.Context(), kv, reader.Current())
 	must.NoError(t, err)
 	must.EqOp(t, 1, sum(kv.reads)-reads, must.Sprint("a reader four versions behind reads only the head"))
 	_, err = reader.AdoptHead(h)
--- a/version/config/state_test.go
+++ b/version/config/state_test.go
@@ -109,7 +109,7 @@
 	for i, r := range readers {
 		before := r.Version()
 		if rapid.Bool().Draw(t, "head") {
-			if h, _, err := ReadHead(t.Context(), kv, r.Current()); err == nil && h.Version > 0 {
+			if h, err := ReadHead(t.Context(), kv, r.Current()); err == nil && h.Version > 0 {
 				_, err := r.AdoptHead(h)
 				must.NoError(t, err)
 			}
@@ -212,7 +212,7 @@
 		text += teamLine(fmt.Sprint("t", i), 1)
 		_, err := Propose(t.Context(), kv, proposal(uint64(i), fmt.Sprint("c", i), text))
 		must.NoError(t, err)
-		h, _, err := ReadHead(t.Context(), kv, source.Current())
+		h, err := ReadHead(t.Context(), kv, source.Current())
 		must.NoError(t, err)
 		changed, err := source.AdoptHead(h)
 		must.NoError(t, err)
--- a/version/config/store.go
+++ b/version/config/store.go
@@ -181,15 +181,14 @@
 }
 
 // ReadHead reads the head and completes it for a process that has accepted have, which may be nil. Without a head it returns
-// version zero and revision zero. Errors wrap those of the platform or ErrFormat.
-func ReadHead(ctx context.Context, kv platform.KV, have *Accepted) (Head, platform.Revision, error) {
+// version zero. Errors wrap those of the platform or ErrFormat.
+func ReadHead(ctx context.Context, kv platform.KV, have *Accepted) (Head, error) {
 	h, err := newStore(kv).head(ctx)
 	if err != nil {
-		return Head{}, 0, trace.Wrap(err)
+		return Head{}, trace.Wrap(err)
 	}
-	revision := h.revision
 	h, err = Complete(ctx, kv, h, have)
-	return h, revision, trace.Wrap(err)
+	return h, trace.Wrap(err)
 }
 
 // Complete loads what State.AdoptHead needs of a head that a watch returned: nothing if the head is not newer than have or its
