--- a/cmd/jayridge/apply.go
+++ b/cmd/jayridge/apply.go
@@ -12,7 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
 	"github.com/jayridge/jayridge/version/rules"
@@ -78,7 +78,7 @@
 	return p.print(data, nil, nil)
 }
 
-func newProposal(ctx context.Context, cmd *cli.Command, kv platform.KV, path string) (config.Proposal, error) {
+func newProposal(ctx context.Context, cmd *cli.Command, kv services.KV, path string) (config.Proposal, error) {
 	text, base, err := readRulesFile(path)
 	if err != nil {
 		return config.Proposal{}, err
@@ -123,7 +123,7 @@
 		return fail(result.ConfigConflict, err)
 	case errors.As(err, &faults):
 		return fail(result.InvalidRules, err)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, services.ErrOutcomeUnknown):
 		return fail(result.WriteUnknown, err)
 	default:
 		return fail(result.PlatformDown, err)
@@ -225,18 +225,18 @@
 }
 
 // below returns the live instances that have not confirmed a version.
-func below(rows []platform.Instance, confirmed map[string]uint64, version uint64) []platform.Instance {
-	var missing []platform.Instance
+func below(rows []services.Instance, confirmed map[string]uint64, version uint64) []services.Instance {
+	var missing []services.Instance
 	for _, row := range rows {
-		if row.State == platform.InstanceLive && confirmed[row.ID] < version {
+		if row.State == services.InstanceLive && confirmed[row.ID] < version {
 			missing = append(missing, row)
 		}
 	}
 	return missing
 }
 
-func onePerDataCentre(rows []platform.Instance) []platform.Instance {
-	var chosen []platform.Instance
+func onePerDataCentre(rows []services.Instance) []services.Instance {
+	var chosen []services.Instance
 	seen := map[string]bool{}
 	for _, row := range rows {
 		if row.Role == "entry" && !seen[row.DataCentre] {
--- a/cmd/jayridge/entry.go
+++ b/cmd/jayridge/entry.go
@@ -5,9 +5,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/process/entry"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 )
@@ -34,7 +34,7 @@
 }
 
 // newList returns the instance list of the settings, or nil if there is none.
-func newList(s *settings.Settings) platform.InstanceList {
+func newList(s *settings.Settings) services.InstanceList {
 	if s.Instances.URL == "" {
 		return nil
 	}
--- a/cmd/jayridge/operator.go
+++ b/cmd/jayridge/operator.go
@@ -10,10 +10,10 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
-	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
+	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -34,7 +34,7 @@
 	return &cli.StringFlag{Name: "instances", Sources: cli.EnvVars("JAYRIDGE_INSTANCES"), Usage: "base `URL` of the platform's instance list"}
 }
 
-func openKV(cmd *cli.Command) (platform.KV, error) {
+func openKV(cmd *cli.Command) (services.KV, error) {
 	kv, err := httpkv.New(httpkv.DefaultConfig(cmd.String("kv")))
 	if err != nil {
 		return nil, fail(result.UsageError, err)
@@ -43,7 +43,7 @@
 }
 
 // instanceList reads the instance list.
-func instanceList(ctx context.Context, cmd *cli.Command) ([]platform.Instance, error) {
+func instanceList(ctx context.Context, cmd *cli.Command) ([]services.Instance, error) {
 	if cmd.String("instances") == "" {
 		return nil, failf(result.UsageError, "--instances (or JAYRIDGE_INSTANCES) is needed to find the instances")
 	}
@@ -56,13 +56,13 @@
 
 // report is an instance's status page, or why there is none.
 type report struct {
-	platform.Instance
+	services.Instance
 	Status *node.Status `json:"status,omitempty"`
 	Error  string       `json:"error,omitempty"`
 }
 
 // readReports reads the status pages of instances.
-func readReports(ctx context.Context, instances []platform.Instance) []report {
+func readReports(ctx context.Context, instances []services.Instance) []report {
 	reports := make([]report, len(instances))
 	var group errgroup.Group
 	group.SetLimit(statusReads)
@@ -76,7 +76,7 @@
 	return reports
 }
 
-func readReport(ctx context.Context, instance platform.Instance) report {
+func readReport(ctx context.Context, instance services.Instance) report {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := readStatus(ctx, instance.Admin)
--- a/cmd/jayridge/order.go
+++ b/cmd/jayridge/order.go
@@ -12,8 +12,8 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/lease"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -61,24 +61,24 @@
 	return nil
 }
 
-func findInstance(ctx context.Context, cmd *cli.Command, id string) (platform.Instance, error) {
+func findInstance(ctx context.Context, cmd *cli.Command, id string) (services.Instance, error) {
 	rows, err := instanceList(ctx, cmd)
 	if err != nil {
-		return platform.Instance{}, err
+		return services.Instance{}, err
 	}
 	for _, row := range rows {
 		if row.ID == id {
 			return row, nil
 		}
 	}
-	return platform.Instance{}, failf(result.NotFound, "the instance list has no %q", id)
+	return services.Instance{}, failf(result.NotFound, "the instance list has no %q", id)
 }
 
 // leasePoll is the time between looks at a lease that is being acquired.
 const leasePoll = 20 * time.Millisecond
 
 // acquire waits until this command holds a lease. release gives it up.
-func acquire(ctx context.Context, kv platform.KV, name string) (fence uint64, release func(), err error) {
+func acquire(ctx context.Context, kv services.KV, name string) (fence uint64, release func(), err error) {
 	keeper := lease.NewKeeper(lease.DefaultConfig(), kv, name, operatorName(), rand.Uint64())
 	run, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/cmd/jayridge/role.go
+++ b/cmd/jayridge/role.go
@@ -9,10 +9,10 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/budget"
-	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
+	"github.com/jayridge/jayridge/process/services/budget"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 )
@@ -34,7 +34,7 @@
 }
 
 // newKV returns the key-value service of the settings within the process's call budget, or nil if there is none.
-func newKV(s settings.KV) (platform.KV, error) {
+func newKV(s settings.KV) (services.KV, error) {
 	if s.URL == "" {
 		return nil, nil
 	}
--- a/cmd/jayridge/show.go
+++ b/cmd/jayridge/show.go
@@ -6,7 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
 )
@@ -67,7 +67,7 @@
 }
 
 // readHead reads the accepted configuration with its text.
-func readHead(ctx context.Context, kv platform.KV) (config.Head, error) {
+func readHead(ctx context.Context, kv services.KV) (config.Head, error) {
 	head, err := config.ReadHead(ctx, kv, nil)
 	if err != nil {
 		return config.Head{}, fail(result.PlatformDown, err)
--- a/cmd/jayridge/sidecar.go
+++ b/cmd/jayridge/sidecar.go
@@ -5,7 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/jayridge/jayridge/platform/httpengine"
+	"github.com/jayridge/jayridge/internal/standin/httpengine"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/sidecar"
 	"github.com/jayridge/jayridge/request/result"
--- a/cmd/jayridge/standin.go
+++ b/cmd/jayridge/standin.go
@@ -16,7 +16,7 @@
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
 	"github.com/jayridge/jayridge/internal/standin/service"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -81,7 +81,7 @@
 	}
 }
 
-func readRows(path string) ([]platform.Instance, error) {
+func readRows(path string) ([]services.Instance, error) {
 	if path == "" {
 		return nil, nil
 	}
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var rows []platform.Instance
+	var rows []services.Instance
 	return rows, json.Unmarshal(text, &rows)
 }
 
--- a/internal/bench/claims.go
+++ b/internal/bench/claims.go
@@ -9,7 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/claim"
 	"github.com/jayridge/jayridge/request/result"
 )
@@ -60,10 +60,10 @@
 	// logs is indexed by store and shard.
 	logs     [][]*claim.Log
 	wakes    [][]int
-	keys     map[string]platform.KeyValue
+	keys     map[string]services.KeyValue
 	writes   []time.Time
 	reads    int
-	revision platform.Revision
+	revision services.Revision
 	started  map[uint64]time.Time
 	claimed  map[uint64]claim.Key
 	lastID   uint64
@@ -105,7 +105,7 @@
 	cfg := claim.DefaultConfig("cards")
 	r := &claimRun{
 		random: rand.New(rand.NewPCG(seed, uint64(elsewhere))), length: length, elsewhere: elsewhere, shards: cfg.Shards,
-		now: time.Unix(1_800_000_000, 0), keys: map[string]platform.KeyValue{}, started: map[uint64]time.Time{}, claimed: map[uint64]claim.Key{},
+		now: time.Unix(1_800_000_000, 0), keys: map[string]services.KeyValue{}, started: map[uint64]time.Time{}, claimed: map[uint64]claim.Key{},
 		latency: hdrhistogram.New(1, 10_000_000, 3), received: map[uint64]func(claim.BatchDone){},
 	}
 	for store := range claimStores {
@@ -167,15 +167,15 @@
 func (r *claimRun) do(store, shard int, effect claim.Effect) {
 	switch e := effect.(type) {
 	case claim.Read:
-		r.get(shard, e.Segment, func(kv platform.KeyValue, err error) {
+		r.get(shard, e.Segment, func(kv services.KeyValue, err error) {
 			r.step(store, shard, claim.ReadResult{Op: e.Op, Value: kv.Value, Revision: kv.Revision, Err: err})
 		})
 	case claim.ReadBodies:
-		r.get(shard, e.Segment, func(kv platform.KeyValue, err error) {
+		r.get(shard, e.Segment, func(kv services.KeyValue, err error) {
 			r.step(store, shard, claim.BodyResult{Segment: e.Segment, Value: kv.Value, Err: err})
 		})
 	case claim.Write:
-		r.put(shard, e, func(revision platform.Revision, err error) {
+		r.put(shard, e, func(revision services.Revision, err error) {
 			r.step(store, shard, claim.WriteResult{Op: e.Op, Revision: revision, Err: err})
 		})
 	case claim.HandOver:
@@ -216,29 +216,29 @@
 
 func segmentKey(shard int, segment uint64) string { return fmt.Sprintf("%d/%d", shard, segment) }
 
-func (r *claimRun) get(shard int, segment uint64, done func(platform.KeyValue, error)) {
+func (r *claimRun) get(shard int, segment uint64, done func(services.KeyValue, error)) {
 	r.reads++
 	r.after(platformTrip/2, func() {
 		kv, ok := r.keys[segmentKey(shard, segment)]
 		var err error
 		if !ok {
-			err = platform.ErrNotFound
+			err = services.ErrNotFound
 		}
 		r.after(platformTrip/2, func() { done(kv, err) })
 	})
 }
 
-func (r *claimRun) put(shard int, w claim.Write, done func(platform.Revision, error)) {
+func (r *claimRun) put(shard int, w claim.Write, done func(services.Revision, error)) {
 	r.after(platformTrip/2, func() {
 		r.writes = append(r.writes, r.now)
 		key := segmentKey(shard, w.Segment)
 		if r.keys[key].Revision != w.Prev {
-			r.after(platformTrip/2, func() { done(0, platform.ErrConflict) })
+			r.after(platformTrip/2, func() { done(0, services.ErrConflict) })
 			return
 		}
 		r.revision++
 		revision := r.revision
-		r.keys[key] = platform.KeyValue{Key: key, Value: w.Value, Revision: revision}
+		r.keys[key] = services.KeyValue{Key: key, Value: w.Value, Revision: revision}
 		r.after(platformTrip/2, func() { done(revision, nil) })
 	})
 }
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/candidate"
 )
 
@@ -96,7 +96,7 @@
 	c := admission.New(admission.DefaultConfig())
 	now := epoch
 	c.SetLimits(now, admission.Limits{Bound: loadBound})
-	c.Report(now, platform.EngineLoad{StartID: "1", Capacity: engineCapacity, CachedPrefixes: 100})
+	c.Report(now, services.EngineLoad{StartID: "1", Capacity: engineCapacity, CachedPrefixes: 100})
 	rng := rand.New(rand.NewPCG(seed, 5))
 	open := make([]admission.Ticket, capacityRequests/2)
 	teams := make([]string, 10)
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"github.com/jayridge/jayridge/internal/standin/engine"
+	"github.com/jayridge/jayridge/internal/standin/httpengine"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
+	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpengine"
-	"github.com/jayridge/jayridge/platform/httpkv"
-	"github.com/jayridge/jayridge/platform/httplist"
 	entryrole "github.com/jayridge/jayridge/process/entry"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/sidecar"
 	"github.com/jayridge/jayridge/version/config"
@@ -56,17 +56,17 @@
 	if err != nil {
 		return nil, err
 	}
-	row := platform.Instance{
-		ID: "press-1", Role: settings.RoleSidecar, DataCentre: "suva", Address: addresses[0], Service: "press-model", Version: "v1", State: platform.InstanceLive,
+	row := services.Instance{
+		ID: "press-1", Role: settings.RoleSidecar, DataCentre: "suva", Address: addresses[0], Service: "press-model", Version: "v1", State: services.InstanceLive,
 	}
-	p.list = httptest.NewServer(instances.New([]platform.Instance{row}))
+	p.list = httptest.NewServer(instances.New([]services.Instance{row}))
 	if err := p.startSidecar(store, row, addresses[1]); err != nil {
 		return nil, err
 	}
 	return p, p.startEntry(store, addresses[2:])
 }
 
-func (p *path) startSidecar(store platform.KV, row platform.Instance, admin string) error {
+func (p *path) startSidecar(store services.KV, row services.Instance, admin string) error {
 	s := settings.Defaults()
 	s.Instance, s.Role, s.DataCentre, s.Service = row.ID, row.Role, row.DataCentre, row.Service
 	s.PeerAddress, s.AdminAddress = row.Address, admin
@@ -80,7 +80,7 @@
 	return nil
 }
 
-func (p *path) startEntry(store platform.KV, addresses []string) error {
+func (p *path) startEntry(store services.KV, addresses []string) error {
 	s := settings.Defaults()
 	s.Instance, s.Role, s.DataCentre = "entry-1", settings.RoleEntry, "suva"
 	s.PeerAddress, s.AdminAddress, s.HTTPAddress = addresses[0], addresses[1], addresses[2]
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -8,9 +8,9 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
 	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -103,14 +103,14 @@
 	r.f.work -= r.work
 }
 
-func (r *runner) load() platform.EngineLoad {
+func (r *runner) load() services.EngineLoad {
 	cold := r.served < warmServed
 	prefixes := r.cache.Len()
 	if !cold {
 		// The fleet starts with warm engines, whose caches hold prefixes of no chat of the run.
 		prefixes += 1000
 	}
-	return platform.EngineLoad{
+	return services.EngineLoad{
 		StartID: strconv.Itoa(r.starts), WorkUnits: r.work, Capacity: engineCapacity, CachedPrefixes: prefixes, Cold: cold,
 	}
 }
--- a/internal/bench/size.go
+++ b/internal/bench/size.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
@@ -88,24 +88,24 @@
 
 func (s size) model(i int) string { return fmt.Sprintf("press-model-%d/v1", i%s.models) }
 
-func (s size) sidecar(i int) platform.Instance {
-	return platform.Instance{
+func (s size) sidecar(i int) services.Instance {
+	return services.Instance{
 		ID: fmt.Sprintf("press-%05d", i), Role: settings.RoleSidecar, DataCentre: s.dataCentre(i % s.dataCentres),
 		Address: fmt.Sprintf("10.%d.%d.%d:7000", i%s.dataCentres, i/250, i%250), Service: fmt.Sprintf("press-model-%d", i%s.models), Version: "v1",
-		State: platform.InstanceLive,
+		State: services.InstanceLive,
 	}
 }
 
-func (s size) entry(i int) platform.Instance {
-	return platform.Instance{
+func (s size) entry(i int) services.Instance {
+	return services.Instance{
 		ID: fmt.Sprintf("entry-%04d", i), Role: settings.RoleEntry, DataCentre: s.dataCentre(i % s.dataCentres),
-		Address: fmt.Sprintf("10.%d.0.%d:7000", 100+i%s.dataCentres, i%250), State: platform.InstanceLive,
+		Address: fmt.Sprintf("10.%d.0.%d:7000", 100+i%s.dataCentres, i%250), State: services.InstanceLive,
 	}
 }
 
 // instances returns the rows of the instance list.
-func (s size) instances() []platform.Instance {
-	rows := make([]platform.Instance, 0, s.sidecars+s.entries)
+func (s size) instances() []services.Instance {
+	rows := make([]services.Instance, 0, s.sidecars+s.entries)
 	for i := range s.sidecars {
 		rows = append(rows, s.sidecar(i))
 	}
--- a/internal/bench/slopes_processor.go
+++ b/internal/bench/slopes_processor.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/version/config"
@@ -157,9 +157,9 @@
 	add("membership change at "+s.name+", tables included", timePer(func(i int) {
 		row := s.sidecar(reached[i/2%len(reached)])
 		if i%2 == 0 {
-			row.State = platform.InstanceLeaving
+			row.State = services.InstanceLeaving
 		}
-		table.ApplyChanges([]platform.Instance{row}, nil)
+		table.ApplyChanges([]services.Instance{row}, nil)
 		eligible := table.Eligible(now, settings.RoleSidecar)
 		table.Eligible(now, settings.RoleEntry)
 		ups := make([]candidate.Upstream, 0, len(eligible))
--- a/internal/bench/traffic_platform.go
+++ b/internal/bench/traffic_platform.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
+	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
-	"github.com/jayridge/jayridge/platform/httplist"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/version/config"
 	"github.com/jayridge/jayridge/version/rollout"
@@ -74,7 +74,7 @@
 	unchanged = server.during(read)
 	for i := range rows {
 		row := t.size.sidecar(i * t.size.dataCentres % t.size.sidecars)
-		row.State = platform.InstanceLeaving
+		row.State = services.InstanceLeaving
 		list.Put(row)
 	}
 	return unchanged, server.during(read)
--- a/internal/bench/versions_run.go
+++ b/internal/bench/versions_run.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -16,7 +16,7 @@
 	start    time.Time
 	now      time.Time
 	machine  *rollout.Machine
-	revision platform.Revision
+	revision services.Revision
 	bad      quality
 	// sickFrom is when a data centre fails for both versions, beyond the shift's time if never.
 	sickFrom time.Duration
--- a/platform/httpengine/httpengine.go
+++ b/internal/standin/httpengine/httpengine.go
@@ -20,7 +20,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Config describes an upstream.
@@ -33,15 +33,15 @@
 	MaxAnswerBytes int64
 }
 
-// Client implements platform.Engine and platform.PlainService. It may be used by several goroutines.
+// Client implements services.Engine and services.PlainService. It may be used by several goroutines.
 type Client struct {
 	cfg    Config
 	client *http.Client
 }
 
 var (
-	_ platform.Engine       = (*Client)(nil)
-	_ platform.PlainService = (*Client)(nil)
+	_ services.Engine       = (*Client)(nil)
+	_ services.PlainService = (*Client)(nil)
 )
 
 // New returns a client of the upstream.
@@ -63,7 +63,7 @@
 	return http.ErrUseLastResponse
 }
 
-// do sends one request. An error that wraps platform.ErrUnavailable means that no connection was made.
+// do sends one request. An error that wraps services.ErrUnavailable means that no connection was made.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
 	// net/http repeats a request on a new connection if it has no body, or has GetBody, and carries an Idempotency-Key. A
 	// body without GetBody, even an empty one, prevents that.
@@ -81,7 +81,7 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil && refused(err) {
-		return nil, trace.Wrap(fmt.Errorf("%w: %w", platform.ErrUnavailable, err))
+		return nil, trace.Wrap(fmt.Errorf("%w: %w", services.ErrUnavailable, err))
 	}
 	return resp, trace.Wrap(err)
 }
@@ -103,8 +103,8 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Call implements platform.PlainService.
-func (c *Client) Call(ctx context.Context, call platform.CallRequest) (platform.CallResponse, error) {
+// Call implements services.PlainService.
+func (c *Client) Call(ctx context.Context, call services.CallRequest) (services.CallResponse, error) {
 	ctx = withSendHook(ctx, call.OnSend)
 	header := http.Header{"Content-Type": {cmp.Or(call.ContentType, "application/json")}}
 	if call.IdempotencyKey != "" {
@@ -112,17 +112,17 @@
 	}
 	resp, err := c.do(ctx, call.Method, call.Path, call.Body, header)
 	if err != nil {
-		return platform.CallResponse{}, err
+		return services.CallResponse{}, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxAnswerBytes+1))
 	if err != nil {
-		return platform.CallResponse{}, trace.Wrap(err)
+		return services.CallResponse{}, trace.Wrap(err)
 	}
 	if int64(len(body)) > c.cfg.MaxAnswerBytes {
-		return platform.CallResponse{}, trace.LimitExceeded("answer exceeds %d bytes", c.cfg.MaxAnswerBytes)
+		return services.CallResponse{}, trace.LimitExceeded("answer exceeds %d bytes", c.cfg.MaxAnswerBytes)
 	}
-	return platform.CallResponse{
+	return services.CallResponse{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Location: resp.Header.Get("Location"), Body: body,
 	}, nil
 }
@@ -137,8 +137,8 @@
 	Offset   uint32 `json:"offset"`
 }
 
-// Generate implements platform.Engine. The stream ends the generation when ctx ends.
-func (c *Client) Generate(ctx context.Context, req platform.GenerateRequest) (platform.TokenStream, error) {
+// Generate implements services.Engine. The stream ends the generation when ctx ends.
+func (c *Client) Generate(ctx context.Context, req services.GenerateRequest) (services.TokenStream, error) {
 	ctx = withSendHook(ctx, req.OnSend)
 	body, err := json.Marshal(generateBody{req.ID, req.Path, req.Body, req.Chat, req.Priority, req.Offset})
 	if err != nil {
@@ -151,7 +151,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxAnswerBytes))
-		return nil, &platform.StatusError{Status: resp.StatusCode, Body: text}
+		return nil, &services.StatusError{Status: resp.StatusCode, Body: text}
 	}
 	return &tokenStream{body: resp.Body, dec: json.NewDecoder(resp.Body)}, nil
 }
@@ -162,7 +162,7 @@
 	dec  *json.Decoder
 }
 
-// Next implements platform.TokenStream.
+// Next implements services.TokenStream.
 func (t *tokenStream) Next() ([]byte, error) {
 	var part struct {
 		Data string `json:"data"`
@@ -181,18 +181,18 @@
 	return []byte(part.Data), nil
 }
 
-// Close implements platform.TokenStream. Closing the connection cancels the generation.
+// Close implements services.TokenStream. Closing the connection cancels the generation.
 func (t *tokenStream) Close() error { return t.body.Close() }
 
-// Load implements platform.Engine and platform.PlainService.
-func (c *Client) Load(ctx context.Context) (platform.EngineLoad, error) {
-	var load platform.EngineLoad
+// Load implements services.Engine and services.PlainService.
+func (c *Client) Load(ctx context.Context) (services.EngineLoad, error) {
+	var load services.EngineLoad
 	return load, c.getJSON(ctx, "/v1/load", &load)
 }
 
-// CacheEvents implements platform.Engine.
-func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
-	var events []platform.CacheEvent
+// CacheEvents implements services.Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]services.CacheEvent, error) {
+	var events []services.CacheEvent
 	return events, c.getJSON(ctx, fmt.Sprintf("/v1/cache-events?after=%d", after), &events)
 }
 
@@ -203,13 +203,13 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return trace.Wrap(&platform.StatusError{Status: resp.StatusCode})
+		return trace.Wrap(&services.StatusError{Status: resp.StatusCode})
 	}
 	return trace.Wrap(json.NewDecoder(resp.Body).Decode(into))
 }
 
-// Order implements platform.Engine.
-func (c *Client) Order(ctx context.Context, order platform.Order) error {
+// Order implements services.Engine.
+func (c *Client) Order(ctx context.Context, order services.Order) error {
 	body, err := json.Marshal(order)
 	if err != nil {
 		return trace.Wrap(err)
@@ -223,13 +223,13 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusConflict:
-		return trace.Wrap(platform.ErrStaleFence)
+		return trace.Wrap(services.ErrStaleFence)
 	default:
-		return trace.Wrap(&platform.StatusError{Status: resp.StatusCode})
+		return trace.Wrap(&services.StatusError{Status: resp.StatusCode})
 	}
 }
 
-// ExportCache implements platform.Engine.
+// ExportCache implements services.Engine.
 func (c *Client) ExportCache(ctx context.Context, chat uint64) (io.ReadCloser, error) {
 	resp, err := c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/cache/%d", chat), nil, nil)
 	if err != nil {
@@ -240,12 +240,12 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusNotFound {
-		return nil, trace.Wrap(platform.ErrNotFound)
+		return nil, trace.Wrap(services.ErrNotFound)
 	}
-	return nil, trace.Wrap(&platform.StatusError{Status: resp.StatusCode})
+	return nil, trace.Wrap(&services.StatusError{Status: resp.StatusCode})
 }
 
-// ImportCache implements platform.Engine.
+// ImportCache implements services.Engine.
 func (c *Client) ImportCache(ctx context.Context, chat uint64, cache io.Reader) error {
 	body, err := io.ReadAll(cache)
 	if err != nil {
@@ -257,7 +257,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return trace.Wrap(&platform.StatusError{Status: resp.StatusCode})
+		return trace.Wrap(&services.StatusError{Status: resp.StatusCode})
 	}
 	return nil
 }
--- a/platform/httpengine/httpengine_test.go
+++ b/internal/standin/httpengine/httpengine_test.go
@@ -14,7 +14,7 @@
 	"github.com/jayridge/jayridge/internal/standin/engine"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
 	"github.com/jayridge/jayridge/internal/standin/service"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Guards against net/http repeating a call on a new connection when the upstream broke the reused one after the effect.
@@ -28,12 +28,12 @@
 			}
 		}))
 		client := New(Config{URL: server.URL})
-		call := platform.CallRequest{Method: http.MethodPost, Path: "/bookings", Body: []byte(body), IdempotencyKey: "k"}
+		call := services.CallRequest{Method: http.MethodPost, Path: "/bookings", Body: []byte(body), IdempotencyKey: "k"}
 		_, err := client.Call(context.Background(), call)
 		must.NoError(t, err)
 		_, err = client.Call(context.Background(), call)
 		must.Error(t, err)
-		must.False(t, errors.Is(err, platform.ErrUnavailable))
+		must.False(t, errors.Is(err, services.ErrUnavailable))
 		must.Eq(t, 2, calls.Load())
 		server.Close()
 	}
@@ -45,17 +45,17 @@
 	server := httptest.NewServer(standin)
 	client := New(Config{URL: server.URL})
 	var sent bool
-	call := platform.CallRequest{Method: http.MethodPost, Path: "/bookings", Body: []byte(`{"id":"b-1"}`), OnSend: func() { sent = true }}
+	call := services.CallRequest{Method: http.MethodPost, Path: "/bookings", Body: []byte(`{"id":"b-1"}`), OnSend: func() { sent = true }}
 	standin.SetFaults(service.Faults{DropAnswers: 1})
 	_, err := client.Call(context.Background(), call)
 	must.Error(t, err)
-	must.False(t, errors.Is(err, platform.ErrUnavailable))
+	must.False(t, errors.Is(err, services.ErrUnavailable))
 	must.True(t, sent)
 	must.Eq(t, 1, standin.Counters().Effects["b-1"])
 	server.Close()
 	sent = false
 	_, err = client.Call(context.Background(), call)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, services.ErrUnavailable)
 	must.False(t, sent)
 }
 
@@ -70,7 +70,7 @@
 	}))
 	defer server.Close()
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
-		response, err := New(Config{URL: server.URL}).Call(t.Context(), platform.CallRequest{Method: method, Path: "/bookings", ContentType: "text/csv", Body: []byte("a,b")})
+		response, err := New(Config{URL: server.URL}).Call(t.Context(), services.CallRequest{Method: method, Path: "/bookings", ContentType: "text/csv", Body: []byte("a,b")})
 		must.NoError(t, err)
 		must.Eq(t, http.StatusSeeOther, response.Status)
 		must.Eq(t, "text/csv", response.ContentType)
@@ -85,7 +85,7 @@
 	server := httptest.NewServer(standin)
 	defer server.Close()
 	client := New(Config{URL: server.URL})
-	request := platform.GenerateRequest{ID: "g", Body: []byte(`{"max_tokens": 5}`)}
+	request := services.GenerateRequest{ID: "g", Body: []byte(`{"max_tokens": 5}`)}
 	parts, err := readAll(t, client, request)
 	must.ErrorIs(t, err, io.EOF)
 	must.Eq(t, engine.Answer(request.Body), parts)
@@ -103,11 +103,11 @@
 
 	request.ID = "never begun"
 	_, err = client.Generate(context.Background(), request)
-	var status *platform.StatusError
+	var status *services.StatusError
 	must.True(t, errors.As(err, &status))
 }
 
-func readAll(t *testing.T, client *Client, request platform.GenerateRequest) ([]string, error) {
+func readAll(t *testing.T, client *Client, request services.GenerateRequest) ([]string, error) {
 	stream, err := client.Generate(context.Background(), request)
 	must.NoError(t, err)
 	defer stream.Close()
--- a/platform/httpkv/client.go
+++ b/internal/standin/httpkv/client.go
@@ -1,4 +1,4 @@
-// Package httpkv implements platform.KV over the HTTP/JSON protocol that internal/standin/kv documents.
+// Package httpkv implements services.KV over the HTTP/JSON protocol that internal/standin/kv documents.
 //
 // A write is reported as ErrUnavailable only if it cannot have reached the service: no connection could be made, or the
 // service said in a 503 that it did nothing. Whenever a response is lost or late the error is ErrOutcomeUnknown. Nothing is
@@ -19,11 +19,11 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // maxResponseBytes bounds a response: a value of the greatest size in base64, or a long list of keys.
-const maxResponseBytes = 8 * platform.MaxValueBytes
+const maxResponseBytes = 8 * services.MaxValueBytes
 
 // maxErrorBytes bounds the text of an error response.
 const maxErrorBytes = 512
@@ -34,7 +34,7 @@
 	http *http.Client
 }
 
-var _ platform.KV = (*Client)(nil)
+var _ services.KV = (*Client)(nil)
 
 // New returns a client. It does not connect.
 func New(cfg Config) (*Client, error) {
@@ -55,31 +55,31 @@
 type keyValue struct {
 	Key      string            `json:"key"`
 	Value    []byte            `json:"value"`
-	Revision platform.Revision `json:"revision"`
+	Revision services.Revision `json:"revision"`
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+// Get implements services.KV.
+func (c *Client) Get(ctx context.Context, key string) (services.KeyValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ReadTimeout)
 	defer cancel()
 	var kv keyValue
 	_, err := c.do(ctx, read, http.MethodGet, "/v1/key", url.Values{"key": {key}}, nil, &kv)
-	return platform.KeyValue(kv), trace.Wrap(err)
+	return services.KeyValue(kv), trace.Wrap(err)
 }
 
-// CompareAndSwap implements platform.KV. It returns ErrNotFound if the lease has ended; nothing was written then.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, prev platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, trace.Wrap(platform.ErrTooLarge)
+// CompareAndSwap implements services.KV. It returns ErrNotFound if the lease has ended; nothing was written then.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, prev services.Revision, value []byte, lease services.LeaseID) (services.Revision, error) {
+	if len(value) > services.MaxValueBytes {
+		return 0, trace.Wrap(services.ErrTooLarge)
 	}
 	body := struct {
 		Key   string            `json:"key"`
-		Prev  platform.Revision `json:"prev"`
+		Prev  services.Revision `json:"prev"`
 		Value []byte            `json:"value"`
-		Lease platform.LeaseID  `json:"lease,omitempty"`
+		Lease services.LeaseID  `json:"lease,omitempty"`
 	}{key, prev, value, lease}
 	var resp struct {
-		Revision platform.Revision `json:"revision"`
+		Revision services.Revision `json:"revision"`
 	}
 	if err := c.change(ctx, http.MethodPut, "/v1/key", body, &resp); err != nil {
 		return 0, trace.Wrap(err)
@@ -87,7 +87,7 @@
 	return resp.Revision, nil
 }
 
-// List implements platform.KV.
+// List implements services.KV.
 func (c *Client) List(ctx context.Context, prefix string, limit int) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ReadTimeout)
 	defer cancel()
@@ -99,8 +99,8 @@
 	return resp.Keys, trace.Wrap(err)
 }
 
-// Watch implements platform.KV. It returns ErrUnavailable when a poll fails; the caller decides when to watch again.
-func (c *Client) Watch(ctx context.Context, key string, after platform.Revision) (platform.KeyValue, error) {
+// Watch implements services.KV. It returns ErrUnavailable when a poll fails; the caller decides when to watch again.
+func (c *Client) Watch(ctx context.Context, key string, after services.Revision) (services.KeyValue, error) {
 	query := url.Values{
 		"key":     {key},
 		"after":   {strconv.FormatUint(uint64(after), 10)},
@@ -109,7 +109,7 @@
 	for {
 		kv, changed, err := c.poll(ctx, query)
 		if ctx.Err() != nil && !changed {
-			return platform.KeyValue{}, trace.Wrap(ctx.Err())
+			return services.KeyValue{}, trace.Wrap(ctx.Err())
 		}
 		if changed || err != nil {
 			return kv, trace.Wrap(err)
@@ -118,37 +118,37 @@
 }
 
 // poll makes one long poll, which may last as long as the service holds it and a read takes.
-func (c *Client) poll(ctx context.Context, query url.Values) (platform.KeyValue, bool, error) {
+func (c *Client) poll(ctx context.Context, query url.Values) (services.KeyValue, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchWait+c.cfg.ReadTimeout)
 	defer cancel()
 	var kv keyValue
 	status, err := c.do(ctx, read, http.MethodGet, "/v1/watch", query, nil, &kv)
-	return platform.KeyValue(kv), err == nil && status == http.StatusOK, err
+	return services.KeyValue(kv), err == nil && status == http.StatusOK, err
 }
 
-// Grant implements platform.KV.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements services.KV.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (services.LeaseID, error) {
 	body := struct {
 		TTLMS int64 `json:"ttl_ms"`
 	}{ttl.Milliseconds()}
 	var resp struct {
-		Lease platform.LeaseID `json:"lease"`
+		Lease services.LeaseID `json:"lease"`
 	}
 	err := c.change(ctx, http.MethodPost, "/v1/leases", body, &resp)
 	return resp.Lease, trace.Wrap(err)
 }
 
-// Renew implements platform.KV.
-func (c *Client) Renew(ctx context.Context, lease platform.LeaseID) error {
+// Renew implements services.KV.
+func (c *Client) Renew(ctx context.Context, lease services.LeaseID) error {
 	return trace.Wrap(c.change(ctx, http.MethodPost, leasePath(lease)+"/renew", nil, nil))
 }
 
-// Revoke implements platform.KV.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements services.KV.
+func (c *Client) Revoke(ctx context.Context, lease services.LeaseID) error {
 	return trace.Wrap(c.change(ctx, http.MethodDelete, leasePath(lease), nil, nil))
 }
 
-func leasePath(lease platform.LeaseID) string {
+func leasePath(lease services.LeaseID) string {
 	return "/v1/leases/" + strconv.FormatUint(uint64(lease), 10)
 }
 
@@ -157,7 +157,7 @@
 	defer cancel()
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	}
 	_, err = c.do(ctx, write, method, path, nil, encoded, into)
 	return err
@@ -172,7 +172,7 @@
 	var sent sent
 	req, err := http.NewRequestWithContext(sent.trace(ctx), method, target, bytes.NewReader(body))
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	}
 	if c.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
--- a/platform/httpkv/client_test.go
+++ b/internal/standin/httpkv/client_test.go
@@ -14,9 +14,9 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -48,15 +48,15 @@
 		handler     http.HandlerFunc
 		write, read error
 	}{
-		"503 before anything":  {answer(503, "no", ""), platform.ErrUnavailable, platform.ErrUnavailable},
-		"503 of another kind":  {answer(503, "", ""), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"500":                  {answer(500, "", ""), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"404":                  {answer(404, "", ""), platform.ErrNotFound, platform.ErrNotFound},
-		"409":                  {answer(409, "", ""), platform.ErrConflict, platform.ErrConflict},
-		"413":                  {answer(413, "", ""), platform.ErrTooLarge, platform.ErrTooLarge},
-		"400":                  {answer(400, "", ""), platform.ErrUnavailable, platform.ErrUnavailable},
-		"response cut short":   {answer(200, "", `{"rev`), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"closed without reply": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		"503 before anything":  {answer(503, "no", ""), services.ErrUnavailable, services.ErrUnavailable},
+		"503 of another kind":  {answer(503, "", ""), services.ErrOutcomeUnknown, services.ErrUnavailable},
+		"500":                  {answer(500, "", ""), services.ErrOutcomeUnknown, services.ErrUnavailable},
+		"404":                  {answer(404, "", ""), services.ErrNotFound, services.ErrNotFound},
+		"409":                  {answer(409, "", ""), services.ErrConflict, services.ErrConflict},
+		"413":                  {answer(413, "", ""), services.ErrTooLarge, services.ErrTooLarge},
+		"400":                  {answer(400, "", ""), services.ErrUnavailable, services.ErrUnavailable},
+		"response cut short":   {answer(200, "", `{"rev`), services.ErrOutcomeUnknown, services.ErrUnavailable},
+		"closed without reply": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, services.ErrOutcomeUnknown, services.ErrUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, server := connect(t, c.handler, nil)
@@ -67,7 +67,7 @@
 			client.Close()
 			server.Close()
 			_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-			must.ErrorIs(t, err, platform.ErrUnavailable, must.Sprint("refused connection"))
+			must.ErrorIs(t, err, services.ErrUnavailable, must.Sprint("refused connection"))
 		})
 	}
 }
@@ -88,7 +88,7 @@
 		service.ServeHTTP(w, r)
 	}), nil)
 	_, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"), 0)
-	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	must.ErrorIs(t, err, services.ErrOutcomeUnknown)
 	must.ErrorIs(t, err, context.Canceled)
 	close(release)
 	got, err := client.Watch(t.Context(), "k", 0)
@@ -96,7 +96,7 @@
 	must.Eq(t, "1", string(got.Value))
 
 	_, err = client.CompareAndSwap(ctx, "k", 0, nil, 0)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, services.ErrUnavailable)
 }
 
 // TestWatch guards against a watch that ends with its first long poll, misses a write, or outlives its context or the service.
@@ -104,7 +104,7 @@
 	service := kv.New()
 	client, _ := connect(t, service, func(c *httpkv.Config) { c.WatchWait = 10 * time.Millisecond })
 	result := make(chan error, 1)
-	watch := func(ctx context.Context, after platform.Revision) {
+	watch := func(ctx context.Context, after services.Revision) {
 		go func() {
 			_, err := client.Watch(ctx, "k", after)
 			result <- err
@@ -124,7 +124,7 @@
 	must.ErrorIs(t, <-result, context.Canceled)
 	watch(t.Context(), revision)
 	service.SetFaults(kv.Faults{Down: kv.DownClose})
-	must.ErrorIs(t, <-result, platform.ErrUnavailable)
+	must.ErrorIs(t, <-result, services.ErrUnavailable)
 }
 
 // TestLeases guards against lease calls that do not reach the service as meant.
@@ -139,9 +139,9 @@
 	must.NoError(t, err)
 	must.Eq(t, []string{"a&b=c/ü"}, keys)
 	must.NoError(t, client.Revoke(t.Context(), lease))
-	must.ErrorIs(t, client.Renew(t.Context(), lease), platform.ErrNotFound)
+	must.ErrorIs(t, client.Renew(t.Context(), lease), services.ErrNotFound)
 	_, err = client.Get(t.Context(), "a&b=c/ü")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, services.ErrNotFound)
 }
 
 // TestConfigNamesField guards against an error that does not say which field is wrong.
@@ -163,7 +163,7 @@
 	got, _ := client.Get(ctx, "greeting")
 	fmt.Println(string(got.Value), got.Revision == revision)
 	_, err := client.CompareAndSwap(ctx, "greeting", 0, []byte("labdien"), 0)
-	fmt.Println(errors.Is(err, platform.ErrConflict))
+	fmt.Println(errors.Is(err, services.ErrConflict))
 	// Output:
 	// bula true
 	// true
--- a/platform/httpkv/outcome.go
+++ b/internal/standin/httpkv/outcome.go
@@ -9,7 +9,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // appliedHeader says "no" in a response that the service sent before it did anything.
@@ -38,26 +38,26 @@
 	var op *net.OpError
 	dialFailed := errors.As(err, &op) && op.Op == "dial"
 	if kind == read || dialFailed || !s.connected.Load() {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	return fmt.Errorf("%w: %w", services.ErrOutcomeUnknown, err)
 }
 
 // statusError classifies a response that is not 200 or 204.
 func statusError(kind access, resp *http.Response, text string) error {
 	switch resp.StatusCode {
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return services.ErrNotFound
 	case http.StatusConflict:
-		return platform.ErrConflict
+		return services.ErrConflict
 	case http.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return services.ErrTooLarge
 	case http.StatusBadRequest, http.StatusMethodNotAllowed:
-		return fmt.Errorf("%w: the service rejected the request: %s: %s", platform.ErrUnavailable, resp.Status, text)
+		return fmt.Errorf("%w: the service rejected the request: %s: %s", services.ErrUnavailable, resp.Status, text)
 	}
 	notApplied := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(appliedHeader) == "no"
 	if kind == read || notApplied {
-		return fmt.Errorf("%w: %s: %s", platform.ErrUnavailable, resp.Status, text)
+		return fmt.Errorf("%w: %s: %s", services.ErrUnavailable, resp.Status, text)
 	}
-	return fmt.Errorf("%w: %s: %s", platform.ErrOutcomeUnknown, resp.Status, text)
+	return fmt.Errorf("%w: %s: %s", services.ErrOutcomeUnknown, resp.Status, text)
 }
--- a/platform/httplist/httplist.go
+++ b/internal/standin/httplist/httplist.go
@@ -10,48 +10,48 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
-// Client implements platform.InstanceList. It may be used by several goroutines.
+// Client implements services.InstanceList. It may be used by several goroutines.
 type Client struct {
 	url    string
 	client *http.Client
 }
 
-var _ platform.InstanceList = (*Client)(nil)
+var _ services.InstanceList = (*Client)(nil)
 
 // New returns a client of the list at a base URL. Timeout bounds one call.
 func New(url string, timeout time.Duration) *Client {
 	return &Client{url: url, client: &http.Client{Timeout: timeout}}
 }
 
-// List implements platform.InstanceList.
-func (c *Client) List(ctx context.Context, after uint64) (platform.InstanceUpdate, error) {
-	var none platform.InstanceUpdate
+// List implements services.InstanceList.
+func (c *Client) List(ctx context.Context, after uint64) (services.InstanceUpdate, error) {
+	var none services.InstanceUpdate
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/v1/instances?after=%d&changes=1", c.url, after), nil)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return none, trace.Wrap(fmt.Errorf("%w: %w", platform.ErrUnavailable, err))
+		return none, trace.Wrap(fmt.Errorf("%w: %w", services.ErrUnavailable, err))
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return none, trace.Wrap(fmt.Errorf("%w: instance list answered %s", platform.ErrUnavailable, resp.Status))
+		return none, trace.Wrap(fmt.Errorf("%w: instance list answered %s", services.ErrUnavailable, resp.Status))
 	}
 	// A service that does not know the parameter "changes" answers with the whole list and without "partial".
 	var reply struct {
 		Revision  uint64              `json:"revision"`
 		Partial   bool                `json:"partial"`
-		Instances []platform.Instance `json:"instances"`
+		Instances []services.Instance `json:"instances"`
 		Removed   []string            `json:"removed"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
 		return none, trace.Wrap(err)
 	}
-	return platform.InstanceUpdate{
+	return services.InstanceUpdate{
 		Revision: reply.Revision, Whole: !reply.Partial && reply.Revision != after, Instances: reply.Instances, Removed: reply.Removed,
 	}, nil
 }
--- a/platform/httplist/httplist_test.go
+++ b/internal/standin/httplist/httplist_test.go
@@ -8,20 +8,20 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/internal/standin/instances"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
-func row(id string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: "sidecar", State: state}
+func row(id string, state services.InstanceState) services.Instance {
+	return services.Instance{ID: id, Role: "sidecar", State: state}
 }
 
 // Guards against a change of the list that a reader misses, gets twice, or takes for the whole list.
 func TestList_Changes(t *testing.T) {
-	list := instances.New([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive)})
+	list := instances.New([]services.Instance{row("a", services.InstanceLive), row("b", services.InstanceLive)})
 	server := httptest.NewServer(list)
 	defer server.Close()
 	client := New(server.URL, 10*time.Second)
-	read := func(after uint64) platform.InstanceUpdate {
+	read := func(after uint64) services.InstanceUpdate {
 		update, err := client.List(t.Context(), after)
 		must.NoError(t, err)
 		return update
@@ -29,20 +29,20 @@
 	first := read(0)
 	must.True(t, first.Whole)
 	must.Len(t, 2, first.Instances)
-	must.Eq(t, platform.InstanceUpdate{Revision: first.Revision}, read(first.Revision))
+	must.Eq(t, services.InstanceUpdate{Revision: first.Revision}, read(first.Revision))
 
-	list.Put(row("c", platform.InstanceLive))
-	list.Put(row("a", platform.InstanceLeaving))
-	list.Put(row("c", platform.InstanceLeaving))
+	list.Put(row("c", services.InstanceLive))
+	list.Put(row("a", services.InstanceLeaving))
+	list.Put(row("c", services.InstanceLeaving))
 	list.Remove("b")
-	must.Eq(t, platform.InstanceUpdate{
+	must.Eq(t, services.InstanceUpdate{
 		Revision:  first.Revision + 4,
-		Instances: []platform.Instance{row("a", platform.InstanceLeaving), row("c", platform.InstanceLeaving)}, Removed: []string{"b"},
+		Instances: []services.Instance{row("a", services.InstanceLeaving), row("c", services.InstanceLeaving)}, Removed: []string{"b"},
 	}, read(first.Revision))
 
 	must.True(t, read(first.Revision+99).Whole, must.Sprint("a list that started anew knows nothing of the revision"))
 	for range 5000 {
-		list.Put(row("d", platform.InstanceLive))
+		list.Put(row("d", services.InstanceLive))
 	}
 	must.True(t, read(first.Revision).Whole, must.Sprint("the changes since are no longer known"))
 }
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -21,7 +21,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/jayridge/jayridge/internal/standin/control"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Faults are switched on by a test.
@@ -35,7 +35,7 @@
 type Reply struct {
 	Revision  uint64              `json:"revision"`
 	Partial   bool                `json:"partial,omitempty"`
-	Instances []platform.Instance `json:"instances,omitempty"`
+	Instances []services.Instance `json:"instances,omitempty"`
 	Removed   []string            `json:"removed,omitempty"`
 }
 
@@ -46,7 +46,7 @@
 type change struct {
 	shows    time.Time
 	id       string
-	instance *platform.Instance
+	instance *services.Instance
 }
 
 // Server is an instance list. It is an http.Handler.
@@ -55,7 +55,7 @@
 
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Instance
+	rows     map[string]services.Instance
 	pending  []change
 	// changed has the ids of the last changes; the last one made the current revision.
 	changed []string
@@ -63,8 +63,8 @@
 }
 
 // New returns a list with the given rows.
-func New(rows []platform.Instance) *Server {
-	s := &Server{rows: map[string]platform.Instance{}, revision: 1}
+func New(rows []services.Instance) *Server {
+	s := &Server{rows: map[string]services.Instance{}, revision: 1}
 	for _, row := range rows {
 		s.rows[row.ID] = row
 	}
@@ -78,7 +78,7 @@
 }
 
 // Put sets a row.
-func (s *Server) Put(row platform.Instance) {
+func (s *Server) Put(row services.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.submit(change{id: row.ID, instance: &row})
@@ -165,7 +165,7 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	var row platform.Instance
+	var row services.Instance
 	if err := json.NewDecoder(r.Body).Decode(&row); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/kv/handlers.go
+++ b/internal/standin/kv/handlers.go
@@ -10,30 +10,30 @@
 	"github.com/gorilla/mux"
 
 	"github.com/jayridge/jayridge/internal/standin/control"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // maxBodyBytes bounds a request: a value of the greatest size in base64, and its envelope.
-const maxBodyBytes = 2 * platform.MaxValueBytes
+const maxBodyBytes = 2 * services.MaxValueBytes
 
 // KeyValue is a key in a response.
 type KeyValue struct {
 	Key      string            `json:"key"`
 	Value    []byte            `json:"value"`
-	Revision platform.Revision `json:"revision"`
+	Revision services.Revision `json:"revision"`
 }
 
 // PutRequest is the body of a compare-and-swap.
 type PutRequest struct {
 	Key   string            `json:"key"`
-	Prev  platform.Revision `json:"prev"`
+	Prev  services.Revision `json:"prev"`
 	Value []byte            `json:"value"`
-	Lease platform.LeaseID  `json:"lease,omitempty"`
+	Lease services.LeaseID  `json:"lease,omitempty"`
 }
 
 // PutResponse is the response to a compare-and-swap.
 type PutResponse struct {
-	Revision platform.Revision `json:"revision"`
+	Revision services.Revision `json:"revision"`
 }
 
 // ListResponse is the response to a list.
@@ -48,7 +48,7 @@
 
 // LeaseResponse is the response to a grant.
 type LeaseResponse struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease services.LeaseID `json:"lease"`
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
@@ -80,7 +80,7 @@
 }
 
 // write applies a compare-and-swap; lost says that it took effect and its response must not be sent.
-func (s *Server) write(req PutRequest) (revision platform.Revision, lost bool, err error) {
+func (s *Server) write(req PutRequest) (revision services.Revision, lost bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.expire(s.now())
@@ -126,7 +126,7 @@
 		if down {
 			panic(http.ErrAbortHandler)
 		}
-		if kv.Revision > platform.Revision(after) {
+		if kv.Revision > services.Revision(after) {
 			control.WriteJSON(w, kv)
 			return
 		}
@@ -170,14 +170,14 @@
 }
 
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
-	s.changeLease(w, r, func(id platform.LeaseID) error { return s.store.renew(s.now(), id) })
+	s.changeLease(w, r, func(id services.LeaseID) error { return s.store.renew(s.now(), id) })
 }
 
 func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
-	s.changeLease(w, r, func(id platform.LeaseID) error { return s.store.revoke(id) })
+	s.changeLease(w, r, func(id services.LeaseID) error { return s.store.revoke(id) })
 }
 
-func (s *Server) changeLease(w http.ResponseWriter, r *http.Request, change func(platform.LeaseID) error) {
+func (s *Server) changeLease(w http.ResponseWriter, r *http.Request, change func(services.LeaseID) error) {
 	id, err := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -185,7 +185,7 @@
 	}
 	s.mu.Lock()
 	s.store.expire(s.now())
-	err = change(platform.LeaseID(id))
+	err = change(services.LeaseID(id))
 	lost := err == nil && s.takeLoss()
 	s.mu.Unlock()
 	switch {
@@ -203,7 +203,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		writeError(w, platform.ErrTooLarge)
+		writeError(w, services.ErrTooLarge)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
@@ -213,11 +213,11 @@
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, services.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, services.ErrConflict):
 		status = http.StatusConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, services.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(w, err.Error(), status)
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -27,7 +27,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/jayridge/jayridge/internal/standin/control"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // AppliedHeader says "no" in a response that was sent before the request changed anything.
@@ -88,13 +88,13 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
 // Keys returns a copy of all values, for checks in tests.
-func (s *Server) Keys() map[string]platform.KeyValue {
+func (s *Server) Keys() map[string]services.KeyValue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.expire(s.now())
-	all := make(map[string]platform.KeyValue, len(s.store.keys))
+	all := make(map[string]services.KeyValue, len(s.store.keys))
 	for name, k := range s.store.keys {
-		all[name] = platform.KeyValue{Key: name, Value: k.value, Revision: k.revision}
+		all[name] = services.KeyValue{Key: name, Value: k.value, Revision: k.revision}
 	}
 	return all
 }
--- a/internal/standin/kv/server_test.go
+++ b/internal/standin/kv/server_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -57,11 +57,11 @@
 	}{
 		{PutRequest{Key: "a/b", Value: []byte("2")}, 409},
 		{PutRequest{Key: "a/b", Prev: first + 1, Value: []byte("2")}, 409},
-		{PutRequest{Key: "a/b", Prev: first, Value: make([]byte, platform.MaxValueBytes+1)}, 413},
-		{PutRequest{Key: "a/b", Prev: first, Value: make([]byte, 2*platform.MaxValueBytes)}, 413},
+		{PutRequest{Key: "a/b", Prev: first, Value: make([]byte, services.MaxValueBytes+1)}, 413},
+		{PutRequest{Key: "a/b", Prev: first, Value: make([]byte, 2*services.MaxValueBytes)}, 413},
 		{PutRequest{Key: "a/b", Prev: first, Lease: 9}, 404},
 		{PutRequest{Key: "a/b", Prev: first, Value: []byte("2")}, 200},
-		{PutRequest{Key: "a/c", Value: make([]byte, platform.MaxValueBytes)}, 200},
+		{PutRequest{Key: "a/c", Value: make([]byte, services.MaxValueBytes)}, 200},
 	} {
 		must.Eq(t, c.want, exchange(t, server, "PUT", "/v1/key", c.req, nil))
 	}
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -5,17 +5,17 @@
 	"strings"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // entry is one key with its current and its previous value; the previous one serves stale reads.
 type entry struct {
 	value    []byte
-	revision platform.Revision
-	lease    platform.LeaseID
+	revision services.Revision
+	lease    services.LeaseID
 
 	oldValue    []byte
-	oldRevision platform.Revision
+	oldRevision services.Revision
 }
 
 type lease struct {
@@ -26,40 +26,40 @@
 // store holds keys and leases. The time is an argument; the caller serialises calls.
 type store struct {
 	keys      map[string]*entry
-	leases    map[platform.LeaseID]*lease
-	revision  platform.Revision
-	lastLease platform.LeaseID
+	leases    map[services.LeaseID]*lease
+	revision  services.Revision
+	lastLease services.LeaseID
 }
 
 func newStore() store {
-	return store{keys: map[string]*entry{}, leases: map[platform.LeaseID]*lease{}}
+	return store{keys: map[string]*entry{}, leases: map[services.LeaseID]*lease{}}
 }
 
 // get returns a key; stale asks for the revision before the current one, which for a new key is its absence.
-func (s *store) get(name string, stale bool) (platform.KeyValue, error) {
+func (s *store) get(name string, stale bool) (services.KeyValue, error) {
 	e := s.keys[name]
 	if e == nil || stale && e.oldRevision == 0 {
-		return platform.KeyValue{}, platform.ErrNotFound
+		return services.KeyValue{}, services.ErrNotFound
 	}
 	if stale {
-		return platform.KeyValue{Key: name, Value: e.oldValue, Revision: e.oldRevision}, nil
+		return services.KeyValue{Key: name, Value: e.oldValue, Revision: e.oldRevision}, nil
 	}
-	return platform.KeyValue{Key: name, Value: e.value, Revision: e.revision}, nil
+	return services.KeyValue{Key: name, Value: e.value, Revision: e.revision}, nil
 }
 
-func (s *store) compareAndSwap(name string, prev platform.Revision, value []byte, id platform.LeaseID) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+func (s *store) compareAndSwap(name string, prev services.Revision, value []byte, id services.LeaseID) (services.Revision, error) {
+	if len(value) > services.MaxValueBytes {
+		return 0, services.ErrTooLarge
 	}
 	if id != 0 && s.leases[id] == nil {
-		return 0, platform.ErrNotFound
+		return 0, services.ErrNotFound
 	}
 	e := s.keys[name]
 	if e == nil {
 		e = &entry{}
 	}
 	if e.revision != prev {
-		return 0, platform.ErrConflict
+		return 0, services.ErrConflict
 	}
 	s.revision++
 	e.oldValue, e.oldRevision = e.value, e.revision
@@ -82,24 +82,24 @@
 	return names
 }
 
-func (s *store) grant(now time.Time, ttl time.Duration) platform.LeaseID {
+func (s *store) grant(now time.Time, ttl time.Duration) services.LeaseID {
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{ttl: ttl, end: now.Add(ttl)}
 	return s.lastLease
 }
 
-func (s *store) renew(now time.Time, id platform.LeaseID) error {
+func (s *store) renew(now time.Time, id services.LeaseID) error {
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrNotFound
+		return services.ErrNotFound
 	}
 	l.end = now.Add(l.ttl)
 	return nil
 }
 
-func (s *store) revoke(id platform.LeaseID) error {
+func (s *store) revoke(id services.LeaseID) error {
 	if s.leases[id] == nil {
-		return platform.ErrNotFound
+		return services.ErrNotFound
 	}
 	delete(s.leases, id)
 	for name, e := range s.keys {
--- a/process/admission/bound.go
+++ b/process/admission/bound.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // meanLoad is the latest estimate of the mean load of the service's upstreams.
@@ -52,7 +52,7 @@
 func (e *engineCapacity) admitted(work uint64) { e.peak = max(e.peak, work) }
 
 // report takes over a report; work is the work admitted now.
-func (e *engineCapacity) report(now time.Time, load platform.EngineLoad, work uint64) {
+func (e *engineCapacity) report(now time.Time, load services.EngineLoad, work uint64) {
 	e.units, e.at = load.Capacity, now
 	e.excess = 0
 	if load.WorkUnits > e.peak {
--- a/process/admission/bound_test.go
+++ b/process/admission/bound_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -25,7 +25,7 @@
 func warm(cfg Config, capacity uint64, limits Limits) *Controller {
 	c := unfilling(cfg)
 	c.SetLimits(start, limits)
-	c.Report(start, platform.EngineLoad{StartID: "a", Capacity: capacity, CachedPrefixes: 100})
+	c.Report(start, services.EngineLoad{StartID: "a", Capacity: capacity, CachedPrefixes: 100})
 	return c
 }
 
@@ -152,7 +152,7 @@
 	mean := func(units uint32) func(*Controller) { return func(c *Controller) { c.SetMean(start, units) } }
 	unforeseen := func(c *Controller) {
 		c.SetMean(start, 10_000)
-		c.Report(start, platform.EngineLoad{StartID: "a", Capacity: 10_000, CachedPrefixes: 100, WorkUnits: 8100})
+		c.Report(start, services.EngineLoad{StartID: "a", Capacity: 10_000, CachedPrefixes: 100, WorkUnits: 8100})
 	}
 	for name, c := range map[string]struct {
 		setup    func(*Controller)
--- a/process/admission/coldstart.go
+++ b/process/admission/coldstart.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 const (
@@ -46,7 +46,7 @@
 }
 
 // report reads the signs of a cold engine from its report.
-func (c *coldStart) report(load platform.EngineLoad, cfg *Config) {
+func (c *coldStart) report(load services.EngineLoad, cfg *Config) {
 	switch {
 	case !c.seen:
 		// A sidecar that restarts beside a warm engine finds prefixes in its cache.
@@ -60,11 +60,11 @@
 	}
 }
 
-func (c *coldStart) restarted(load platform.EngineLoad) bool {
+func (c *coldStart) restarted(load services.EngineLoad) bool {
 	return load.StartID != "" && c.start != "" && load.StartID != c.start
 }
 
-func (c *coldStart) lostCache(load platform.EngineLoad, cfg *Config) bool {
+func (c *coldStart) lostCache(load services.EngineLoad, cfg *Config) bool {
 	return c.cached >= cfg.CacheMinPrefixes && float64(load.CachedPrefixes) < cfg.CacheLossShare*float64(c.cached)
 }
 
--- a/process/admission/coldstart_test.go
+++ b/process/admission/coldstart_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -16,7 +16,7 @@
 type engineTest struct {
 	*testing.T
 	c    *Controller
-	load platform.EngineLoad
+	load services.EngineLoad
 	held []Ticket
 }
 
@@ -55,13 +55,13 @@
 			}
 		}
 	default:
-		change := map[string]func(l *platform.EngineLoad){
-			"restart": func(l *platform.EngineLoad) { l.StartID += "'" },
-			"no-id":   func(l *platform.EngineLoad) { l.StartID = "" },
-			"flag":    func(l *platform.EngineLoad) { l.Cold = true },
-			"unflag":  func(l *platform.EngineLoad) { l.Cold = false },
-			"lose":    func(l *platform.EngineLoad) { l.CachedPrefixes = 19 },
-			"evict":   func(l *platform.EngineLoad) { l.CachedPrefixes = 20 },
+		change := map[string]func(l *services.EngineLoad){
+			"restart": func(l *services.EngineLoad) { l.StartID += "'" },
+			"no-id":   func(l *services.EngineLoad) { l.StartID = "" },
+			"flag":    func(l *services.EngineLoad) { l.Cold = true },
+			"unflag":  func(l *services.EngineLoad) { l.Cold = false },
+			"lose":    func(l *services.EngineLoad) { l.CachedPrefixes = 19 },
+			"evict":   func(l *services.EngineLoad) { l.CachedPrefixes = 20 },
 		}[name]
 		change(&e.load)
 		e.c.Report(start, e.load)
@@ -119,7 +119,7 @@
 	} {
 		e := &engineTest{T: t, c: unfilling(DefaultConfig())}
 		e.c.SetLimits(start, Limits{ColdInitial: 2, ColdLimit: 6})
-		e.load = platform.EngineLoad{StartID: "a", Capacity: 1 << 40, CachedPrefixes: 100}
+		e.load = services.EngineLoad{StartID: "a", Capacity: 1 << 40, CachedPrefixes: 100}
 		e.c.Report(start, e.load)
 		e.c.SetMean(start, 1<<31)
 		for _, name := range strings.Fields(steps) {
@@ -150,7 +150,7 @@
 	c.SetLimits(start, rules)
 	must.True(t, c.Load().Cold)
 	c = unfilling(DefaultConfig())
-	c.Report(start, platform.EngineLoad{StartID: "a"})
+	c.Report(start, services.EngineLoad{StartID: "a"})
 	c.SetLimits(start, rules)
 	must.True(t, c.Load().Cold)
 }
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -114,7 +114,7 @@
 func (c *Controller) SetLeaving() { c.leaving = true }
 
 // Report takes over the engine's own report.
-func (c *Controller) Report(now time.Time, load platform.EngineLoad) {
+func (c *Controller) Report(now time.Time, load services.EngineLoad) {
 	c.engine.report(now, load, c.work)
 	c.cold.report(load, &c.cfg)
 	if c.configured {
--- a/process/admission/filling_test.go
+++ b/process/admission/filling_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -30,7 +30,7 @@
 func newFilling() *Controller {
 	c := New(DefaultConfig())
 	c.SetLimits(start, Limits{})
-	c.Report(start, platform.EngineLoad{StartID: "a", Capacity: 100_000, CachedPrefixes: 100})
+	c.Report(start, services.EngineLoad{StartID: "a", Capacity: 100_000, CachedPrefixes: 100})
 	return c
 }
 
--- a/process/entry/assignment.go
+++ b/process/entry/assignment.go
@@ -6,12 +6,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // position returns the position of an instance in the sorted list and the list's length, counting the instance if it is missing.
-func position(sorted []platform.Instance, id string) (index, n int) {
-	index, found := slices.BinarySearchFunc(sorted, id, func(i platform.Instance, id string) int { return strings.Compare(i.ID, id) })
+func position(sorted []services.Instance, id string) (index, n int) {
+	index, found := slices.BinarySearchFunc(sorted, id, func(i services.Instance, id string) int { return strings.Compare(i.ID, id) })
 	if found {
 		return index, len(sorted)
 	}
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -8,8 +8,8 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/load"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/assembly"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/request/retry"
@@ -17,7 +17,7 @@
 )
 
 // try makes one attempt and records it.
-func (x *exchange) try(ctx context.Context, target platform.Instance) outcome {
+func (x *exchange) try(ctx context.Context, target services.Instance) outcome {
 	if !x.answer.streams() {
 		// What an earlier attempt left must not precede the answer of this one.
 		x.answer.reset()
@@ -35,7 +35,7 @@
 // attempt is one attempt of a request at one upstream.
 type attempt struct {
 	x        *exchange
-	target   platform.Instance
+	target   services.Instance
 	accepted bool
 	// shown is the configuration version in the Open, zero if it had none.
 	shown uint64
--- a/process/entry/choice.go
+++ b/process/entry/choice.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/request/retry"
@@ -70,7 +70,7 @@
 }
 
 // narrow leaves out the candidates that a failed attempt speaks against.
-func (x *exchange) narrow(c *choice, target platform.Instance, code result.Code, decision retry.Decision) {
+func (x *exchange) narrow(c *choice, target services.Instance, code result.Code, decision retry.Decision) {
 	switch {
 	case decision.Action == retry.Resume:
 		// Only the engine that produced the first parts continues them exactly.
@@ -84,7 +84,7 @@
 
 // newVersionFailed reports whether an attempt failed in a way that may be the fault of a shift's new version, or was refused because the
 // version is taken back.
-func (x *exchange) newVersionFailed(target platform.Instance, code result.Code) bool {
+func (x *exchange) newVersionFailed(target services.Instance, code result.Code) bool {
 	if x.plan == nil || target.Version != x.plan.To {
 		return false
 	}
--- a/process/entry/choice_test.go
+++ b/process/entry/choice_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/result"
@@ -20,7 +20,7 @@
 	r := &routing{}
 	for i := range 16 {
 		version := fmt.Sprintf("v%d", 1+i%2)
-		r.reachable = append(r.reachable, platform.Instance{
+		r.reachable = append(r.reachable, services.Instance{
 			ID: fmt.Sprintf("press-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%4/2), Service: "press-model", Version: version,
 		})
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -16,11 +16,11 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/membership"
 	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/quarantine"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/result"
@@ -33,8 +33,8 @@
 // Options are an entry's collaborators. KV and List may be nil.
 type Options struct {
 	Settings *settings.Settings
-	KV       platform.KV
-	List     platform.InstanceList
+	KV       services.KV
+	List     services.InstanceList
 }
 
 // Entry is a running entry.
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -17,12 +17,12 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
+	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
-	"github.com/jayridge/jayridge/platform/httplist"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
@@ -76,8 +76,8 @@
 	list := instances.New(nil)
 	for _, service := range []string{"press-model", "basket-app"} {
 		for i := range 2 {
-			row := platform.Instance{
-				ID: fmt.Sprintf("%s-%d", service, i), Role: settings.RoleSidecar, DataCentre: "suva", Service: service, Version: "v1", State: platform.InstanceLive,
+			row := services.Instance{
+				ID: fmt.Sprintf("%s-%d", service, i), Role: settings.RoleSidecar, DataCentre: "suva", Service: service, Version: "v1", State: services.InstanceLive,
 			}
 			row.Address = serveFake(t, fakes, raw, row)
 			list.Put(row)
@@ -105,7 +105,7 @@
 	return fakes, "http://" + e.ln.Addr().String()
 }
 
-func serveFake(t *testing.T, fakes *sidecars, raw *rawSidecar, row platform.Instance) string {
+func serveFake(t *testing.T, fakes *sidecars, raw *rawSidecar, row services.Instance) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	if raw != nil {
@@ -219,7 +219,7 @@
 }
 
 // serve speaks the protocol on one connection.
-func (s *rawSidecar) serve(nc net.Conn, row platform.Instance) {
+func (s *rawSidecar) serve(nc net.Conn, row services.Instance) {
 	defer nc.Close()
 	hello := &wire.Hello{
 		Major: wire.MajorVersion + s.newer, Instance: row.ID, Role: row.Role, DataCentre: row.DataCentre, Service: row.Service, Version: row.Version, Address: row.Address,
@@ -352,14 +352,14 @@
 // Guards against work that leaves the region while the region can do it, and against a service version that has no upstream because all of
 // them are in other regions or drained.
 func TestReachable_PrefersTheRegion(t *testing.T) {
-	row := func(id, dataCentre, region, version string) platform.Instance {
-		return platform.Instance{ID: id, DataCentre: dataCentre, Region: region, Service: "s", Version: version}
+	row := func(id, dataCentre, region, version string) services.Instance {
+		return services.Instance{ID: id, DataCentre: dataCentre, Region: region, Service: "s", Version: version}
 	}
 	set, faults := rules.Parse("rules", []byte("service s kind=model versions=v1,v2 # a: b\ndrain datacentre riga-b # a: b\n"))
 	must.SliceEmpty(t, faults)
 	snapshot := &node.Snapshot{
 		Config: &config.Accepted{Rules: set},
-		Sidecars: []platform.Instance{
+		Sidecars: []services.Instance{
 			row("near", "riga-a", "baltic", "v1"), row("far", "suva", "pacific", "v1"), row("far-new", "suva", "pacific", "v2"), row("drained", "riga-b", "baltic", "v2"),
 		},
 	}
--- a/process/entry/routing.go
+++ b/process/entry/routing.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/version/rules"
 )
@@ -12,11 +12,11 @@
 // routing is what a request needs to find an upstream. It is immutable.
 type routing struct {
 	view     *candidate.View
-	sidecars map[string]platform.Instance
+	sidecars map[string]services.Instance
 	// reachable are the sidecars that the tables were built from.
-	reachable []platform.Instance
+	reachable []services.Instance
 	// listed and drains are what reachable follows from.
-	listed  []platform.Instance
+	listed  []services.Instance
 	drains  []rules.Drain
 	entries int
 }
@@ -38,7 +38,7 @@
 }
 
 // sameList says whether two published lists, which are never modified, are the same one.
-func sameList(a, b []platform.Instance) bool {
+func sameList(a, b []services.Instance) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
@@ -53,7 +53,7 @@
 
 // build makes the tables of the reachable sidecars, reusing those of the previous routing.
 func (r *routing) build(previous *routing) {
-	r.sidecars = make(map[string]platform.Instance, len(r.reachable))
+	r.sidecars = make(map[string]services.Instance, len(r.reachable))
 	upstreams := make([]candidate.Upstream, 0, len(r.reachable))
 	for _, i := range r.reachable {
 		r.sidecars[i.ID] = i
@@ -67,10 +67,10 @@
 
 // reachable returns the sidecars that are not drained: those of the region, and of other regions those whose service version has none in
 // the region. An empty region reaches all.
-func reachable(snapshot *node.Snapshot, region string) []platform.Instance {
-	near := func(i platform.Instance) bool { return region == "" || i.Region == "" || i.Region == region }
+func reachable(snapshot *node.Snapshot, region string) []services.Instance {
+	near := func(i services.Instance) bool { return region == "" || i.Region == "" || i.Region == region }
 	inRegion := map[serviceVersion]bool{}
-	var open []platform.Instance
+	var open []services.Instance
 	for _, i := range snapshot.Sidecars {
 		if drained(snapshot, i) {
 			continue
@@ -80,12 +80,12 @@
 			inRegion[serviceVersion{i.Service, i.Version}] = true
 		}
 	}
-	return slices.DeleteFunc(open, func(i platform.Instance) bool {
+	return slices.DeleteFunc(open, func(i services.Instance) bool {
 		return !near(i) && inRegion[serviceVersion{i.Service, i.Version}]
 	})
 }
 
-func drained(snapshot *node.Snapshot, i platform.Instance) bool {
+func drained(snapshot *node.Snapshot, i services.Instance) bool {
 	if snapshot.Config == nil {
 		return false
 	}
--- a/process/entry/routing_test.go
+++ b/process/entry/routing_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/config"
 	"github.com/jayridge/jayridge/version/rules"
 )
@@ -18,10 +18,10 @@
 	return &config.Accepted{Rules: set}
 }
 
-func rowsOf(n int) []platform.Instance {
-	rows := make([]platform.Instance, n)
+func rowsOf(n int) []services.Instance {
+	rows := make([]services.Instance, n)
 	for i := range rows {
-		rows[i] = platform.Instance{ID: fmt.Sprintf("press-%05d", i), DataCentre: fmt.Sprint("dc-", i%23), Service: "s", Version: "v1"}
+		rows[i] = services.Instance{ID: fmt.Sprintf("press-%05d", i), DataCentre: fmt.Sprint("dc-", i%23), Service: "s", Version: "v1"}
 	}
 	return rows
 }
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/lease"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/candidate"
@@ -41,7 +41,7 @@
 func (h shiftHost) GossipSome() { h.e.node.GossipSome() }
 
 // Send implements shift.Host.
-func (h shiftHost) Send(to platform.Instance, build func(minor uint16) (wire.Message, error)) {
+func (h shiftHost) Send(to services.Instance, build func(minor uint16) (wire.Message, error)) {
 	h.e.node.Go(func(ctx context.Context) {
 		if err := h.send(ctx, to, build); err != nil {
 			metrics.Add("evidence_unsent", 1)
@@ -49,7 +49,7 @@
 	})
 }
 
-func (h shiftHost) send(ctx context.Context, to platform.Instance, build func(minor uint16) (wire.Message, error)) error {
+func (h shiftHost) send(ctx context.Context, to services.Instance, build func(minor uint16) (wire.Message, error)) error {
 	conn, err := h.e.node.Pool().Get(ctx, to)
 	if err != nil {
 		return err
@@ -86,7 +86,7 @@
 }
 
 // observe notes the outcome of an attempt for the shift under way. Refusals and canceled requests say nothing of the version.
-func (x *exchange) observe(target platform.Instance, code result.Code, latency time.Duration) {
+func (x *exchange) observe(target services.Instance, code result.Code, latency time.Duration) {
 	if x.plan == nil || code.Outcome() == result.NotRun || code == result.Canceled {
 		return
 	}
--- a/process/lease/acquire.go
+++ b/process/lease/acquire.go
@@ -7,7 +7,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // errTaken means that another process holds the lease or won the race for it.
@@ -38,11 +38,11 @@
 
 // attempt is one try to acquire the lease.
 type attempt struct {
-	kv     platform.KV
+	kv     services.KV
 	name   string
 	holder string
 	nonce  uint64
-	lease  platform.LeaseID
+	lease  services.LeaseID
 }
 
 // run creates the lease key with the next token and raises the counter to it. A failure at any point leaves at most a token that
@@ -63,9 +63,9 @@
 }
 
 // read returns the value of a key, zero if it does not exist.
-func (a *attempt) read(ctx context.Context, key string) (Value, platform.Revision, error) {
+func (a *attempt) read(ctx context.Context, key string) (Value, services.Revision, error) {
 	kv, err := a.kv.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, services.ErrNotFound) {
 		return Value{}, 0, nil
 	}
 	if err != nil {
@@ -76,7 +76,7 @@
 }
 
 // write replaces a revision of a key. If the answer is lost, it reads the key to learn whether the write took effect.
-func (a *attempt) write(ctx context.Context, key string, previous platform.Revision, v Value, lease platform.LeaseID) error {
+func (a *attempt) write(ctx context.Context, key string, previous services.Revision, v Value, lease services.LeaseID) error {
 	data, err := msgpack.Marshal(v)
 	if err != nil {
 		return trace.Wrap(err)
@@ -85,10 +85,10 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, services.ErrConflict) {
 		return trace.Wrap(errTaken)
 	}
-	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, services.ErrOutcomeUnknown) {
 		return trace.Wrap(err)
 	}
 	current, _, err := a.read(ctx, key)
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -7,20 +7,20 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Keeper acquires a lease and keeps it renewed. Run is its only goroutine; Held may be called from any.
 type Keeper struct {
 	config Config
-	kv     platform.KV
+	kv     services.KV
 	name   string
 	holder string
 	random *rand.Rand
 
 	state   *Holder
-	lease   platform.LeaseID
+	lease   services.LeaseID
 	logged  uint64
 	current atomic.Pointer[grant]
 }
@@ -33,7 +33,7 @@
 
 // NewKeeper returns a keeper of the lease with the given name for the instance holder. The seed is for jitter and for nonces,
 // and must differ between instances and between starts. The config must be valid.
-func NewKeeper(config Config, kv platform.KV, name, holder string, seed uint64) *Keeper {
+func NewKeeper(config Config, kv services.KV, name, holder string, seed uint64) *Keeper {
 	return &Keeper{
 		config: config,
 		kv:     kv,
@@ -150,7 +150,7 @@
 	switch {
 	case err == nil:
 		k.state.Renewed(sent, k.random.Float64())
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, services.ErrNotFound):
 		k.state.Lost()
 	default:
 		k.state.RenewalFailed(time.Now(), k.random.Float64())
@@ -164,7 +164,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
-	if err := k.kv.Revoke(ctx, k.lease); err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err := k.kv.Revoke(ctx, k.lease); err == nil || errors.Is(err, services.ErrNotFound) {
 		k.lease = 0
 	}
 }
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -22,10 +22,10 @@
 // fakeKV is a key-value service whose revisions begin again when a key was deleted, the worst that the interface allows. Calls that
 // are not implemented panic.
 type fakeKV struct {
-	platform.KV
+	services.KV
 	mu     sync.Mutex
 	keys   map[string]fakeKey
-	ends   map[platform.LeaseID]time.Time
+	ends   map[services.LeaseID]time.Time
 	random *rand.Rand
 	// delay is the largest time of a call, spent half before and half after it takes effect. lose is the probability that the answer
 	// to a write is lost, down that a call is not sent.
@@ -35,12 +35,12 @@
 }
 
 type fakeKey struct {
-	platform.KeyValue
-	lease platform.LeaseID
+	services.KeyValue
+	lease services.LeaseID
 }
 
 func newFakeKV(seed uint64) *fakeKV {
-	return &fakeKV{keys: make(map[string]fakeKey), ends: make(map[platform.LeaseID]time.Time), random: rand.New(rand.NewPCG(seed, 1))}
+	return &fakeKV{keys: make(map[string]fakeKey), ends: make(map[services.LeaseID]time.Time), random: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // call runs f under the lock between two delays, without the keys of ended leases.
@@ -51,7 +51,7 @@
 	kv.mu.Unlock()
 	time.Sleep(time.Duration(before))
 	if fails {
-		return platform.ErrUnavailable
+		return services.ErrUnavailable
 	}
 	kv.mu.Lock()
 	maps.DeleteFunc(kv.keys, func(_ string, k fakeKey) bool { return k.lease != 0 && kv.ended(k.lease) })
@@ -59,53 +59,53 @@
 	kv.mu.Unlock()
 	time.Sleep(time.Duration(after))
 	if loses {
-		return fmt.Errorf("%w: connection reset", platform.ErrOutcomeUnknown)
+		return fmt.Errorf("%w: connection reset", services.ErrOutcomeUnknown)
 	}
 	return err
 }
 
-func (kv *fakeKV) ended(lease platform.LeaseID) bool { return !time.Now().Before(kv.ends[lease]) }
+func (kv *fakeKV) ended(lease services.LeaseID) bool { return !time.Now().Before(kv.ends[lease]) }
 
-func (kv *fakeKV) Get(_ context.Context, key string) (got platform.KeyValue, err error) {
+func (kv *fakeKV) Get(_ context.Context, key string) (got services.KeyValue, err error) {
 	err = kv.call(0, func() error {
 		got = kv.keys[key].KeyValue
 		if got.Revision == 0 {
-			return platform.ErrNotFound
+			return services.ErrNotFound
 		}
 		return nil
 	})
 	return got, err
 }
 
-func (kv *fakeKV) CompareAndSwap(_ context.Context, key string, prev platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (kv *fakeKV) CompareAndSwap(_ context.Context, key string, prev services.Revision, value []byte, lease services.LeaseID) (services.Revision, error) {
 	return prev + 1, kv.call(kv.lose, func() error {
 		if kv.keys[key].Revision != prev || (lease != 0 && kv.ended(lease)) {
-			return platform.ErrConflict
+			return services.ErrConflict
 		}
-		kv.keys[key] = fakeKey{platform.KeyValue{Key: key, Value: value, Revision: prev + 1}, lease}
+		kv.keys[key] = fakeKey{services.KeyValue{Key: key, Value: value, Revision: prev + 1}, lease}
 		return nil
 	})
 }
 
-func (kv *fakeKV) Grant(_ context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
+func (kv *fakeKV) Grant(_ context.Context, ttl time.Duration) (id services.LeaseID, err error) {
 	err = kv.call(0, func() error {
-		id = platform.LeaseID(len(kv.ends) + 1)
+		id = services.LeaseID(len(kv.ends) + 1)
 		kv.ends[id] = time.Now().Add(ttl)
 		return nil
 	})
 	return id, err
 }
 
-func (kv *fakeKV) Renew(_ context.Context, id platform.LeaseID) error {
+func (kv *fakeKV) Renew(_ context.Context, id services.LeaseID) error {
 	return kv.setEnd(id, DefaultConfig().TTL)
 }
 
-func (kv *fakeKV) Revoke(_ context.Context, id platform.LeaseID) error { return kv.setEnd(id, 0) }
+func (kv *fakeKV) Revoke(_ context.Context, id services.LeaseID) error { return kv.setEnd(id, 0) }
 
-func (kv *fakeKV) setEnd(id platform.LeaseID, left time.Duration) error {
+func (kv *fakeKV) setEnd(id services.LeaseID, left time.Duration) error {
 	return kv.call(kv.lose, func() error {
 		if kv.ended(id) {
-			return platform.ErrNotFound
+			return services.ErrNotFound
 		}
 		kv.ends[id] = time.Now().Add(left)
 		return nil
@@ -195,9 +195,9 @@
 // cutOff is a platform at which one process can neither renew nor revoke its lease.
 type cutOff struct{ *fakeKV }
 
-func (cutOff) Renew(context.Context, platform.LeaseID) error { return platform.ErrUnavailable }
+func (cutOff) Renew(context.Context, services.LeaseID) error { return services.ErrUnavailable }
 
-func (cutOff) Revoke(context.Context, platform.LeaseID) error { return platform.ErrUnavailable }
+func (cutOff) Revoke(context.Context, services.LeaseID) error { return services.ErrUnavailable }
 
 // Guards against a holder that believes in its lease without renewals, and against a successor that waits for ever.
 func TestHolderWithoutRenewals(t *testing.T) {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -11,7 +11,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Config configures a Table.
@@ -55,7 +55,7 @@
 
 // member is what is known of one instance.
 type member struct {
-	platform.Instance
+	services.Instance
 	listed    bool
 	connected bool
 	// announced is when the instance said that it leaves; zero if it did not.
@@ -88,7 +88,7 @@
 
 // ApplyList takes a new instance list. A listed instance that is leaving is believed at once. One that is missing goes only
 // when it is not connected either. An empty list is ignored while instances are known: it is more likely a fault of the list.
-func (t *Table) ApplyList(rows []platform.Instance) {
+func (t *Table) ApplyList(rows []services.Instance) {
 	if len(rows) == 0 {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 // ApplyChanges takes the rows of the instance list that changed and the ids that are gone from it.
-func (t *Table) ApplyChanges(rows []platform.Instance, removed []string) {
+func (t *Table) ApplyChanges(rows []services.Instance, removed []string) {
 	for _, row := range rows {
 		t.list(row)
 	}
@@ -120,7 +120,7 @@
 	}
 }
 
-func (t *Table) list(row platform.Instance) {
+func (t *Table) list(row services.Instance) {
 	m := t.members[row.ID]
 	if m == nil {
 		m = &member{}
@@ -158,11 +158,11 @@
 
 // Connected notes a connection to an instance, with what the instance says of itself. It ends an earlier announcement: an
 // instance that leaves accepts no new connections.
-func (t *Table) Connected(self platform.Instance) {
+func (t *Table) Connected(self services.Instance) {
 	m := t.members[self.ID]
 	if m == nil {
 		m = &member{Instance: self}
-		m.State = platform.InstanceLive
+		m.State = services.InstanceLive
 		t.members[self.ID] = m
 	}
 	if self.Version != "" && m.Version != self.Version {
@@ -227,8 +227,8 @@
 }
 
 // Eligible returns the instances of a role that may get new work, ordered by id.
-func (t *Table) Eligible(now time.Time, role string) []platform.Instance {
-	var eligible []platform.Instance
+func (t *Table) Eligible(now time.Time, role string) []services.Instance {
+	var eligible []services.Instance
 	for _, m := range t.members {
 		if m.Role == role && t.eligible(now, m) {
 			eligible = append(eligible, m.Instance)
@@ -239,7 +239,7 @@
 }
 
 func (t *Table) eligible(now time.Time, m *member) bool {
-	if m.State == platform.InstanceLeaving {
+	if m.State == services.InstanceLeaving {
 		return false
 	}
 	if !m.announced.IsZero() && !expired(now, m.announced, t.cfg.LeavingFor) {
@@ -249,8 +249,8 @@
 }
 
 // Known returns all instances of a role, ordered by id, whether or not they may get new work.
-func (t *Table) Known(role string) []platform.Instance {
-	var known []platform.Instance
+func (t *Table) Known(role string) []services.Instance {
+	var known []services.Instance
 	for _, m := range t.members {
 		if m.Role == role {
 			known = append(known, m.Instance)
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -8,16 +8,16 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 var start = time.Unix(1_700_000_000, 0)
 
-func row(id string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: "sidecar", Address: "127.0.0.1:1", State: state}
+func row(id string, state services.InstanceState) services.Instance {
+	return services.Instance{ID: id, Role: "sidecar", Address: "127.0.0.1:1", State: state}
 }
 
-func ids(instances []platform.Instance) []string {
+func ids(instances []services.Instance) []string {
 	names := []string{}
 	for _, i := range instances {
 		names = append(names, i.ID)
@@ -27,7 +27,7 @@
 
 // Each case guards against one way in which a lagging source gives or takes work wrongly.
 func TestTable_MergesSources(t *testing.T) {
-	live := []platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive)}
+	live := []services.Instance{row("a", services.InstanceLive), row("b", services.InstanceLive)}
 	onlyA := live[:1]
 	cases := []struct {
 		name  string
@@ -37,15 +37,15 @@
 	}{
 		{"listed instances are eligible", func(*Table) {}, 0, []string{"a", "b"}},
 		{"leaving in the list is believed at once", func(m *Table) {
-			m.Connected(row("b", platform.InstanceLive))
-			m.ApplyList([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLeaving)})
+			m.Connected(row("b", services.InstanceLive))
+			m.ApplyList([]services.Instance{row("a", services.InstanceLive), row("b", services.InstanceLeaving)})
 		}, 0, []string{"a"}},
 		{"missing from the list but connected stays", func(m *Table) {
-			m.Connected(row("b", platform.InstanceLive))
+			m.Connected(row("b", services.InstanceLive))
 			m.ApplyList(onlyA)
 		}, time.Hour, []string{"a", "b"}},
 		{"missing from the list and disconnected goes", func(m *Table) {
-			m.Connected(row("b", platform.InstanceLive))
+			m.Connected(row("b", services.InstanceLive))
 			m.ApplyList(onlyA)
 			m.Disconnected(start, "b")
 		}, 0, []string{"a"}},
@@ -61,11 +61,11 @@
 		}, 30 * time.Second, []string{"a"}},
 		{"a replacement of the same name is taken at once", func(m *Table) {
 			m.Leaving(start, "b")
-			m.Connected(row("b", platform.InstanceLive))
+			m.Connected(row("b", services.InstanceLive))
 		}, 0, []string{"a", "b"}},
 		{"changed rows and removed ids are taken alone", func(m *Table) {
-			m.Connected(row("a", platform.InstanceLive))
-			m.ApplyChanges([]platform.Instance{row("c", platform.InstanceLive), row("d", platform.InstanceLeaving)}, []string{"a", "b", "x"})
+			m.Connected(row("a", services.InstanceLive))
+			m.ApplyChanges([]services.Instance{row("c", services.InstanceLive), row("d", services.InstanceLeaving)}, []string{"a", "b", "x"})
 		}, 0, []string{"a", "c"}},
 		{"an empty list is a fault of the list", func(m *Table) { m.ApplyList(nil) }, 0, []string{"a", "b"}},
 	}
@@ -82,7 +82,7 @@
 // Guards against an expiry that nobody notices because no message comes with it.
 func TestChanged_SeesExpiry(t *testing.T) {
 	table := New(DefaultConfig())
-	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive)})
+	table.ApplyList([]services.Instance{row("a", services.InstanceLive)})
 	table.Disconnected(start, "a")
 	must.True(t, table.Changed(start))
 	must.False(t, table.Changed(start.Add(time.Second)))
@@ -93,11 +93,11 @@
 // Guards against a silently dead instance that stays a candidate because nobody probes its idle connection once the list drops it.
 func TestUnlisted(t *testing.T) {
 	table := New(DefaultConfig())
-	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive), row("b", platform.InstanceLive), row("c", platform.InstanceLive)})
-	table.Connected(row("a", platform.InstanceLive))
-	table.Connected(row("b", platform.InstanceLive))
+	table.ApplyList([]services.Instance{row("a", services.InstanceLive), row("b", services.InstanceLive), row("c", services.InstanceLive)})
+	table.Connected(row("a", services.InstanceLive))
+	table.Connected(row("b", services.InstanceLive))
 	must.SliceEmpty(t, table.Unlisted())
-	table.ApplyList([]platform.Instance{row("a", platform.InstanceLive)})
+	table.ApplyList([]services.Instance{row("a", services.InstanceLive)})
 	must.Eq(t, []string{"b"}, table.Unlisted())
 }
 
@@ -112,15 +112,15 @@
 			name := names.Draw(t, "name")
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
-				table.Connected(row(name, platform.InstanceLive))
+				table.Connected(row(name, services.InstanceLive))
 			case 1:
 				table.Disconnected(now, name)
 			case 2:
 				table.Leaving(now, name)
 			case 3:
-				table.ApplyList([]platform.Instance{row(name, platform.InstanceLive)})
+				table.ApplyList([]services.Instance{row(name, services.InstanceLive)})
 			case 4:
-				table.ApplyChanges([]platform.Instance{row(name, platform.InstanceLive)}, []string{names.Draw(t, "gone")})
+				table.ApplyChanges([]services.Instance{row(name, services.InstanceLive)}, []string{names.Draw(t, "gone")})
 			default:
 				now = now.Add(time.Duration(rapid.IntRange(0, 70).Draw(t, "seconds")) * time.Second)
 			}
--- a/process/membership/redial.go
+++ b/process/membership/redial.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // redialQueue holds unreachable instances in the order in which they are tried again.
@@ -42,15 +42,15 @@
 
 // unreachable reports whether the last attempt to reach an instance that is listed as live failed.
 func (m *member) unreachable() bool {
-	return m.listed && m.State == platform.InstanceLive && !m.connected && !m.downSince.IsZero()
+	return m.listed && m.State == services.InstanceLive && !m.connected && !m.downSince.IsZero()
 }
 
 // Redial returns the unreachable instances that are to be tried again now. Without it an instance that was cut off for longer than
 // Config.DownAfter would get no work, and therefore no connection, ever after. It is called about once a second; each attempt ends in
 // Connected or Disconnected.
-func (t *Table) Redial(now time.Time) []platform.Instance {
+func (t *Table) Redial(now time.Time) []services.Instance {
 	var tried []*member
-	var due []platform.Instance
+	var due []services.Instance
 	for _, q := range []*redialQueue{&t.recovering, &t.unreachable} {
 		for m := q.next(now); m != nil; m = q.next(now) {
 			tried = append(tried, m)
--- a/process/membership/redial_test.go
+++ b/process/membership/redial_test.go
@@ -7,15 +7,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // unreachableTable has perDataCentre unreachable instances in each data centre.
 func unreachableTable(now time.Time, perDataCentre int, dataCentres ...string) *Table {
-	var rows []platform.Instance
+	var rows []services.Instance
 	for _, dc := range dataCentres {
 		for i := range perDataCentre {
-			rows = append(rows, platform.Instance{ID: fmt.Sprintf("%s-%d", dc, i), Role: "sidecar", DataCentre: dc, State: platform.InstanceLive})
+			rows = append(rows, services.Instance{ID: fmt.Sprintf("%s-%d", dc, i), Role: "sidecar", DataCentre: dc, State: services.InstanceLive})
 		}
 	}
 	table := New(DefaultConfig())
@@ -63,7 +63,7 @@
 		}
 		if second == 0 {
 			// The first attempts reach suva only; a request may reach an instance first.
-			table.Connected(platform.Instance{ID: "nadi-0"})
+			table.Connected(services.Instance{ID: "nadi-0"})
 			back++
 		}
 	}
@@ -75,11 +75,11 @@
 func TestRedial_OnlyUnreachable(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := unreachableTable(now, 4, "suva")
-	table.Connected(platform.Instance{ID: "suva-0"})
-	table.ApplyChanges([]platform.Instance{{ID: "suva-3", DataCentre: "suva", State: platform.InstanceLeaving}}, []string{"suva-1"})
+	table.Connected(services.Instance{ID: "suva-0"})
+	table.ApplyChanges([]services.Instance{{ID: "suva-3", DataCentre: "suva", State: services.InstanceLeaving}}, []string{"suva-1"})
 	must.Eq(t, []string{"suva-2"}, ids(table.Redial(now)))
 	table.Leaving(now, "suva-0")
-	table.Connected(platform.Instance{ID: "suva-2"})
+	table.Connected(services.Instance{ID: "suva-2"})
 	must.Eq(t, []string{}, ids(table.Redial(now.Add(time.Second))))
 	// The connection of an instance that leaves ends; from then on it may be back.
 	table.Disconnected(now.Add(time.Second), "suva-0")
--- a/process/node/admin.go
+++ b/process/node/admin.go
@@ -7,7 +7,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rules"
 )
 
@@ -19,8 +19,8 @@
 	Leaving       bool                `json:"leaving"`
 	ConfigVersion uint64              `json:"config_version"`
 	Confirmations map[string]uint64   `json:"confirmations"`
-	Sidecars      []platform.Instance `json:"sidecars,omitempty"`
-	Entries       []platform.Instance `json:"entries,omitempty"`
+	Sidecars      []services.Instance `json:"sidecars,omitempty"`
+	Entries       []services.Instance `json:"entries,omitempty"`
 	Detail        any                 `json:"detail,omitempty"`
 }
 
--- a/process/node/control.go
+++ b/process/node/control.go
@@ -8,9 +8,9 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/version/config"
 	"github.com/jayridge/jayridge/version/rules"
@@ -197,7 +197,7 @@
 		return
 	}
 	address := seeds[rand.IntN(len(seeds))]
-	c.n.run(func() { _, _ = c.n.pool.Get(ctx, platform.Instance{Address: address}) })
+	c.n.run(func() { _, _ = c.n.pool.Get(ctx, services.Instance{Address: address}) })
 }
 
 // pull asks a peer for the configuration after the version in force, unless an earlier question is still open. A peer may leave a
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -18,9 +18,9 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
@@ -31,8 +31,8 @@
 	// Config is the accepted configuration in force here; nil until one is known.
 	Config *config.Accepted
 	// Sidecars and Entries are the instances that may get new work, ordered by id.
-	Sidecars []platform.Instance
-	Entries  []platform.Instance
+	Sidecars []services.Instance
+	Entries  []services.Instance
 }
 
 // Version returns the configuration version in force, zero if there is none.
@@ -75,8 +75,8 @@
 // Options are a node's collaborators. KV and List may be nil.
 type Options struct {
 	Settings *settings.Settings
-	KV       platform.KV
-	List     platform.InstanceList
+	KV       services.KV
+	List     services.InstanceList
 	Link     link.Config
 	Member   membership.Config
 	Role     Role
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
 	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
@@ -38,7 +38,7 @@
 func (idleRole) Status() any                                                         { return nil }
 
 // startNode starts an entry that knows its seeds only, or the key-value service.
-func startNode(t *testing.T, name string, store platform.KV, seeds ...string) *Node {
+func startNode(t *testing.T, name string, store services.KV, seeds ...string) *Node {
 	return start(t, Options{Settings: testSettings(name, loopback.Address(), seeds...), KV: store, Role: idleRole{}})
 }
 
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -11,8 +11,8 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/config"
 )
 
@@ -22,9 +22,9 @@
 // connected notes a connection with a peer. The handshake showed each side the other's configuration version.
 func (n *Node) connected(conn *link.Conn) {
 	remote := conn.Remote()
-	self := platform.Instance{
+	self := services.Instance{
 		ID: remote.Instance, Role: remote.Role, DataCentre: remote.DataCentre, Address: remote.Address,
-		Service: remote.Service, Version: remote.Version, State: platform.InstanceLive,
+		Service: remote.Service, Version: remote.Version, State: services.InstanceLive,
 	}
 	n.postAlways(func(c *control) { c.members.Connected(self) })
 	n.ObserveVersion(conn, remote.ConfigVersion)
--- a/process/node/peers_test.go
+++ b/process/node/peers_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/membership"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
@@ -53,10 +53,10 @@
 // control goroutine may look before it is gone.
 func TestHandleClose_NotesLossAtOnce(t *testing.T) {
 	n, peer := startNode(t, "first", nil), startNode(t, "second", nil)
-	conn, err := n.Pool().Get(t.Context(), platform.Instance{ID: "second", Address: peer.opts.Settings.PeerAddress})
+	conn, err := n.Pool().Get(t.Context(), services.Instance{ID: "second", Address: peer.opts.Settings.PeerAddress})
 	must.NoError(t, err)
-	eligible := func() []platform.Instance {
-		found := make(chan []platform.Instance)
+	eligible := func() []services.Instance {
+		found := make(chan []services.Instance)
 		n.post(func(c *control) {
 			found <- c.members.Eligible(time.Now().Add(membership.DefaultConfig().DownAfter), settings.RoleEntry)
 		})
--- a/process/node/pool.go
+++ b/process/node/pool.go
@@ -10,8 +10,8 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
@@ -53,7 +53,7 @@
 // known. Concurrent callers share one attempt to connect. When the instance has another address than the one it is connected at, the
 // connection stays in use until the new address has answered: the instance list may be older than the connection. An error means that
 // nothing was sent to the instance; it wraps link.ErrProtocolVersion for a peer of another major version.
-func (p *Pool) Get(ctx context.Context, instance platform.Instance) (*link.Conn, error) {
+func (p *Pool) Get(ctx context.Context, instance services.Instance) (*link.Conn, error) {
 	for {
 		conn, dialing, err := p.connect(instance)
 		if conn != nil || err != nil {
@@ -68,7 +68,7 @@
 }
 
 // connect returns the live connection to an instance, or what is closed when an attempt to connect has ended.
-func (p *Pool) connect(instance platform.Instance) (*link.Conn, <-chan struct{}, error) {
+func (p *Pool) connect(instance services.Instance) (*link.Conn, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.slot(instance)
@@ -95,7 +95,7 @@
 }
 
 // Prepare makes the connection to an instance in the background unless there is one or one failed a moment ago.
-func (p *Pool) Prepare(instance platform.Instance) {
+func (p *Pool) Prepare(instance services.Instance) {
 	if p.Connected(instance.ID) != nil {
 		return
 	}
@@ -114,7 +114,7 @@
 }
 
 // slot returns the slot of an instance. The lock is held.
-func (p *Pool) slot(instance platform.Instance) *slot {
+func (p *Pool) slot(instance services.Instance) *slot {
 	key := instance.ID
 	if key == "" {
 		key = instance.Address
@@ -149,7 +149,7 @@
 	return nil
 }
 
-func (p *Pool) dial(instance platform.Instance, s *slot) {
+func (p *Pool) dial(instance services.Instance, s *slot) {
 	conn, err := p.handshake(instance)
 	p.mu.Lock()
 	var previous *link.Conn
@@ -178,7 +178,7 @@
 
 // handshake connects to an instance. Whoever answers must be that instance: a list that lags may name an address that another instance
 // has by now.
-func (p *Pool) handshake(instance platform.Instance) (*link.Conn, error) {
+func (p *Pool) handshake(instance services.Instance) (*link.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Milliseconds(p.n.opts.Settings.ConnectTimeoutMS))
 	defer cancel()
 	conn, err := link.Dial(ctx, instance.Address, p.n.opts.Link, p.n.hello, p.handler)
@@ -210,7 +210,7 @@
 }
 
 // retain forgets the instances that are neither known any more nor connected.
-func (p *Pool) retain(known ...[]platform.Instance) {
+func (p *Pool) retain(known ...[]services.Instance) {
 	keep := map[string]bool{}
 	for _, instances := range known {
 		for _, i := range instances {
--- a/process/node/pool_test.go
+++ b/process/node/pool_test.go
@@ -14,7 +14,7 @@
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -32,9 +32,9 @@
 	_ = responder.End(wire.End{Result: uint8(result.OK)})
 }
 
-func instance(n *Node) platform.Instance {
+func instance(n *Node) services.Instance {
 	s := n.opts.Settings
-	return platform.Instance{ID: s.Instance, Role: s.Role, DataCentre: s.DataCentre, Address: s.PeerAddress, State: platform.InstanceLive}
+	return services.Instance{ID: s.Instance, Role: s.Role, DataCentre: s.DataCentre, Address: s.PeerAddress, State: services.InstanceLive}
 }
 
 func eventually(t *testing.T, condition func() bool) {
@@ -113,7 +113,7 @@
 	entry := startNode(t, "entry", nil)
 	peer := startNode(t, "peer", nil)
 	listed := instance(peer)
-	entry.post(func(c *control) { c.members.ApplyList([]platform.Instance{instance(entry), listed}) })
+	entry.post(func(c *control) { c.members.ApplyList([]services.Instance{instance(entry), listed}) })
 	eligible := func() bool {
 		for _, i := range entry.Snapshot().Entries {
 			if i.ID == "peer" {
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/budget"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
+	"github.com/jayridge/jayridge/process/services/budget"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/version/config"
 )
@@ -29,7 +29,7 @@
 )
 
 // chooseWatch starts or ends this entry's watch of the configuration head.
-func (c *control) chooseWatch(ctx context.Context, entries []platform.Instance) {
+func (c *control) chooseWatch(ctx context.Context, entries []services.Instance) {
 	if c.n.opts.KV == nil || c.n.opts.Settings.Role != settings.RoleEntry {
 		return
 	}
@@ -47,7 +47,7 @@
 
 // watches reports whether the instance is among the first of its data centre by hash. An instance that the list does not show yet
 // watches, since nobody else may.
-func watches(s *settings.Settings, entries []platform.Instance) bool {
+func watches(s *settings.Settings, entries []services.Instance) bool {
 	var hashes []uint64
 	listed := false
 	for _, e := range entries {
@@ -63,7 +63,7 @@
 
 // watchHead posts each new configuration head to the control goroutine until ctx ends.
 func (n *Node) watchHead(ctx context.Context) {
-	var after platform.Revision
+	var after services.Revision
 	backoff := newBackoff()
 	for ctx.Err() == nil {
 		kv, err := n.opts.KV.Watch(ctx, config.HeadKey, after)
@@ -81,7 +81,7 @@
 	}
 }
 
-func (n *Node) takeHead(ctx context.Context, kv platform.KeyValue) {
+func (n *Node) takeHead(ctx context.Context, kv services.KeyValue) {
 	head, err := config.DecodeHead(kv.Value)
 	if err == nil {
 		head, err = config.Complete(ctx, n.opts.KV, head, n.Snapshot().Config)
@@ -143,7 +143,7 @@
 }
 
 // applyList takes a new instance list or what changed in it. Idle connections are probed rarely, so those to instances that are gone from it are probed now.
-func (c *control) applyList(update platform.InstanceUpdate) {
+func (c *control) applyList(update services.InstanceUpdate) {
 	if update.Whole {
 		c.members.ApplyList(update.Instances)
 	} else {
--- a/process/order/order.go
+++ b/process/order/order.go
@@ -14,7 +14,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -41,16 +41,16 @@
 	return nil
 }
 
-// Engine is the part of platform.Engine that takes orders.
+// Engine is the part of services.Engine that takes orders.
 type Engine interface {
-	// Order passes an order on; see platform.Engine.
-	Order(ctx context.Context, order platform.Order) error
+	// Order passes an order on; see services.Engine.
+	Order(ctx context.Context, order services.Order) error
 }
 
 // Gate passes the orders of one upstream, one at a time. It may be used by several goroutines.
 type Gate struct {
 	cfg    Config
-	kv     platform.KV
+	kv     services.KV
 	engine Engine
 	key    string
 	turn   chan struct{}
@@ -61,7 +61,7 @@
 func Key(upstream string) string { return "order/" + upstream }
 
 // NewGate returns the gate of an upstream. A nil kv passes no order.
-func NewGate(cfg Config, kv platform.KV, engine Engine, upstream string) *Gate {
+func NewGate(cfg Config, kv services.KV, engine Engine, upstream string) *Gate {
 	return &Gate{cfg: cfg, kv: kv, engine: engine, key: Key(upstream), turn: make(chan struct{}, 1), now: time.Now}
 }
 
@@ -71,7 +71,7 @@
 // Pass passes an order to the engine if no order with a higher fencing token passed before. It blocks on the platform and the engine.
 // The result is OK, StaleOrder, FenceUnknown when the platform could not tell the highest token, or UpstreamError and UpstreamBroken
 // when the engine failed.
-func (g *Gate) Pass(ctx context.Context, order platform.Order) (result.Code, error) {
+func (g *Gate) Pass(ctx context.Context, order services.Order) (result.Code, error) {
 	select {
 	case g.turn <- struct{}{}:
 		defer func() { <-g.turn }()
@@ -102,7 +102,7 @@
 // conflict or a lost answer is an error; reading again settles it.
 func (g *Gate) raise(ctx context.Context, fence uint64) (checked time.Time, stale bool, err error) {
 	kv, err := g.kv.Get(ctx, g.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, services.ErrNotFound) {
 		return time.Time{}, false, err
 	}
 	var highest uint64
@@ -118,15 +118,15 @@
 	return checked, false, err
 }
 
-func (g *Gate) send(ctx context.Context, order platform.Order) (result.Code, error) {
+func (g *Gate) send(ctx context.Context, order services.Order) (result.Code, error) {
 	err := g.engine.Order(ctx, order)
-	var status *platform.StatusError
+	var status *services.StatusError
 	switch {
 	case err == nil:
 		return result.OK, nil
-	case errors.Is(err, platform.ErrStaleFence):
+	case errors.Is(err, services.ErrStaleFence):
 		return result.StaleOrder, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, services.ErrUnavailable):
 		return result.Unreachable, trace.Wrap(err)
 	case errors.As(err, &status):
 		return result.UpstreamError, trace.Wrap(err)
--- a/process/order/order_test.go
+++ b/process/order/order_test.go
@@ -9,21 +9,21 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
 // trustingEngine ignores fencing tokens, as some engines do.
 type trustingEngine struct{ fences []uint64 }
 
-func (e *trustingEngine) Order(_ context.Context, order platform.Order) error {
+func (e *trustingEngine) Order(_ context.Context, order services.Order) error {
 	e.fences = append(e.fences, order.Fence)
 	return nil
 }
 
-func newStore(t *testing.T) (*kv.Server, platform.KV) {
+func newStore(t *testing.T) (*kv.Server, services.KV) {
 	standin := kv.New()
 	server := httptest.NewServer(standin)
 	t.Cleanup(server.Close)
@@ -49,7 +49,7 @@
 			}
 			fence := rapid.Uint64Range(1, 6).Draw(rt, "fence")
 			before := len(engine.fences)
-			code, _ := gate.Pass(context.Background(), platform.Order{Kind: platform.OrderSetRole, Fence: fence})
+			code, _ := gate.Pass(context.Background(), services.Order{Kind: services.OrderSetRole, Fence: fence})
 			if (code == result.OK) != (len(engine.fences) > before) {
 				rt.Fatalf("%v, but the engine got %d orders", code, len(engine.fences)-before)
 			}
@@ -71,14 +71,14 @@
 	calls := 0
 	paused.now = func() time.Time {
 		if calls++; calls == 2 {
-			code, err := other.Pass(context.Background(), platform.Order{Fence: 2})
+			code, err := other.Pass(context.Background(), services.Order{Fence: 2})
 			must.NoError(t, err)
 			must.Eq(t, result.OK, code)
 			return time.Now().Add(time.Minute)
 		}
 		return time.Now()
 	}
-	code, err := paused.Pass(context.Background(), platform.Order{Fence: 1})
+	code, err := paused.Pass(context.Background(), services.Order{Fence: 1})
 	must.NoError(t, err)
 	must.Eq(t, result.StaleOrder, code)
 	must.Eq(t, []uint64{2}, engine.fences)
@@ -89,7 +89,7 @@
 	standin, store := newStore(t)
 	standin.SetFaults(kv.Faults{Down: kv.DownRefuse})
 	engine := &trustingEngine{}
-	code, err := NewGate(DefaultConfig(), store, engine, "press-1").Pass(context.Background(), platform.Order{Fence: 9})
+	code, err := NewGate(DefaultConfig(), store, engine, "press-1").Pass(context.Background(), services.Order{Fence: 9})
 	must.Error(t, err)
 	must.Eq(t, result.FenceUnknown, code)
 	must.SliceEmpty(t, engine.fences)
--- a/platform/budget/budget.go
+++ b/process/services/budget/budget.go
@@ -24,14 +24,14 @@
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 var counters = expvar.NewMap("jayridge_platform")
 
-// KV is a platform.KV within a budget. It is safe for concurrent use.
+// KV is a services.KV within a budget. It is safe for concurrent use.
 type KV struct {
-	kv     platform.KV
+	kv     services.KV
 	cfg    Config
 	reads  *rate.Limiter
 	writes *rate.Limiter
@@ -39,10 +39,10 @@
 	report reporter
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ services.KV = (*KV)(nil)
 
 // Wrap returns kv within a budget.
-func Wrap(kv platform.KV, cfg Config) (*KV, error) {
+func Wrap(kv services.KV, cfg Config) (*KV, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -55,61 +55,61 @@
 	}, nil
 }
 
-// Get implements platform.KV. A call that another caller shares does not end with either caller's context.
-func (b *KV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+// Get implements services.KV. A call that another caller shares does not end with either caller's context.
+func (b *KV) Get(ctx context.Context, key string) (services.KeyValue, error) {
 	leader := false
 	result := b.gets.DoChan(key, func() (any, error) {
 		leader = true
 		shared, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.cfg.ReadTimeout)
 		defer cancel()
-		return call(b, shared, b.reads, "reads", func() (platform.KeyValue, error) { return b.kv.Get(shared, key) })
+		return call(b, shared, b.reads, "reads", func() (services.KeyValue, error) { return b.kv.Get(shared, key) })
 	})
 	select {
 	case r := <-result:
 		if !leader {
 			counters.Add("merged", 1)
 		}
-		kv, _ := r.Val.(platform.KeyValue)
+		kv, _ := r.Val.(services.KeyValue)
 		return kv, trace.Wrap(r.Err)
 	case <-ctx.Done():
-		return platform.KeyValue{}, trace.Wrap(ctx.Err())
+		return services.KeyValue{}, trace.Wrap(ctx.Err())
 	}
 }
 
-// CompareAndSwap implements platform.KV.
-func (b *KV) CompareAndSwap(ctx context.Context, key string, prev platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
-	return call(b, ctx, b.writes, "writes", func() (platform.Revision, error) {
+// CompareAndSwap implements services.KV.
+func (b *KV) CompareAndSwap(ctx context.Context, key string, prev services.Revision, value []byte, lease services.LeaseID) (services.Revision, error) {
+	return call(b, ctx, b.writes, "writes", func() (services.Revision, error) {
 		return b.kv.CompareAndSwap(ctx, key, prev, value, lease)
 	})
 }
 
-// List implements platform.KV.
+// List implements services.KV.
 func (b *KV) List(ctx context.Context, prefix string, limit int) ([]string, error) {
 	return call(b, ctx, b.reads, "reads", func() ([]string, error) { return b.kv.List(ctx, prefix, limit) })
 }
 
-// Watch implements platform.KV.
-func (b *KV) Watch(ctx context.Context, key string, after platform.Revision) (platform.KeyValue, error) {
-	return call(b, ctx, b.reads, "reads", func() (platform.KeyValue, error) {
+// Watch implements services.KV.
+func (b *KV) Watch(ctx context.Context, key string, after services.Revision) (services.KeyValue, error) {
+	return call(b, ctx, b.reads, "reads", func() (services.KeyValue, error) {
 		counters.Add("watching", 1)
 		defer counters.Add("watching", -1)
 		return b.kv.Watch(ctx, key, after)
 	})
 }
 
-// Grant implements platform.KV.
-func (b *KV) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return call(b, ctx, b.writes, "leases", func() (platform.LeaseID, error) { return b.kv.Grant(ctx, ttl) })
+// Grant implements services.KV.
+func (b *KV) Grant(ctx context.Context, ttl time.Duration) (services.LeaseID, error) {
+	return call(b, ctx, b.writes, "leases", func() (services.LeaseID, error) { return b.kv.Grant(ctx, ttl) })
 }
 
-// Renew implements platform.KV.
-func (b *KV) Renew(ctx context.Context, lease platform.LeaseID) error {
+// Renew implements services.KV.
+func (b *KV) Renew(ctx context.Context, lease services.LeaseID) error {
 	_, err := call(b, ctx, b.writes, "leases", func() (struct{}, error) { return struct{}{}, b.kv.Renew(ctx, lease) })
 	return err
 }
 
-// Revoke implements platform.KV.
-func (b *KV) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements services.KV.
+func (b *KV) Revoke(ctx context.Context, lease services.LeaseID) error {
 	_, err := call(b, ctx, b.writes, "leases", func() (struct{}, error) { return struct{}{}, b.kv.Revoke(ctx, lease) })
 	return err
 }
--- a/platform/budget/budget_test.go
+++ b/process/services/budget/budget_test.go
@@ -14,31 +14,31 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // fakeKV answers Get after a millisecond and CompareAndSwap at once.
 type fakeKV struct {
-	platform.KV
+	services.KV
 	gets, writes atomic.Int64
 	down         atomic.Bool
 }
 
-func (f *fakeKV) Get(context.Context, string) (platform.KeyValue, error) {
+func (f *fakeKV) Get(context.Context, string) (services.KeyValue, error) {
 	f.gets.Add(1)
 	time.Sleep(time.Millisecond)
 	if f.down.Load() {
-		return platform.KeyValue{}, platform.ErrUnavailable
+		return services.KeyValue{}, services.ErrUnavailable
 	}
-	return platform.KeyValue{Value: []byte("v"), Revision: 1}, nil
+	return services.KeyValue{Value: []byte("v"), Revision: 1}, nil
 }
 
-func (f *fakeKV) CompareAndSwap(context.Context, string, platform.Revision, []byte, platform.LeaseID) (platform.Revision, error) {
+func (f *fakeKV) CompareAndSwap(context.Context, string, services.Revision, []byte, services.LeaseID) (services.Revision, error) {
 	f.writes.Add(1)
-	return 0, platform.ErrConflict
+	return 0, services.ErrConflict
 }
 
 func wrap(t *testing.T, change func(*Config)) (*KV, *fakeKV, *[]event.ID) {
@@ -75,7 +75,7 @@
 		start := time.Now()
 		for range 45 {
 			_, err := b.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-			must.ErrorIs(t, err, platform.ErrConflict)
+			must.ErrorIs(t, err, services.ErrConflict)
 		}
 		must.Eq(t, 4*time.Second, time.Since(start).Round(time.Millisecond))
 		must.Eq(t, 40, counter("delayed")-delayed)
@@ -86,7 +86,7 @@
 		soon, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
 		_, err = b.CompareAndSwap(soon, "k", 0, nil, 0)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, services.ErrUnavailable)
 		must.Eq(t, 1, counter("rejected")-rejected)
 		must.Eq(t, 45, fake.writes.Load())
 	})
--- a/platform/budget/jitter.go
+++ b/process/services/budget/jitter.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // FullJitter returns a wait drawn uniformly from zero to base doubled attempt times, at most limit. Full jitter spreads the
@@ -31,17 +31,17 @@
 
 // Reread gets a key after an outage: it waits with full jitter before each attempt and repeats while the service is
 // unavailable. It returns the context's error when that ends first. One goroutine uses random at a time.
-func (b *KV) Reread(ctx context.Context, random *rand.Rand, key string) (platform.KeyValue, error) {
+func (b *KV) Reread(ctx context.Context, random *rand.Rand, key string) (services.KeyValue, error) {
 	for attempt := 0; ; attempt++ {
 		wait := time.NewTimer(FullJitter(random, attempt, b.cfg.RereadBase, b.cfg.RereadMax))
 		select {
 		case <-wait.C:
 		case <-ctx.Done():
 			wait.Stop()
-			return platform.KeyValue{}, trace.Wrap(ctx.Err())
+			return services.KeyValue{}, trace.Wrap(ctx.Err())
 		}
 		kv, err := b.Get(ctx, key)
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, services.ErrUnavailable) {
 			return kv, trace.Wrap(err)
 		}
 	}
--- a/platform/budget/report.go
+++ b/process/services/budget/report.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // throttleLogInterval bounds the log of delayed calls, of which a throttled process makes many a second.
@@ -40,7 +40,7 @@
 
 // result takes the end of a call. A call that its own caller ended says nothing about the service.
 func (r *reporter) result(ctx context.Context, err error) {
-	failure := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown)
+	failure := errors.Is(err, services.ErrUnavailable) || errors.Is(err, services.ErrOutcomeUnknown)
 	switch {
 	case failure && !errors.Is(ctx.Err(), context.Canceled):
 		counters.Add("failures", 1)
@@ -65,7 +65,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < delay {
 		reservation.Cancel()
 		counters.Add("rejected", 1)
-		return fmt.Errorf("%w: the call budget allows this call in %v", platform.ErrUnavailable, delay)
+		return fmt.Errorf("%w: the call budget allows this call in %v", services.ErrUnavailable, delay)
 	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -75,6 +75,6 @@
 	case <-ctx.Done():
 		reservation.Cancel()
 		counters.Add("rejected", 1)
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return fmt.Errorf("%w: %w", services.ErrUnavailable, ctx.Err())
 	}
 }
--- a/platform/platform.go
+++ b/process/services/services.go
@@ -1,8 +1,8 @@
-// Package platform declares what jayridge needs from the platform and from upstreams.
+// Package services declares what jayridge needs from the platform and from upstreams.
 //
 // Each interface has an adapter in a sub-package. Decisions never import an adapter, so that one can be replaced without
 // touching them. Every method may block on the network and honours its context; none is called by a control goroutine directly.
-package platform
+package services
 
 import (
 	"context"
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -15,8 +15,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/lease"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rollout"
 	"github.com/jayridge/jayridge/version/rules"
 )
@@ -29,7 +29,7 @@
 	Go(f func(ctx context.Context))
 	// Send sends an entry the message that build returns for its minor version of the protocol. It does so in the background, and
 	// messages may be lost.
-	Send(to platform.Instance, build func(minor uint16) (wire.Message, error))
+	Send(to services.Instance, build func(minor uint16) (wire.Message, error))
 	// GossipSome sends the digests to some peers at once.
 	GossipSome()
 }
@@ -40,7 +40,7 @@
 	Lease      lease.Config
 	Instance   string
 	DataCentre string
-	KV         platform.KV
+	KV         services.KV
 	Host       Host
 }
 
@@ -98,7 +98,7 @@
 	view     atomic.Pointer[view]
 	// reported and forwarded are the windows in which the last report of this entry and of its data centre were sent.
 	reported, forwarded int64
-	entries             []platform.Instance
+	entries             []services.Instance
 }
 
 // running is one shift.
@@ -114,7 +114,7 @@
 	stop       *wire.RolloutStop
 	// record is the newest record with its revision, as it is gossiped.
 	record   []byte
-	revision platform.Revision
+	revision services.Revision
 	// recordSent counts the gossip messages since the record changed.
 	recordSent int
 	readFrom   time.Time
@@ -177,7 +177,7 @@
 }
 
 // Tick advances all rollouts.
-func (d *Driver) Tick(now time.Time, entries []platform.Instance) {
+func (d *Driver) Tick(now time.Time, entries []services.Instance) {
 	d.entries = entries
 	d.drain(now)
 	window := d.opts.Config.WindowOf(now)
@@ -207,8 +207,8 @@
 }
 
 func (d *Driver) tick(now time.Time, r *running, report, forward bool) {
-	aggregator := first(d.entries, r.shift.Service, func(i platform.Instance) bool { return i.DataCentre == d.opts.DataCentre })
-	leader := first(d.entries, r.shift.Service, func(platform.Instance) bool { return true })
+	aggregator := first(d.entries, r.shift.Service, func(i services.Instance) bool { return i.DataCentre == d.opts.DataCentre })
+	leader := first(d.entries, r.shift.Service, func(services.Instance) bool { return true })
 	aggregates := aggregator.ID == d.opts.Instance
 	leads := leader.ID == d.opts.Instance
 	d.keepLease(r, leads)
@@ -233,7 +233,7 @@
 }
 
 // report sends this entry's counts of the window that just ended to the aggregator of its data centre.
-func (d *Driver) report(now time.Time, r *running, aggregator platform.Instance) {
+func (d *Driver) report(now time.Time, r *running, aggregator services.Instance) {
 	counts := r.recorder.Ended(now)
 	if aggregator.ID != d.opts.Instance {
 		d.sendEvidence(aggregator, r, d.opts.Instance, false, counts)
@@ -243,7 +243,7 @@
 }
 
 // forward sends the data centre's sum to the leader.
-func (d *Driver) forward(now time.Time, r *running, leader platform.Instance) {
+func (d *Driver) forward(now time.Time, r *running, leader services.Instance) {
 	sum := r.dataCentre.Open()
 	if leader.ID != d.opts.Instance {
 		d.sendEvidence(leader, r, d.opts.DataCentre, true, sum)
@@ -253,7 +253,7 @@
 }
 
 // sendEvidence sends evidence that nothing else refers to.
-func (d *Driver) sendEvidence(to platform.Instance, r *running, source string, toLeader bool, evidence rollout.Evidence) {
+func (d *Driver) sendEvidence(to services.Instance, r *running, source string, toLeader bool, evidence rollout.Evidence) {
 	if to.ID == "" || evidence.Len() == 0 {
 		return
 	}
@@ -296,8 +296,8 @@
 
 // first returns the entry that comes first by hash among those that match, the same one for all entries that see the same list.
 // The zero Instance means that none matches.
-func first(entries []platform.Instance, service string, match func(platform.Instance) bool) platform.Instance {
-	var chosen platform.Instance
+func first(entries []services.Instance, service string, match func(services.Instance) bool) services.Instance {
+	var chosen services.Instance
 	var lowest uint64
 	found := false
 	for _, e := range entries {
--- a/process/shift/evidence_test.go
+++ b/process/shift/evidence_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -17,7 +17,7 @@
 	build func(minor uint16) (wire.Message, error)
 }
 
-func (s *sender) Send(_ platform.Instance, build func(minor uint16) (wire.Message, error)) {
+func (s *sender) Send(_ services.Instance, build func(minor uint16) (wire.Message, error)) {
 	s.build = build
 }
 
@@ -29,7 +29,7 @@
 		host := &sender{}
 		d := New(Options{Config: rollout.DefaultConfig(), Host: host})
 		r := &running{shift: rollout.Shift{ID: "shift"}, dataCentre: rollout.NewAggregator(d.opts.Config, time.UnixMilli(0))}
-		d.sendEvidence(platform.Instance{ID: "aggregator"}, r, "entry", false, counts)
+		d.sendEvidence(services.Instance{ID: "aggregator"}, r, "entry", false, counts)
 		m, err := host.build(minor)
 		must.NoError(t, err)
 		sent := m.(*wire.Evidence)
--- a/process/shift/platform.go
+++ b/process/shift/platform.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/lease"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -76,7 +76,7 @@
 	defer cancel()
 	kv, err := d.opts.KV.Get(ctx, rollout.RecordKey(r.shift.ID))
 	d.answer(process, r, func(now time.Time) rollout.Output {
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, services.ErrNotFound) {
 			return r.machine.RecordMissing(now)
 		}
 		if err != nil {
@@ -106,7 +106,7 @@
 	})
 }
 
-func (d *Driver) compareAndSwap(ctx context.Context, keeper *lease.Keeper, r *running, w rollout.Write) (platform.Revision, error) {
+func (d *Driver) compareAndSwap(ctx context.Context, keeper *lease.Keeper, r *running, w rollout.Write) (services.Revision, error) {
 	value, err := w.Record.Encode()
 	if err != nil {
 		return 0, err
@@ -145,7 +145,7 @@
 }
 
 // keep remembers the newest record for gossip, without the counts that only a leader needs.
-func (r *running) keep(record rollout.Record, revision platform.Revision) {
+func (r *running) keep(record rollout.Record, revision services.Revision) {
 	if revision <= r.revision {
 		return
 	}
@@ -193,15 +193,15 @@
 	}
 	for _, m := range g.Rollouts {
 		r := d.shifts[m.Rollout]
-		if r == nil || platform.Revision(m.Revision) <= r.revision {
+		if r == nil || services.Revision(m.Revision) <= r.revision {
 			continue
 		}
 		record, err := rollout.DecodeRecord(m.Data)
 		if err != nil {
 			continue
 		}
-		r.keep(record, platform.Revision(m.Revision))
-		d.handle(now, r, r.machine.RecordHeard(now, record, platform.Revision(m.Revision)))
+		r.keep(record, services.Revision(m.Revision))
+		d.handle(now, r, r.machine.RecordHeard(now, record, services.Revision(m.Revision)))
 		d.publish(now)
 	}
 }
--- a/process/sidecar/claimpeers.go
+++ b/process/sidecar/claimpeers.go
@@ -8,7 +8,7 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/claim"
 )
@@ -38,10 +38,10 @@
 func (p *claimPeers) HandOver(ctx context.Context, address string, shard int, batch []byte) (claim.Appended, error) {
 	peer := p.peer(address)
 	if peer == nil {
-		return claim.Appended{}, fmt.Errorf("%w: the process is stopping", platform.ErrUnavailable)
+		return claim.Appended{}, fmt.Errorf("%w: the process is stopping", services.ErrUnavailable)
 	}
 	if err := peer.connect(ctx, p); err != nil {
-		return claim.Appended{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return claim.Appended{}, fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	}
 	return peer.handOver(ctx, &wire.Claims{Service: p.settings.Service, Shard: uint32(shard), Batch: batch})
 }
@@ -133,11 +133,11 @@
 func (c *claimPeer) handOver(ctx context.Context, m *wire.Claims) (claim.Appended, error) {
 	done := make(chan *wire.ClaimsDone, 1)
 	if !c.await(m, done) {
-		return claim.Appended{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, link.ErrConnectionLost)
+		return claim.Appended{}, fmt.Errorf("%w: %w", services.ErrUnavailable, link.ErrConnectionLost)
 	}
 	defer c.forget(m.ID)
 	if err := c.conn.Send(m); err != nil {
-		return claim.Appended{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return claim.Appended{}, fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	}
 	select {
 	case answer := <-done:
@@ -153,7 +153,7 @@
 	case m != nil && m.Appended:
 		return claim.Appended{TimeMS: m.TimeMS, Owned: m.Owned}, nil
 	case m != nil && m.Refused:
-		return claim.Appended{}, fmt.Errorf("%w: refused by the shard's writer", platform.ErrUnavailable)
+		return claim.Appended{}, fmt.Errorf("%w: refused by the shard's writer", services.ErrUnavailable)
 	default:
 		return claim.Appended{}, errBatchOpen
 	}
@@ -215,7 +215,7 @@
 	metrics.Add("claim_batches_received", 1)
 	appended, err := s.claims.Append(ctx, int(m.Shard), m.Batch)
 	if err != nil {
-		return &wire.ClaimsDone{ID: m.ID, Refused: errors.Is(err, platform.ErrUnavailable)}
+		return &wire.ClaimsDone{ID: m.ID, Refused: errors.Is(err, services.ErrUnavailable)}
 	}
 	return &wire.ClaimsDone{ID: m.ID, Appended: true, TimeMS: appended.TimeMS, Owned: appended.Owned}
 }
--- a/process/sidecar/claimpeers_test.go
+++ b/process/sidecar/claimpeers_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
@@ -53,7 +53,7 @@
 	for _, c := range []struct {
 		batch string
 		err   error
-	}{{"a", nil}, {"r", platform.ErrUnavailable}, {"u", errBatchOpen}, {"silent", errBatchOpen}, {"b", errBatchOpen}, {"a", nil}} {
+	}{{"a", nil}, {"r", services.ErrUnavailable}, {"u", errBatchOpen}, {"silent", errBatchOpen}, {"b", errBatchOpen}, {"a", nil}} {
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		appended, err := peers.HandOver(ctx, address, 1, []byte(c.batch))
 		cancel()
@@ -65,7 +65,7 @@
 	}
 	server.Close()
 	// The end of the connection may not have been seen yet.
-	for !errors.Is(err, platform.ErrUnavailable) {
+	for !errors.Is(err, services.ErrUnavailable) {
 		_, err = peers.HandOver(t.Context(), address, 1, []byte("a"))
 		must.Error(t, err)
 	}
--- a/process/sidecar/crash.go
+++ b/process/sidecar/crash.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/quarantine"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -82,7 +82,7 @@
 }
 
 // restarted notes the start id of a load report, and a crash if it is a new one while requests are in flight.
-func (s *Sidecar) restarted(report platform.EngineLoad) {
+func (s *Sidecar) restarted(report services.EngineLoad) {
 	s.mu.Lock()
 	known, epoch := s.crashes.startID, s.crashes.epoch
 	running := s.admission.Load().InFlight > 0
--- a/process/sidecar/load.go
+++ b/process/sidecar/load.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 )
 
@@ -51,7 +51,7 @@
 	return false
 }
 
-func (s *Sidecar) upstreamLoad(ctx context.Context) (platform.EngineLoad, error) {
+func (s *Sidecar) upstreamLoad(ctx context.Context) (services.EngineLoad, error) {
 	if s.opts.Engine != nil {
 		return s.opts.Engine.Load(ctx)
 	}
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -10,10 +10,10 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/rules"
 )
@@ -159,7 +159,7 @@
 }
 
 func (x *exchange) call(ctx context.Context) (wire.End, []byte) {
-	response, err := x.s.opts.Plain.Call(ctx, platform.CallRequest{
+	response, err := x.s.opts.Plain.Call(ctx, services.CallRequest{
 		Method: x.open.Method, Path: x.open.Path, ContentType: x.open.ContentType, Body: x.open.Body, IdempotencyKey: x.open.IdempotencyKey,
 		OnSend: x.handOver,
 	})
@@ -180,7 +180,7 @@
 }
 
 func (x *exchange) generate(ctx context.Context) wire.End {
-	stream, err := x.s.opts.Engine.Generate(ctx, platform.GenerateRequest{
+	stream, err := x.s.opts.Engine.Generate(ctx, services.GenerateRequest{
 		ID: x.generationID(), Path: x.open.Path, Body: x.open.Body, Chat: x.open.Chat, Priority: int(x.open.Priority),
 		Offset: x.open.ResumeOffset, OnSend: x.handOver,
 	})
@@ -216,7 +216,7 @@
 
 // failed turns an error of the upstream into a result. Before the hand-over nothing was sent.
 func (x *exchange) failed(ctx context.Context, err error) wire.End {
-	var status *platform.StatusError
+	var status *services.StatusError
 	switch {
 	case errors.As(err, &status):
 		return wire.End{Result: uint8(result.UpstreamError), Status: uint16(status.Status), Reason: err.Error()}
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -12,12 +12,12 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/admission"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/membership"
 	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/order"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/claim"
 	"github.com/jayridge/jayridge/request/result"
@@ -31,9 +31,9 @@
 // are refused.
 type Options struct {
 	Settings *settings.Settings
-	Engine   platform.Engine
-	Plain    platform.PlainService
-	KV       platform.KV
+	Engine   services.Engine
+	Plain    services.PlainService
+	KV       services.KV
 }
 
 // Sidecar is a running sidecar.
@@ -158,7 +158,7 @@
 	if s.orders == nil {
 		return result.NotFound, trace.NotFound("the upstream is not a model engine")
 	}
-	return s.orders.Pass(ctx, platform.Order{Kind: platform.OrderKind(m.Kind), Target: m.Target, Fence: m.Fence})
+	return s.orders.Pass(ctx, services.Order{Kind: services.OrderKind(m.Kind), Target: m.Target, Fence: m.Fence})
 }
 
 // Evidence implements node.Role: sidecars judge no versions.
--- a/request/claim/config.go
+++ b/request/claim/config.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Config describes the claims of one service.
@@ -19,7 +19,7 @@
 	// Shards/WritesPerSecond for its write. Default 3; zero is invalid.
 	Shards int
 	// SegmentBytes is the size at which a segment is sealed and the next one begun. A write sends the whole active segment,
-	// half of this on average. Default 32 KiB; below 1 KiB or above a quarter of platform.MaxValueBytes is invalid.
+	// half of this on average. Default 32 KiB; below 1 KiB or above a quarter of services.MaxValueBytes is invalid.
 	SegmentBytes int
 	// Retention is how long a key is remembered; see the package comment for what happens after it. Stores of a service should
 	// agree; the shortest one counts. Each key in it takes about 57 bytes of memory in the stores that read its shard. Default
@@ -83,7 +83,7 @@
 const (
 	minSegmentBytes = 1 << 10
 	// maxSegmentBytes leaves room for a batch of SegmentBytes after an almost full segment.
-	maxSegmentBytes = platform.MaxValueBytes / 4
+	maxSegmentBytes = services.MaxValueBytes / 4
 	minRetention    = time.Second
 )
 
--- a/request/claim/event.go
+++ b/request/claim/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Event is an input of a Log.
@@ -25,19 +25,19 @@
 	Response Response
 }
 
-// ReadResult is the result of a Read. Err is nil, or wraps platform.ErrNotFound or the reason why nothing was read.
+// ReadResult is the result of a Read. Err is nil, or wraps services.ErrNotFound or the reason why nothing was read.
 type ReadResult struct {
 	Op       uint64
 	Value    []byte
-	Revision platform.Revision
+	Revision services.Revision
 	Err      error
 }
 
-// WriteResult is the result of a Write. Err is nil, or wraps one of the errors of platform.KV's CompareAndSwap; any other
+// WriteResult is the result of a Write. Err is nil, or wraps one of the errors of services.KV's CompareAndSwap; any other
 // error counts as an unknown outcome.
 type WriteResult struct {
 	Op       uint64
-	Revision platform.Revision
+	Revision services.Revision
 	Err      error
 }
 
@@ -49,7 +49,7 @@
 }
 
 // HandOverResult is the result of a HandOver. Err is nil if the other store has appended the batch; it wraps
-// platform.ErrUnavailable if that store has not and never will; any other error counts as an unknown outcome.
+// services.ErrUnavailable if that store has not and never will; any other error counts as an unknown outcome.
 type HandOverResult struct {
 	Op       uint64
 	Appended Appended
@@ -100,7 +100,7 @@
 type Write struct {
 	Op      uint64
 	Segment uint64
-	Prev    platform.Revision
+	Prev    services.Revision
 	Value   []byte
 }
 
--- a/request/claim/example_test.go
+++ b/request/claim/example_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"net/http/httptest"
 
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform/httpkv"
 	"github.com/jayridge/jayridge/request/claim"
 	"github.com/jayridge/jayridge/request/result"
 )
--- a/request/claim/handover.go
+++ b/request/claim/handover.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 const (
@@ -70,7 +70,7 @@
 	case p == nil:
 	case ev.Err == nil && len(ev.Appended.Owned) == len(p.claims):
 		l.appended(p, ev.Appended)
-	case errors.Is(ev.Err, platform.ErrUnavailable):
+	case errors.Is(ev.Err, services.ErrUnavailable):
 		l.handAfter = l.now.Add(l.cfg.HandOverRetry)
 		l.takeBack(p)
 		l.placeAll()
--- a/request/claim/layout.go
+++ b/request/claim/layout.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/singleflight"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // ErrLayout means that the service's claims are kept in another number of shards. With two numbers in use, one key would be
@@ -19,7 +19,7 @@
 // layout makes sure that all stores of a service use the same number of shards. The number is recorded once, create-only,
 // under claims/<service>/layout.
 type layout struct {
-	kv      platform.KV
+	kv      services.KV
 	key     string
 	shards  int
 	checked atomic.Bool
@@ -46,7 +46,7 @@
 // check reads the record, or creates it. After a conflict or a lost response the next check reads what was written.
 func (l *layout) check(ctx context.Context) error {
 	kv, err := l.kv.Get(ctx, l.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, services.ErrNotFound) {
 		return l.create(ctx)
 	}
 	if err != nil {
--- a/request/claim/log.go
+++ b/request/claim/log.go
@@ -7,7 +7,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Reasons for which a claim is unavailable, besides the errors of the key-value service.
@@ -36,7 +36,7 @@
 
 	// The position: every batch before active's end in the log has been applied to index.
 	segment  uint64
-	revision platform.Revision
+	revision services.Revision
 	active   []byte
 	timeMS   int64
 	index    index
--- a/request/claim/log_test.go
+++ b/request/claim/log_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -61,7 +61,7 @@
 	}
 }
 
-var errRefused = fmt.Errorf("connect: %w", platform.ErrUnavailable)
+var errRefused = fmt.Errorf("connect: %w", services.ErrUnavailable)
 
 // TestLogReleasesAbandonedClaim guards against a key that stays in doubt although its claim was told "not run".
 func TestLogReleasesAbandonedClaim(t *testing.T) {
@@ -146,7 +146,7 @@
 		}
 	}
 	must.Eq(t, Unavailable, answer.Decision.Kind)
-	must.True(t, errors.Is(answer.Err, platform.ErrUnavailable))
+	must.True(t, errors.Is(answer.Err, services.ErrUnavailable))
 	// The next claim is refused at once, without a call.
 	effects = log.Step(now, ClaimSubmitted{ID: 2, Key: Key{2}})
 	must.Eq(t, Unavailable, effects[0].(Answer).Decision.Kind)
--- a/request/claim/model_handover_test.go
+++ b/request/claim/model_handover_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // modelHand is a hand-over that an actor has received and not answered yet, or, without a call, one whose sender no longer waits.
@@ -19,10 +19,10 @@
 
 // handOver carries a batch to another actor, with any fault: the batch is lost, its answer is lost, or it comes late.
 func (m *model) handOver(call *modelCall, e HandOver, fault int) {
-	unknown := HandOverResult{Op: e.Op, Err: platform.ErrOutcomeUnknown}
+	unknown := HandOverResult{Op: e.Op, Err: services.ErrOutcomeUnknown}
 	switch fault {
 	case 0:
-		call.result = HandOverResult{Op: e.Op, Err: platform.ErrUnavailable}
+		call.result = HandOverResult{Op: e.Op, Err: services.ErrUnavailable}
 	case 1:
 		call.result = unknown
 		m.receive(nil, e)
@@ -43,7 +43,7 @@
 	_, _ = fmt.Sscanf(e.To, "%d/%d", &actor, &run)
 	if run != m.runs[actor] {
 		if call != nil {
-			call.result = HandOverResult{Op: e.Op, Err: platform.ErrUnavailable}
+			call.result = HandOverResult{Op: e.Op, Err: services.ErrUnavailable}
 		}
 		return
 	}
@@ -73,7 +73,7 @@
 func (m *model) loseHands(cond func(*modelHand) bool) {
 	for id, h := range m.hands {
 		if cond(h) {
-			h.call.result = HandOverResult{Op: h.call.effect.(HandOver).Op, Err: platform.ErrOutcomeUnknown}
+			h.call.result = HandOverResult{Op: h.call.effect.(HandOver).Op, Err: services.ErrOutcomeUnknown}
 			delete(m.hands, id)
 			m.counts["hand-over lost"]++
 		}
--- a/request/claim/model_test.go
+++ b/request/claim/model_test.go
@@ -9,14 +9,14 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
 // modelCell is one segment in the model of the key-value service, with its previous state for stale reads.
 type modelCell struct {
 	value, oldValue       []byte
-	revision, oldRevision platform.Revision
+	revision, oldRevision services.Revision
 	// batches are those in value.
 	batches []batch
 }
@@ -65,7 +65,7 @@
 	leading int
 
 	cells    map[uint64]*modelCell
-	revision platform.Revision
+	revision services.Revision
 
 	actors  []*Log
 	runs    []int
@@ -273,15 +273,15 @@
 	}
 }
 
-func (m *model) read(segment uint64, fault int) ([]byte, platform.Revision, error) {
+func (m *model) read(segment uint64, fault int) ([]byte, services.Revision, error) {
 	cell := m.cells[segment]
 	switch {
 	case fault == 0:
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, services.ErrUnavailable
 	case fault == 1 && cell != nil && cell.oldRevision > 0:
 		return cell.oldValue, cell.oldRevision, nil
 	case fault == 1 || cell == nil:
-		return nil, 0, platform.ErrNotFound
+		return nil, 0, services.ErrNotFound
 	}
 	return cell.value, cell.revision, nil
 }
@@ -289,28 +289,28 @@
 func (m *model) writeWith(call *modelCall, e Write, fault int) Event {
 	switch fault {
 	case 0:
-		return WriteResult{Op: e.Op, Err: platform.ErrUnavailable}
+		return WriteResult{Op: e.Op, Err: services.ErrUnavailable}
 	case 1:
 		m.write(e)
-		return WriteResult{Op: e.Op, Err: platform.ErrOutcomeUnknown}
+		return WriteResult{Op: e.Op, Err: services.ErrOutcomeUnknown}
 	case 2:
 		// The writer gives up; the write stays in the network, without a receiver for its result.
 		late := *call
 		late.run = 0
 		m.network = append(m.network, &late)
-		return WriteResult{Op: e.Op, Err: platform.ErrOutcomeUnknown}
+		return WriteResult{Op: e.Op, Err: services.ErrOutcomeUnknown}
 	}
 	revision, err := m.write(e)
 	return WriteResult{Op: e.Op, Revision: revision, Err: err}
 }
 
-func (m *model) write(e Write) (platform.Revision, error) {
+func (m *model) write(e Write) (services.Revision, error) {
 	cell := m.cells[e.Segment]
 	if cell == nil {
 		cell = &modelCell{}
 	}
 	if cell.revision != e.Prev {
-		return 0, platform.ErrConflict
+		return 0, services.ErrConflict
 	}
 	m.revision++
 	batches, err := decodeBatches(e.Value)
--- a/request/claim/peers_test.go
+++ b/request/claim/peers_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -27,7 +27,7 @@
 	calls atomic.Int32
 }
 
-func (p *fakePeers) open(t *testing.T, kv platform.KV, name string) *Store {
+func (p *fakePeers) open(t *testing.T, kv services.KV, name string) *Store {
 	t.Helper()
 	cfg := DefaultConfig("cards")
 	cfg.Address = name
@@ -74,7 +74,7 @@
 // TestStoreHandOver guards against a second writer that waits, grants twice or loses responses when the shard's first writer is
 // killed, paused, cut off or its answers are lost.
 func TestStoreHandOver(t *testing.T) {
-	refused := fmt.Errorf("connect: %w", platform.ErrUnavailable)
+	refused := fmt.Errorf("connect: %w", services.ErrUnavailable)
 	hang := func(ctx context.Context) error {
 		<-ctx.Done()
 		return ctx.Err()
--- a/request/claim/rate_test.go
+++ b/request/claim/rate_test.go
@@ -12,18 +12,18 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
 // fakeKV is a key-value service in memory. Each call takes trip and takes effect halfway.
 type fakeKV struct {
-	platform.KV
+	services.KV
 	trip time.Duration
 
 	mu       sync.Mutex
-	keys     map[string]platform.KeyValue
-	revision platform.Revision
+	keys     map[string]services.KeyValue
+	revision services.Revision
 	reads    int
 	bytes    int
 	writes   []time.Time
@@ -34,10 +34,10 @@
 }
 
 func newFakeKV(trip time.Duration) *fakeKV {
-	return &fakeKV{trip: trip, keys: map[string]platform.KeyValue{}}
+	return &fakeKV{trip: trip, keys: map[string]services.KeyValue{}}
 }
 
-func (f *fakeKV) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (f *fakeKV) Get(_ context.Context, key string) (services.KeyValue, error) {
 	time.Sleep(f.trip / 2)
 	defer time.Sleep(f.trip - f.trip/2)
 	f.mu.Lock()
@@ -45,12 +45,12 @@
 	f.reads++
 	kv, ok := f.keys[key]
 	if !ok {
-		return kv, platform.ErrNotFound
+		return kv, services.ErrNotFound
 	}
 	return kv, nil
 }
 
-func (f *fakeKV) CompareAndSwap(_ context.Context, key string, prev platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, prev services.Revision, value []byte, _ services.LeaseID) (services.Revision, error) {
 	if f.before != nil {
 		if err := f.before(key); err != nil {
 			return 0, err
@@ -63,10 +63,10 @@
 	f.writes = append(f.writes, time.Now())
 	f.bytes += len(value)
 	if f.keys[key].Revision != prev {
-		return 0, platform.ErrConflict
+		return 0, services.ErrConflict
 	}
 	f.revision++
-	f.keys[key] = platform.KeyValue{Key: key, Value: value, Revision: f.revision}
+	f.keys[key] = services.KeyValue{Key: key, Value: value, Revision: f.revision}
 	if f.after != nil {
 		if err := f.after(key); err != nil {
 			return 0, err
--- a/request/claim/read.go
+++ b/request/claim/read.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"slices"
 
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/budget"
+	"github.com/jayridge/jayridge/process/services"
+	"github.com/jayridge/jayridge/process/services/budget"
 )
 
 // errStale means that a read returned an older state than is known to exist.
@@ -39,7 +39,7 @@
 	}
 	probe := l.flight == flightProbe
 	l.flight = flightNone
-	missing := errors.Is(ev.Err, platform.ErrNotFound)
+	missing := errors.Is(ev.Err, services.ErrNotFound)
 	switch {
 	case ev.Err != nil && !missing:
 		l.fail(ev.Err)
@@ -93,7 +93,7 @@
 }
 
 // apply takes a later state of the segment at the position; mine says that it is what this store wrote.
-func (l *Log) apply(value []byte, revision platform.Revision, mine bool) {
+func (l *Log) apply(value []byte, revision services.Revision, mine bool) {
 	if !bytes.HasPrefix(value, l.active) {
 		l.stop(fmt.Errorf("segment %d: %w: it does not begin as before", l.segment, errCorrupt))
 		return
--- a/request/claim/received.go
+++ b/request/claim/received.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // errNotReady means that the store was asked to append another store's batch and has not read the shard yet.
-var errNotReady = fmt.Errorf("%w: this store has not read the shard", platform.ErrUnavailable)
+var errNotReady = fmt.Errorf("%w: this store has not read the shard", services.ErrUnavailable)
 
 // errPassed means that another store's batch may be in the log already.
 var errPassed = errors.New("a batch with this sequence number may be in the log")
@@ -60,7 +60,7 @@
 	batches, err := decodeBatches(ev.Batch)
 	switch {
 	case err != nil || len(batches) != 1 || batches[0].Writer == l.writer || batches[0].size() > l.cfg.SegmentBytes:
-		l.emit(BatchDone{ID: ev.ID, Err: fmt.Errorf("%w: not one batch of another store", platform.ErrUnavailable)})
+		l.emit(BatchDone{ID: ev.ID, Err: fmt.Errorf("%w: not one batch of another store", services.ErrUnavailable)})
 	case l.closing || l.fault != nil || !l.located || !l.synced || l.refusing():
 		l.emit(BatchDone{ID: ev.ID, Err: errNotReady})
 	default:
@@ -118,7 +118,7 @@
 // refuseReceived refuses the batches that are in no write.
 func (l *Log) refuseReceived(err error) {
 	for _, p := range l.received {
-		l.emit(BatchDone{ID: p.received, Err: fmt.Errorf("%w: %v", platform.ErrUnavailable, err)})
+		l.emit(BatchDone{ID: p.received, Err: fmt.Errorf("%w: %v", services.ErrUnavailable, err)})
 	}
 	l.received = nil
 }
--- a/request/claim/report.go
+++ b/request/claim/report.go
@@ -6,8 +6,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // reportInterval bounds each kind of log line of a shard: in an outage every claim fails.
@@ -30,9 +30,9 @@
 // result takes the result of a call and whether no write is in doubt after it.
 func (r *reporter) result(err error, settled bool) {
 	switch {
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, services.ErrOutcomeUnknown):
 		r.lost = true
-	case errors.Is(err, platform.ErrConflict) && r.conflict.Allow():
+	case errors.Is(err, services.ErrConflict) && r.conflict.Allow():
 		event.Log(event.ClaimConflict, "shard", r.shard, "writer", r.writer)
 	}
 	if r.lost && settled {
--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // reply is the answer to a claim.
@@ -156,14 +156,14 @@
 
 func (s *shard) key(segment uint64) string { return fmt.Sprintf("%s/%012d", s.prefix, segment) }
 
-func (s *shard) get(ctx context.Context, segment uint64) (platform.KeyValue, error) {
+func (s *shard) get(ctx context.Context, segment uint64) (services.KeyValue, error) {
 	if err := s.ensureLayout(ctx); err != nil {
-		return platform.KeyValue{}, err
+		return services.KeyValue{}, err
 	}
 	return s.store.kv.Get(ctx, s.key(segment))
 }
 
-func (s *shard) put(ctx context.Context, w Write) (platform.Revision, error) {
+func (s *shard) put(ctx context.Context, w Write) (services.Revision, error) {
 	if err := s.ensureLayout(ctx); err != nil {
 		return 0, err
 	}
@@ -177,8 +177,8 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, ErrLayout):
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", services.ErrUnavailable, err)
 	default:
-		return fmt.Errorf("%w: reading the number of shards: %v", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: reading the number of shards: %v", services.ErrUnavailable, err)
 	}
 }
--- a/request/claim/store.go
+++ b/request/claim/store.go
@@ -11,12 +11,12 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Store decides the claims of one process for one service. It is safe for concurrent use.
 type Store struct {
-	kv     platform.KV
+	kv     services.KV
 	cfg    Config
 	layout *layout
 	peers  Peers
@@ -32,13 +32,13 @@
 // Peers reaches the stores of other processes. A store calls it from goroutines of its own.
 type Peers interface {
 	// HandOver asks the store at address to append a batch to a shard, as with its method Append, and returns what that one
-	// returned. It may block until ctx ends. An error wraps platform.ErrUnavailable only if the other store has not appended the
+	// returned. It may block until ctx ends. An error wraps services.ErrUnavailable only if the other store has not appended the
 	// batch and never will.
 	HandOver(ctx context.Context, address string, shard int, batch []byte) (Appended, error)
 }
 
 // errNoPeers means that a store without Peers was to hand a batch over.
-var errNoPeers = fmt.Errorf("%w: no connection to other stores", platform.ErrUnavailable)
+var errNoPeers = fmt.Errorf("%w: no connection to other stores", services.ErrUnavailable)
 
 // Option changes a Store that NewStore makes.
 type Option func(*Store)
@@ -48,7 +48,7 @@
 
 // NewStore returns a store that keeps claims in kv. writer names the process in logs; the store draws its own unique writer id.
 // It makes no call before the first claim. The caller closes the store.
-func NewStore(kv platform.KV, cfg Config, writer string, options ...Option) (*Store, error) {
+func NewStore(kv services.KV, cfg Config, writer string, options ...Option) (*Store, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -135,14 +135,14 @@
 }
 
 // Append appends a batch that another process's store hands over to a shard. It blocks until the batch is in the log, this store has
-// refused it, or ctx ends. An error wraps platform.ErrUnavailable if the batch is not in the log by this store and never will be.
+// refused it, or ctx ends. An error wraps services.ErrUnavailable if the batch is not in the log by this store and never will be.
 func (s *Store) Append(ctx context.Context, shard int, batch []byte) (Appended, error) {
 	if shard < 0 || shard >= len(s.shards) {
-		return Appended{}, fmt.Errorf("%w: there is no shard %d", platform.ErrUnavailable, shard)
+		return Appended{}, fmt.Errorf("%w: there is no shard %d", services.ErrUnavailable, shard)
 	}
 	done := make(chan BatchDone, 1)
 	if !s.shards[shard].send(message{event: BatchReceived{ID: s.lastID.Add(1), Batch: batch}, done: done}) {
-		return Appended{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, ErrClosed)
+		return Appended{}, fmt.Errorf("%w: %w", services.ErrUnavailable, ErrClosed)
 	}
 	select {
 	case d := <-done:
--- a/request/claim/store_test.go
+++ b/request/claim/store_test.go
@@ -15,15 +15,15 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func openStore(t *testing.T, kv platform.KV, change func(*Config)) *Store {
+func openStore(t *testing.T, kv services.KV, change func(*Config)) *Store {
 	t.Helper()
 	cfg := DefaultConfig("cards")
 	if change != nil {
@@ -128,7 +128,7 @@
 			if lose && !strings.HasSuffix(name, "layout") {
 				time.Sleep(time.Second)
 				lose = false
-				return platform.ErrOutcomeUnknown
+				return services.ErrOutcomeUnknown
 			}
 			return nil
 		}
@@ -158,7 +158,7 @@
 		service.before = func(string) error {
 			if !up.Load() {
 				attempts.Add(1)
-				return platform.ErrUnavailable
+				return services.ErrUnavailable
 			}
 			return nil
 		}
@@ -253,7 +253,7 @@
 	for name, change := range map[string]func(*Config){
 		"Service":         func(c *Config) { c.Service = "a/b" },
 		"Shards":          func(c *Config) { c.Shards = 0 },
-		"SegmentBytes":    func(c *Config) { c.SegmentBytes = platform.MaxValueBytes },
+		"SegmentBytes":    func(c *Config) { c.SegmentBytes = services.MaxValueBytes },
 		"Retention":       func(c *Config) { c.Retention = 0 },
 		"WritesPerSecond": func(c *Config) { c.WritesPerSecond = 0 },
 		"BodyLimitBytes":  func(c *Config) { c.BodyLimitBytes = c.SegmentBytes },
--- a/request/claim/write.go
+++ b/request/claim/write.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // part is one batch of a write or of a hand-over.
@@ -28,7 +28,7 @@
 type pendingWrite struct {
 	parts   []*part
 	segment uint64
-	prev    platform.Revision
+	prev    services.Revision
 	timeMS  int64
 	value   []byte
 	// lost says that an attempt may have taken effect, or may yet do so.
@@ -137,15 +137,15 @@
 		l.fresh, l.freshAt = ev.Op, l.now
 		l.apply(w.value, ev.Revision, true)
 		l.placeAll()
-	case errors.Is(ev.Err, platform.ErrConflict):
+	case errors.Is(ev.Err, services.ErrConflict):
 		// An earlier attempt of the same write may be what it conflicts with, so reading decides.
 		l.succeed()
 		w.passed = true
-	case !w.lost && (errors.Is(ev.Err, platform.ErrUnavailable) || errors.Is(ev.Err, platform.ErrTooLarge)):
+	case !w.lost && (errors.Is(ev.Err, services.ErrUnavailable) || errors.Is(ev.Err, services.ErrTooLarge)):
 		l.discardWrite()
 		l.fail(ev.Err)
 	default:
-		if !w.lost && !errors.Is(ev.Err, platform.ErrUnavailable) {
+		if !w.lost && !errors.Is(ev.Err, services.ErrUnavailable) {
 			w.lost = true
 			l.pace.saw(l.now, self, w.claims())
 		}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -66,7 +66,7 @@
 guard redial process/node/control.go 's/c\.redial\(now\)//' ./process/node TestMembers_UnreachableInstanceReturns
 guard lagging-address process/node/pool.go 's/conn := s\.live\(\)\n\tif p/conn := s.live(); if s.address != instance.Address { conn = nil }\n\tif p/' ./process/node TestPool_AddressChanges
 guard other-instance process/node/pool.go 's/instance\.ID != "" \&\& remote != instance\.ID/remote == ""/' ./process/node TestPool_OtherInstanceAnswers
-guard redirect platform/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./platform/httpengine TestCall_RedirectIsTheAnswer
+guard redirect internal/standin/httpengine/httpengine.go 's/return http\.ErrUseLastResponse/return nil/' ./internal/standin/httpengine TestCall_RedirectIsTheAnswer
 guard old-version-answers process/entry/choice.go 's/c\.all, c\.left = c\.old, c\.old//' ./process/entry TestChoice_OldVersionFollowsTheNew
 guard full-queue process/node/node.go 's/n\.backlog = append\(n\.backlog, f\)//' ./process/node TestMembers_FullQueueLosesNoConnection
 guard loss-noted process/node/peers.go 's/other != nil && other != ended/other != nil/' ./process/node TestHandleClose_NotesLossAtOnce
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -23,13 +23,13 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/internal/standin/engine"
+	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
 	"github.com/jayridge/jayridge/internal/standin/service"
-	"github.com/jayridge/jayridge/platform"
-	"github.com/jayridge/jayridge/platform/httpkv"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/config"
 )
 
@@ -102,10 +102,10 @@
 	t     *testing.T
 	dir   string
 	kv    *kv.Server
-	store platform.KV
+	store services.KV
 	list  *instances.Server
 	// rows is what the list says of each process once it is listed.
-	rows     map[string]platform.Instance
+	rows     map[string]services.Instance
 	engines  map[string]*engine.Server
 	services map[string]*service.Server
 	servers  map[string]*httptest.Server
@@ -131,7 +131,7 @@
 	f := &fleet{
 		t: t, dir: t.TempDir(), kv: kv.New(), list: instances.New(nil),
 		engines: map[string]*engine.Server{}, services: map[string]*service.Server{}, servers: map[string]*httptest.Server{},
-		rows: map[string]platform.Instance{}, tokens: 8, old: func(n int) bool { return n%2 == 1 },
+		rows: map[string]services.Instance{}, tokens: 8, old: func(n int) bool { return n%2 == 1 },
 		procs: map[string]*process{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	store, err := httpkv.New(httpkv.DefaultConfig(f.serve("kv", f.kv)))
@@ -199,8 +199,8 @@
 	serviceName, _ := s["service"].(string)
 	upstream, _ := s["upstream"].(map[string]any)
 	version, _ := upstream["version"].(string)
-	f.rows[name] = platform.Instance{
-		ID: name, Role: role, DataCentre: dataCentre, Address: peer, Admin: p.admin, Service: serviceName, Version: version, State: platform.InstanceLive,
+	f.rows[name] = services.Instance{
+		ID: name, Role: role, DataCentre: dataCentre, Address: peer, Admin: p.admin, Service: serviceName, Version: version, State: services.InstanceLive,
 	}
 	if !f.unlisted {
 		f.list.Put(f.rows[name])
--- a/test/list_test.go
+++ b/test/list_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/jayridge/jayridge/internal/standin/engine"
 	"github.com/jayridge/jayridge/internal/standin/instances"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Guards against a sidecar that never gets work again when it is replaced under its name and address: the list shows no change, so the
@@ -90,11 +90,11 @@
 // sees reports whether a sidecar may get work from an entry.
 func (f *fleet) sees(entry, sidecar string) bool {
 	s := f.status(entry)
-	return s != nil && slices.ContainsFunc(s.Sidecars, func(i platform.Instance) bool { return i.ID == sidecar })
+	return s != nil && slices.ContainsFunc(s.Sidecars, func(i services.Instance) bool { return i.ID == sidecar })
 }
 
 // row returns what the list says of a process.
-func (f *fleet) row(name string, state platform.InstanceState) platform.Instance {
+func (f *fleet) row(name string, state services.InstanceState) services.Instance {
 	row := f.rows[name]
 	row.State = state
 	return row
@@ -171,7 +171,7 @@
 		must.Eq(t, 1, f.effects(id))
 	}
 	// Each entry now learns of the other's upstreams, and one of the lists is right that press-1 leaves.
-	lists[0].Put(f.row("press-1", platform.InstanceLeaving))
+	lists[0].Put(f.row("press-1", services.InstanceLeaving))
 	lists[0].Put(f.rows["press-2"])
 	lists[1].Put(f.rows["press-1"])
 	f.await("entry-1 believes its list", func() bool { return !f.sees("entry-1", "press-1") && f.sees("entry-1", "press-2") })
--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/internal/standin/engine"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -97,7 +97,7 @@
 
 // history collects the platform's records of the only shift until done is closed.
 func (f *fleet) history(id string, done <-chan struct{}) (records []rollout.Record) {
-	var revision platform.Revision
+	var revision services.Revision
 	for {
 		kv := f.kv.Keys()[rollout.RecordKey(id)]
 		if r, err := rollout.DecodeRecord(kv.Value); err == nil && kv.Revision > revision {
--- a/version/config/fakekv_test.go
+++ b/version/config/fakekv_test.go
@@ -7,14 +7,14 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 var errUnused = errors.New("not used by this package")
 
 // fakeKV is a key-value service in memory with injected faults. One goroutine uses it; proposers are interleaved by before.
 type fakeKV struct {
-	values map[string][]platform.KeyValue // All revisions of a key, oldest first.
+	values map[string][]services.KeyValue // All revisions of a key, oldest first.
 	random *rand.Rand
 	// Chances of a fault, 0 to 1. A lost write takes effect without an answer; a late one takes effect before some later
 	// call, for each of which arrive is the chance.
@@ -28,7 +28,7 @@
 
 func newFakeKV(seed uint64) *fakeKV {
 	return &fakeKV{
-		values: map[string][]platform.KeyValue{},
+		values: map[string][]services.KeyValue{},
 		random: rand.New(rand.NewPCG(seed, 1)),
 		reads:  map[string]int{}, writes: map[string]int{},
 	}
@@ -46,14 +46,14 @@
 	}
 }
 
-func (f *fakeKV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (f *fakeKV) Get(ctx context.Context, key string) (services.KeyValue, error) {
 	f.start()
 	if err := ctx.Err(); err != nil {
-		return platform.KeyValue{}, err
+		return services.KeyValue{}, err
 	}
 	f.reads[key]++
 	if f.chance(f.unavailable) {
-		return platform.KeyValue{}, platform.ErrUnavailable
+		return services.KeyValue{}, services.ErrUnavailable
 	}
 	all := f.values[key]
 	n := len(all)
@@ -61,40 +61,40 @@
 		n = f.random.IntN(n + 1)
 	}
 	if n == 0 {
-		return platform.KeyValue{}, fmt.Errorf("%s: %w", key, platform.ErrNotFound)
+		return services.KeyValue{}, fmt.Errorf("%s: %w", key, services.ErrNotFound)
 	}
 	return all[n-1], nil
 }
 
-func (f *fakeKV) CompareAndSwap(ctx context.Context, key string, prev platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+func (f *fakeKV) CompareAndSwap(ctx context.Context, key string, prev services.Revision, value []byte, _ services.LeaseID) (services.Revision, error) {
 	f.start()
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
 	f.writes[key]++
 	if f.chance(f.unavailable) {
-		return 0, platform.ErrUnavailable
+		return 0, services.ErrUnavailable
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > services.MaxValueBytes {
+		return 0, services.ErrTooLarge
 	}
 	if f.chance(f.late) {
 		f.delayed = append(f.delayed, func() { _, _ = f.swap(key, prev, value) })
-		return 0, platform.ErrOutcomeUnknown
+		return 0, services.ErrOutcomeUnknown
 	}
 	revision, err := f.swap(key, prev, value)
 	if f.chance(f.lost) {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, services.ErrOutcomeUnknown
 	}
 	return revision, err
 }
 
-func (f *fakeKV) swap(key string, prev platform.Revision, value []byte) (platform.Revision, error) {
+func (f *fakeKV) swap(key string, prev services.Revision, value []byte) (services.Revision, error) {
 	all := f.values[key]
-	if platform.Revision(len(all)) != prev {
-		return 0, platform.ErrConflict
+	if services.Revision(len(all)) != prev {
+		return 0, services.ErrConflict
 	}
-	f.values[key] = append(all, platform.KeyValue{Key: key, Value: value, Revision: prev + 1})
+	f.values[key] = append(all, services.KeyValue{Key: key, Value: value, Revision: prev + 1})
 	return prev + 1, nil
 }
 
@@ -109,14 +109,14 @@
 
 func (f *fakeKV) List(context.Context, string, int) ([]string, error) { return nil, errUnused }
 
-func (f *fakeKV) Watch(context.Context, string, platform.Revision) (platform.KeyValue, error) {
-	return platform.KeyValue{}, errUnused
+func (f *fakeKV) Watch(context.Context, string, services.Revision) (services.KeyValue, error) {
+	return services.KeyValue{}, errUnused
 }
 
-func (f *fakeKV) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+func (f *fakeKV) Grant(context.Context, time.Duration) (services.LeaseID, error) {
 	return 0, errUnused
 }
 
-func (f *fakeKV) Renew(context.Context, platform.LeaseID) error { return errUnused }
+func (f *fakeKV) Renew(context.Context, services.LeaseID) error { return errUnused }
 
-func (f *fakeKV) Revoke(context.Context, platform.LeaseID) error { return errUnused }
+func (f *fakeKV) Revoke(context.Context, services.LeaseID) error { return errUnused }
--- a/version/config/head.go
+++ b/version/config/head.go
@@ -7,7 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // HeadKey is the key of the accepted configuration.
@@ -37,7 +37,7 @@
 	record []byte
 	// value is the encoded head as it was read by a proposal, and revision its revision.
 	value    []byte
-	revision platform.Revision
+	revision services.Revision
 }
 
 // storedHead is the encoding of a Head.
@@ -103,8 +103,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return nil, nil, fmt.Errorf("%w: head of %d bytes", platform.ErrTooLarge, len(value))
+	if len(value) > services.MaxValueBytes {
+		return nil, nil, fmt.Errorf("%w: head of %d bytes", services.ErrTooLarge, len(value))
 	}
 	return value, parts, nil
 }
--- a/version/config/propose.go
+++ b/version/config/propose.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rules"
 )
 
@@ -68,9 +68,9 @@
 
 // Propose writes a new text as the version after p.Base. It blocks on the platform for at most a few seconds besides the calls
 // themselves. If the text has faults, the error is rules.Faults; if others were first, it is a *ConflictError. After an error
-// that wraps platform.ErrOutcomeUnknown the proposal may have been accepted; repeating it with the same ChangeID settles that.
+// that wraps services.ErrOutcomeUnknown the proposal may have been accepted; repeating it with the same ChangeID settles that.
 // After any other error this call has changed nothing that is in effect.
-func Propose(ctx context.Context, kv platform.KV, p Proposal) (Outcome, error) {
+func Propose(ctx context.Context, kv services.KV, p Proposal) (Outcome, error) {
 	outcome, err := newStore(kv).propose(ctx, p)
 	return outcome, trace.Wrap(err)
 }
@@ -127,9 +127,9 @@
 // unsettled returns the error for a proposal whose attempts have ended with err.
 func (a *attempt) unsettled(err error) error {
 	if a.pending {
-		return fmt.Errorf("%w: change %s: %v", platform.ErrOutcomeUnknown, a.ChangeID, err)
+		return fmt.Errorf("%w: change %s: %v", services.ErrOutcomeUnknown, a.ChangeID, err)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, services.ErrConflict) {
 		return &ConflictError{Base: a.Base, Head: a.Base}
 	}
 	return err
@@ -139,7 +139,7 @@
 func (s *store) try(ctx context.Context, a *attempt) (Outcome, bool, error) {
 	head, err := s.head(ctx)
 	if err != nil {
-		return Outcome{}, !a.pending && !errors.Is(err, platform.ErrUnavailable), err
+		return Outcome{}, !a.pending && !errors.Is(err, services.ErrUnavailable), err
 	}
 	if head.Version < a.Base {
 		return Outcome{}, false, fmt.Errorf("%w: version %d, base %d", ErrStale, head.Version, a.Base)
@@ -190,14 +190,14 @@
 
 // swap writes the head in place of the one at a revision. After a lost answer the same value is written again at the same
 // revision, of which at most one write can take effect.
-func (s *store) swap(ctx context.Context, a *attempt, revision platform.Revision, value []byte) (Outcome, bool, error) {
+func (s *store) swap(ctx context.Context, a *attempt, revision services.Revision, value []byte) (Outcome, bool, error) {
 	_, err := s.kv.CompareAndSwap(ctx, HeadKey, revision, value, 0)
 	switch {
 	case err == nil:
 		return Outcome{Version: a.Base + 1, Head: a.Base + 1}, true, nil
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, services.ErrConflict), errors.Is(err, services.ErrUnavailable):
 		return Outcome{}, false, err
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, services.ErrTooLarge):
 		return Outcome{}, !a.pending, err
 	default:
 		// Any other error, such as an expired context, leaves open whether the write took effect.
--- a/version/config/propose_test.go
+++ b/version/config/propose_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/version/rules"
 )
 
@@ -21,7 +21,7 @@
 var smallLayout = layout{inlineBytes: 100, partLines: 4, minPartBytes: 60, maxPartBytes: 400, recentChanges: 3, recentBytes: 2000}
 
 // testStore never waits between attempts.
-func testStore(kv platform.KV, l layout) *store {
+func testStore(kv services.KV, l layout) *store {
 	return &store{kv: kv, layout: l, wait: func(ctx context.Context, _ int) error { return ctx.Err() }}
 }
 
@@ -75,7 +75,7 @@
 	stale int
 }
 
-func (s *staleKV) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *staleKV) Get(ctx context.Context, key string) (services.KeyValue, error) {
 	if key == HeadKey && s.stale > 0 {
 		s.stale--
 		return s.values[HeadKey][0], nil
@@ -132,13 +132,13 @@
 	kv = newFakeKV(1)
 	kv.late = 1
 	_, err = testStore(kv, defaultLayout).propose(t.Context(), p)
-	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	must.ErrorIs(t, err, services.ErrOutcomeUnknown)
 
 	kv = newFakeKV(1)
 	kv.unavailable = 1
 	_, err = testStore(kv, defaultLayout).propose(t.Context(), p)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
-	must.False(t, errors.Is(err, platform.ErrOutcomeUnknown))
+	must.ErrorIs(t, err, services.ErrUnavailable)
+	must.False(t, errors.Is(err, services.ErrOutcomeUnknown))
 
 	kv = newFakeKV(1)
 	_, err = testStore(kv, defaultLayout).propose(t.Context(), proposal(3, "c1", serviceLine))
@@ -152,7 +152,7 @@
 		}
 	}
 	_, err = testStore(kv, defaultLayout).propose(ctx, p)
-	must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	must.ErrorIs(t, err, services.ErrOutcomeUnknown)
 }
 
 // Guards against audit records that miss a version, a removed or added line or its comment, and against texts that cannot be
--- a/version/config/scale_test.go
+++ b/version/config/scale_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // manyTeams is the design scale: 46,000 teams, each with a comment of its own.
@@ -114,7 +114,7 @@
 	_, err := newStore(kv).propose(t.Context(), proposal(base, "all", strings.ReplaceAll(text, "weight=", "weight=1")))
 	must.NoError(t, err)
 	for key, all := range kv.values {
-		must.LessEq(t, platform.MaxValueBytes, len(all[len(all)-1].Value), must.Sprint(key))
+		must.LessEq(t, services.MaxValueBytes, len(all[len(all)-1].Value), must.Sprint(key))
 	}
 	before, err := TextAt(t.Context(), kv, base)
 	must.NoError(t, err)
--- a/version/config/store.go
+++ b/version/config/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Bounds of repeated platform calls. Seven waits of 20 ms to 1 s add up to about 2.5 s, well below the 13 s in which a change is
@@ -22,13 +22,13 @@
 
 // store reads and writes the configuration's keys. Its methods block on the platform.
 type store struct {
-	kv     platform.KV
+	kv     services.KV
 	layout layout
 	// wait pauses before a call is repeated; it returns the context's error if that ends first.
 	wait func(ctx context.Context, attempt int) error
 }
 
-func newStore(kv platform.KV) *store { return &store{kv: kv, layout: defaultLayout, wait: backoff} }
+func newStore(kv services.KV) *store { return &store{kv: kv, layout: defaultLayout, wait: backoff} }
 
 // backoff waits for a random time between half and all of a delay that doubles with each attempt.
 func backoff(ctx context.Context, attempt int) error {
@@ -46,7 +46,7 @@
 // head reads the head without loading its parts. Without a head it returns version zero with an empty text.
 func (s *store) head(ctx context.Context) (Head, error) {
 	kv, err := s.kv.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, services.ErrNotFound) {
 		return Head{Loaded: true, TextHash: Hash("")}, nil
 	}
 	if err != nil {
@@ -64,7 +64,7 @@
 		if err == nil {
 			return kv.Value, nil
 		}
-		if attempt+1 == maxAttempts || !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrUnavailable) {
+		if attempt+1 == maxAttempts || !errors.Is(err, services.ErrNotFound) && !errors.Is(err, services.ErrUnavailable) {
 			return nil, fmt.Errorf("%s: %w", key, err)
 		}
 		if err := s.wait(ctx, attempt); err != nil {
@@ -78,15 +78,15 @@
 func (s *store) create(ctx context.Context, key string, value []byte) error {
 	for attempt := 0; ; attempt++ {
 		_, err := s.kv.CompareAndSwap(ctx, key, 0, value, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, services.ErrConflict) {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrOutcomeUnknown) && !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, services.ErrOutcomeUnknown) && !errors.Is(err, services.ErrUnavailable) {
 			return fmt.Errorf("%s: %w", key, err)
 		}
 		if attempt+1 == maxAttempts {
 			// Nothing refers to the key yet, so for the caller a lost answer is no different from an unsent write.
-			return fmt.Errorf("%s: %w: %v", key, platform.ErrUnavailable, err)
+			return fmt.Errorf("%s: %w: %v", key, services.ErrUnavailable, err)
 		}
 		if err := s.wait(ctx, attempt); err != nil {
 			return err
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	content, err := decompress(value, platform.MaxValueBytes)
+	content, err := decompress(value, services.MaxValueBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +182,7 @@
 
 // ReadHead reads the head and completes it for a process that has accepted have, which may be nil. Without a head it returns
 // version zero. Errors wrap those of the platform or ErrFormat.
-func ReadHead(ctx context.Context, kv platform.KV, have *Accepted) (Head, error) {
+func ReadHead(ctx context.Context, kv services.KV, have *Accepted) (Head, error) {
 	h, err := newStore(kv).head(ctx)
 	if err != nil {
 		return Head{}, trace.Wrap(err)
@@ -193,7 +193,7 @@
 
 // Complete loads what State.AdoptHead needs of a head that a watch returned: nothing if the head is not newer than have or its
 // changes connect to have, else the text.
-func Complete(ctx context.Context, kv platform.KV, h Head, have *Accepted) (Head, error) {
+func Complete(ctx context.Context, kv services.KV, h Head, have *Accepted) (Head, error) {
 	if have != nil && (h.Version <= have.Version || h.connects(have.Version)) {
 		return h, nil
 	}
--- a/version/rollout/machine.go
+++ b/version/rollout/machine.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Lease is what the process knows of the lease on the shift's service at the time of a tick.
@@ -25,7 +25,7 @@
 	test   *Test
 
 	record   Record
-	revision platform.Revision
+	revision services.Revision
 	// known is set once the record has been read or found missing.
 	known    bool
 	lastRead time.Time
--- a/version/rollout/machine_test.go
+++ b/version/rollout/machine_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // runUntil simulates windows until the condition holds, and fails if it never does.
@@ -108,7 +108,7 @@
 	w := newWorld(3, nil)
 	w.kv.loseAnswers = true
 	w.runUntil(t, "done", func() bool { return w.machines[entryMachine].State() == Done })
-	must.LessEq(t, platform.Revision(8), w.kv.revision)
+	must.LessEq(t, services.Revision(8), w.kv.revision)
 }
 
 // Guards against a shift with too little traffic that nobody hears about before its deadline, or that goes on after it.
@@ -175,7 +175,7 @@
 		now := simStart
 		stopped, down, held := false, false, false
 		share := 0.0
-		fence, last := uint64(0), platform.Revision(0)
+		fence, last := uint64(0), services.Revision(0)
 		check := func(out Output) {
 			must.GreaterEq(t, fence, m.record.Fence)
 			must.GreaterEq(t, last, m.revision)
@@ -202,8 +202,8 @@
 			}
 			return r
 		})
-		revision := func() platform.Revision {
-			return platform.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision"))
+		revision := func() services.Revision {
+			return services.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision"))
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"tick": func(t *rapid.T) {
@@ -223,8 +223,8 @@
 			"missing": func(t *rapid.T) { down = false; check(m.RecordMissing(now)) },
 			"outage":  func(t *rapid.T) { down = true; check(m.PlatformDown(now)) },
 			"failed": func(t *rapid.T) {
-				err := rapid.SampledFrom([]error{platform.ErrConflict, platform.ErrOutcomeUnknown, platform.ErrUnavailable}).Draw(t, "error")
-				down = down || err == platform.ErrUnavailable
+				err := rapid.SampledFrom([]error{services.ErrConflict, services.ErrOutcomeUnknown, services.ErrUnavailable}).Draw(t, "error")
+				down = down || err == services.ErrUnavailable
 				check(m.WriteFailed(now, err))
 			},
 		})
--- a/version/rollout/persisted.go
+++ b/version/rollout/persisted.go
@@ -4,19 +4,19 @@
 	"errors"
 	"time"
 
-	"github.com/jayridge/jayridge/platform"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // RecordRead takes the record as read from the platform.
-func (m *Machine) RecordRead(now time.Time, r Record, revision platform.Revision) Output {
+func (m *Machine) RecordRead(now time.Time, r Record, revision services.Revision) Output {
 	m.down = false
 	m.lastRead = now
 	return m.RecordHeard(now, r, revision)
 }
 
 // RecordHeard takes the record as another process passed it on. While the platform is unreachable only a stop is taken from it.
-func (m *Machine) RecordHeard(now time.Time, r Record, revision platform.Revision) Output {
+func (m *Machine) RecordHeard(now time.Time, r Record, revision services.Revision) Output {
 	var out Output
 	if r.ID == m.shift.ID {
 		m.adopt(&out, r, revision)
@@ -33,17 +33,17 @@
 }
 
 // Written says that a write took effect.
-func (m *Machine) Written(now time.Time, w Write, revision platform.Revision) Output {
+func (m *Machine) Written(now time.Time, w Write, revision services.Revision) Output {
 	m.writing = false
 	return m.RecordRead(now, w.Record, revision)
 }
 
 // WriteFailed says that a write failed, or that it was not sent because the lease was lost. The error is one of those of
-// platform.KV; after an unknown outcome or a conflict the record is read again.
+// services.KV; after an unknown outcome or a conflict the record is read again.
 func (m *Machine) WriteFailed(now time.Time, err error) Output {
 	m.writing = false
 	var out Output
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, services.ErrUnavailable) {
 		m.setDown(now)
 		return m.finish(now, out)
 	}
@@ -76,7 +76,7 @@
 
 // adopt merges a record: a stop wins over everything, else the higher revision wins, unless its fencing token is lower than one
 // that was seen before.
-func (m *Machine) adopt(out *Output, r Record, revision platform.Revision) {
+func (m *Machine) adopt(out *Output, r Record, revision services.Revision) {
 	if r.State == RolledBack {
 		m.stopRecorded = true
 		m.revision = max(m.revision, revision)
--- a/version/rollout/record.go
+++ b/version/rollout/record.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // State is the state of a shift.
@@ -83,5 +83,5 @@
 type Write struct {
 	Record Record
 	// Previous is the revision that the write replaces.
-	Previous platform.Revision
+	Previous services.Revision
 }
--- a/version/rollout/sim_test.go
+++ b/version/rollout/sim_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 var simStart = time.Date(2026, 12, 5, 12, 0, 0, 0, time.UTC)
@@ -31,23 +31,23 @@
 // register is a fake of the key that holds the record.
 type register struct {
 	record   Record
-	revision platform.Revision
+	revision services.Revision
 	down     bool
 	// loseAnswers makes each write take effect and lose its answer.
 	loseAnswers bool
 }
 
-func (r *register) write(w Write) (platform.Revision, error) {
+func (r *register) write(w Write) (services.Revision, error) {
 	switch {
 	case r.down:
-		return 0, platform.ErrUnavailable
+		return 0, services.ErrUnavailable
 	case w.Previous != r.revision:
-		return 0, platform.ErrConflict
+		return 0, services.ErrConflict
 	}
 	r.record = w.Record
 	r.revision++
 	if r.loseAnswers {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, services.ErrOutcomeUnknown
 	}
 	return r.revision, nil
 }
