--- a/cmd/jayridge/main.go
+++ b/cmd/jayridge/main.go
@@ -4,23 +4,15 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 
-	"github.com/urfave/cli/v3"
-	"k8s.io/klog/v2"
-
 	"github.com/jayridge/jayridge/request/result"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	// klog keeps its settings in flags of its own; without them it would write log files.
-	flags := flag.NewFlagSet("klog", flag.PanicOnError)
-	klog.InitFlags(flags)
-	_ = flags.Set("logtostderr", "true")
 	err := root().Run(context.Background(), os.Args)
-	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "jayridge: "+err.Error())
 		os.Exit(exitCode(err))
@@ -34,7 +26,7 @@
 		Description: "Exit codes are the numbered result codes of docs/result-codes.md; 0 is success.\n" +
 			"Start with: make demo",
 		Commands: []*cli.Command{
-			entryCommand(), sidecarCommand(), checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(),
+			entryCommand(), sidecarCommand(), gatewayCommand(), checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(),
 			movesCommand(), auditCommand(), orderCommand(), callCommand(), loadCommand(), standinCommand(),
 		},
 		// Errors are printed by main with the numbered exit code.
--- /dev/null
+++ b/process/balancer/balancer.go
@@ -0,0 +1,352 @@
+// Package balancer keeps what an entry knows of each upstream's load and condition, and hands upstreams to requests.
+//
+// It joins the pure decisions of placement, health and cold start with the counts of requests in flight. All methods take the time and
+// may be called from any goroutine; none does I/O.
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/health"
+	"github.com/jayridge/jayridge/request/placement"
+	"github.com/jayridge/jayridge/version/routing"
+)
+
+// Config sets the decisions of a balancer.
+type Config struct {
+	// DataCentre is that of the entry.
+	DataCentre string
+	Placement  placement.Config
+	Health     health.Config
+	// LoadFreshFor is how long a peer's or an upstream's statement about its load is used.
+	LoadFreshFor time.Duration
+	// Seed is that of the tie breaker.
+	Seed uint64
+}
+
+// DefaultConfig returns the default settings of an entry in a data centre.
+func DefaultConfig(dataCentre string) Config {
+	return Config{
+		DataCentre:   dataCentre,
+		Placement:    placement.DefaultConfig(),
+		Health:       health.DefaultConfig(),
+		LoadFreshFor: time.Second, // twice the time between peers' reports
+	}
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	config Config
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	backends map[string]*backend
+	services map[string][]*backend
+	// entries is the number of entries that share the fleet's limits.
+	entries int
+	peers   map[string]peerLoad
+	// scratch is reused between decisions.
+	scratch []placement.Upstream
+}
+
+// backend is one start of an upstream.
+type backend struct {
+	directory.Upstream
+	hash     uint64
+	local    bool
+	monitor  *health.Monitor
+	cache    *placement.Cache
+	cold     *rate.Limiter
+	coldRate float64
+	// inFlight are this entry's requests, pending their prompt tokens that were not read yet.
+	inFlight int
+	pending  int
+	// others are the requests of other entries as the upstream's last answer suggests.
+	others   int
+	othersAt time.Time
+}
+
+type peerLoad struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// Load is the load that one entry puts on an upstream.
+type Load struct {
+	// Requests are in flight; PendingTokens are of their prompts and not read yet.
+	Requests      int `msgpack:"r"`
+	PendingTokens int `msgpack:"p"`
+}
+
+// New returns a balancer without upstreams.
+func New(config Config) *Balancer {
+	return &Balancer{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+		backends: make(map[string]*backend),
+		services: make(map[string][]*backend),
+		peers:    make(map[string]peerLoad),
+		entries:  1,
+	}
+}
+
+// SetUpstreams replaces the upstreams that take requests. Those that stay keep their state, another start under the same ID begins anew.
+func (b *Balancer) SetUpstreams(upstreams []directory.Upstream, services func(name string) *routing.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[string]*backend, len(upstreams))
+	clear(b.services)
+	for _, u := range upstreams {
+		service := services(u.Service)
+		if service == nil {
+			continue
+		}
+		e := b.backends[u.ID]
+		if e == nil || e.Started != u.Started || e.Address != u.Address {
+			e = b.newBackend(u, service)
+		}
+		e.Upstream = u
+		e.coldRate = service.ColdRate
+		next[u.ID] = e
+		b.services[u.Service] = append(b.services[u.Service], e)
+	}
+	b.backends = next
+}
+
+func (b *Balancer) newBackend(u directory.Upstream, service *routing.Service) *backend {
+	return &backend{
+		hash:    xxhash.Sum64String(u.ID),
+		local:   u.DataCentre == b.config.DataCentre,
+		monitor: health.New(b.config.Health),
+		cache:   placement.NewCache(service.CacheTokens * 3 / 4), // a quarter is left for answers and for what other entries send
+		cold:    rate.NewLimiter(0, 1),
+	}
+}
+
+// SetEntries tells how many entries share the fleet's limits.
+func (b *Balancer) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(1, n)
+}
+
+// Query is a request that needs an upstream.
+type Query struct {
+	Service string
+	// DataCentre says whether a data centre may run the request; nil means that all may.
+	DataCentre func(name string) bool
+	Placement  placement.Request
+	Parts      []placement.Part
+	// Tried are the upstreams that must not get the request again.
+	Tried []string
+}
+
+// Choice is an upstream with a place for one request. Done must be called once.
+type Choice struct {
+	directory.Upstream
+	// Cached is the number of the prompt's tokens that the upstream is believed to hold.
+	Cached int
+	// Load is what the upstream was believed to hold at the decision, Candidates the number of upstreams that could take the request.
+	Load       int
+	Candidates int
+
+	balancer *Balancer
+	backend  *backend
+	pending  int
+}
+
+// Pick chooses the upstream for a request. It returns nil if none can take it.
+func (b *Balancer) Pick(now time.Time, q Query) *Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	group := b.services[q.Service]
+	if len(group) == 0 {
+		return nil
+	}
+	b.scratch = b.scratch[:0]
+	candidates := 0
+	for _, e := range group {
+		u := b.view(now, e, q)
+		if !u.Excluded {
+			candidates++
+		}
+		b.scratch = append(b.scratch, u)
+	}
+	at := placement.Choose(b.config.Placement, q.Placement, b.scratch, b.random.Float64())
+	if at < 0 {
+		return nil
+	}
+	e := group[at]
+	if b.isCold(now, e) {
+		e.cold.AllowN(now, 1)
+	}
+	c := &Choice{
+		Upstream: e.Upstream, Cached: b.scratch[at].CachedTokens, Load: int(b.scratch[at].Load), Candidates: candidates,
+		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-b.scratch[at].CachedTokens),
+	}
+	e.inFlight++
+	e.pending += c.pending
+	e.cache.Used(q.Parts)
+	return c
+}
+
+func (b *Balancer) view(now time.Time, e *backend, q Query) placement.Upstream {
+	requests, pending := b.othersLoad(now, e)
+	u := placement.Upstream{
+		Hash:          e.hash,
+		Local:         e.local,
+		Load:          float64(e.inFlight + requests),
+		Slots:         e.Slots,
+		PendingTokens: float64(e.pending + pending),
+		CachedTokens:  e.cache.Holds(q.Parts),
+		FailureRate:   e.monitor.FailureRate(now),
+		Excluded:      e.monitor.Down(),
+	}
+	for _, id := range q.Tried {
+		u.Excluded = u.Excluded || id == e.ID
+	}
+	if q.DataCentre != nil && !q.DataCentre(e.DataCentre) {
+		u.Excluded = true
+	}
+	if b.isCold(now, e) && e.cold.TokensAt(now) < 1 {
+		u.Excluded = true
+	}
+	return u
+}
+
+// isCold says whether the upstream is cold, and keeps its limiter at this entry's share of what it bears.
+func (b *Balancer) isCold(now time.Time, e *backend) bool {
+	if e.coldRate <= 0 || !now.Before(e.ColdUntil) {
+		return false
+	}
+	if share := rate.Limit(e.coldRate / float64(b.entries)); e.cold.Limit() != share {
+		e.cold.SetLimitAt(now, share)
+	}
+	return true
+}
+
+// othersLoad is the load of other entries on an upstream: what peers say, or else what its last answer suggests.
+func (b *Balancer) othersLoad(now time.Time, e *backend) (requests, pending int) {
+	heard := false
+	for _, p := range b.peers {
+		if now.Sub(p.at) > b.config.LoadFreshFor {
+			continue
+		}
+		heard = true
+		l := p.loads[e.ID]
+		requests += l.Requests
+		pending += l.PendingTokens
+	}
+	if !heard && now.Sub(e.othersAt) <= b.config.LoadFreshFor {
+		return e.others, 0
+	}
+	return requests, pending
+}
+
+// PeerLoad takes another entry's loads by upstream.
+func (b *Balancer) PeerLoad(now time.Time, peer string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[peer] = peerLoad{loads, now}
+}
+
+// ForgetPeer drops the loads of an entry that left.
+func (b *Balancer) ForgetPeer(peer string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.peers, peer)
+}
+
+// Loads returns this entry's load on each upstream that has any.
+func (b *Balancer) Loads() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := make(map[string]Load)
+	for id, e := range b.backends {
+		if e.inFlight > 0 {
+			loads[id] = Load{e.inFlight, e.pending}
+		}
+	}
+	return loads
+}
+
+// Begun records that the answer began, so that the prompt is read. total is the number of requests that the upstream says it holds, or -1.
+func (c *Choice) Begun(now time.Time, total int) {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.read()
+	if total >= 0 {
+		c.backend.others = max(0, total-c.backend.inFlight)
+		c.backend.othersAt = now
+	}
+}
+
+func (c *Choice) read() {
+	c.backend.pending -= c.pending
+	c.pending = 0
+}
+
+// Done gives the place back and records the outcome. It says whether the upstream went down by it.
+func (c *Choice) Done(now time.Time, o health.Outcome) bool {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.read()
+	c.backend.inFlight--
+	return c.backend.monitor.Record(now, o)
+}
+
+// Release gives the place back without an outcome, for instance because the caller left.
+func (c *Choice) Release() {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.read()
+	c.backend.inFlight--
+}
+
+// ProbesDue returns the upstreams that are down and due for a probe.
+func (b *Balancer) ProbesDue(now time.Time) []directory.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []directory.Upstream
+	for _, e := range b.backends {
+		if e.monitor.ProbeDue(now) {
+			due = append(due, e.Upstream)
+		}
+	}
+	return due
+}
+
+// Probed takes the result of a probe and says whether the upstream came up by it. coldFor is how much longer it is cold.
+func (b *Balancer) Probed(now time.Time, u directory.Upstream, well bool, coldFor time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.backends[u.ID]
+	if e == nil || e.Started != u.Started || !e.monitor.Probed(now, well) {
+		return false
+	}
+	if until := now.Add(coldFor); until.After(e.ColdUntil) {
+		e.ColdUntil = until
+	}
+	return true
+}
+
+// Down returns the number of upstreams of a service that are down, and of all.
+func (b *Balancer) Down(service string) (down, all int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.services[service] {
+		if e.monitor.Down() {
+			down++
+		}
+	}
+	return down, len(b.services[service])
+}
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -1,13 +1,14 @@
-// Package event defines the numbered log events of jayridge and writes them through klog.
+// Package event defines the numbered log events of jayridge and writes them as JSON lines.
 //
-// Operators search logs by event number. docs/events.md lists every event, and a test compares it with this package.
+// Operators search logs by event number. docs/events.md lists every event, and a test compares it with this package. Lines go to
+// standard error until Start directs them elsewhere; see writer.go.
 package event
 
 import (
 	"strings"
 
 	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
+	"github.com/rs/zerolog"
 )
 
 // ID numbers a log event. Numbers never change their meaning.
@@ -25,6 +26,8 @@
 	ConfigAdopted     ID = 200
 	ConfigInvalid     ID = 202
 	ConfigWatchFailed ID = 204
+	FactInvalid       ID = 205
+	HistoryLost       ID = 206
 
 	PeerConnected    ID = 300
 	PeerLost         ID = 301
@@ -32,6 +35,10 @@
 	BadFrame         ID = 303
 	PeerMismatch     ID = 304
 	InstanceListFail ID = 306
+	UpstreamChanged  ID = 307
+	UpstreamDown     ID = 308
+	UpstreamUp       ID = 309
+	ProbeFailed      ID = 310
 
 	RequestFailed      ID = 400
 	UpstreamCold       ID = 401
@@ -42,6 +49,10 @@
 	RequestQuarantined ID = 406
 	LoadReportFailed   ID = 407
 	OrderHandled       ID = 408
+	RequestAnswered    ID = 409
+	RequestRefused     ID = 410
+	CallerLeft         ID = 411
+	AttemptFailed      ID = 412
 
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
@@ -62,7 +73,7 @@
 // Level is the severity at which an event is logged.
 type Level uint8
 
-// Severities, as klog has them.
+// Severities.
 const (
 	Info Level = iota
 	Warning
@@ -88,6 +99,8 @@
 	{ConfigAdopted, "configuration version adopted", Info, ""},
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
 	{ConfigWatchFailed, "configuration watch failed", Warning, "check the platform's key-value service"},
+	{FactInvalid, "an item of the platform's store cannot be used", Warning, "look at who wrote the key"},
+	{HistoryLost, "the store's history is gone, everything is read again", Info, ""},
 
 	{PeerConnected, "peer connected", Info, ""},
 	{PeerLost, "peer connection lost", Info, ""},
@@ -95,6 +108,10 @@
 	{BadFrame, "bad frame, connection closed", Warning, "look for a faulty or foreign sender on the peer address"},
 	{PeerMismatch, "another instance answered at a peer's address", Warning, "nothing if it ends with the instance list's lag; else correct peer_address"},
 	{InstanceListFail, "instance list unavailable", Warning, "check the platform's instance list"},
+	{UpstreamChanged, "listing of an upstream changed", Info, ""},
+	{UpstreamDown, "upstream gets no requests until a probe succeeds", Warning, "look at the upstream's own log"},
+	{UpstreamUp, "upstream answers probes again", Info, ""},
+	{ProbeFailed, "probe of an upstream failed", Info, ""},
 
 	{RequestFailed, "request failed after it was handed over", Warning, "look at the upstream's own log"},
 	{UpstreamCold, "upstream in cold start", Info, ""},
@@ -105,6 +122,10 @@
 	{RequestQuarantined, "request fingerprint quarantined", Error, "send the request's fingerprint to the owner of the model engine"},
 	{LoadReportFailed, "load report of the upstream unavailable", Warning, "check that the upstream runs"},
 	{OrderHandled, "order to the engine handled", Info, ""},
+	{RequestAnswered, "request answered", Info, ""},
+	{RequestRefused, "request refused, not run", Info, "see the result and docs/OPERATIONS.md"},
+	{CallerLeft, "caller left before the answer", Info, ""},
+	{AttemptFailed, "attempt at an upstream failed", Info, ""},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
 	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
@@ -133,23 +154,28 @@
 // All returns the catalogue in the order of docs/events.md.
 func All() []Description { return append([]Description(nil), catalogue...) }
 
-// Log writes event id with structured fields, given as alternating names and values. It may be called from any goroutine and
-// does not block on the network.
+// Log writes event id with structured fields, given as alternating names and values. It may be called from any goroutine and does
+// not block once Start was called.
 func Log(id ID, keysAndValues ...any) {
 	d := byID[id]
-	fields := append([]any{"event", int(id)}, keysAndValues...)
-	for i, field := range fields {
-		// The text of a wrapped error includes its stack on several lines.
-		if err, ok := field.(error); ok {
-			fields[i] = strings.ReplaceAll(trace.Unwrap(err).Error(), "\n", "; ")
-		}
+	line := logger.Load().WithLevel(levels[d.Level]).Int("event", int(id))
+	for i := 0; i+1 < len(keysAndValues); i += 2 {
+		name, _ := keysAndValues[i].(string)
+		line = appendField(line, name, keysAndValues[i+1])
 	}
-	switch d.Level {
-	case Error:
-		klog.ErrorSDepth(1, nil, d.Name, fields...)
-	case Warning:
-		klog.InfoSDepth(1, d.Name, append(fields, "severity", "warning")...)
+	line.Msg(d.Name)
+}
+
+var levels = [...]zerolog.Level{Info: zerolog.InfoLevel, Warning: zerolog.WarnLevel, Error: zerolog.ErrorLevel}
+
+func appendField(line *zerolog.Event, name string, value any) *zerolog.Event {
+	switch v := value.(type) {
+	case string:
+		return line.Str(name, v)
+	case error:
+		// The text of a wrapped error includes its stack on several lines.
+		return line.Str(name, strings.ReplaceAll(trace.Unwrap(v).Error(), "\n", "; "))
 	default:
-		klog.InfoSDepth(1, d.Name, fields...)
+		return line.Interface(name, v)
 	}
 }
--- /dev/null
+++ b/process/gateway/control.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/mirror"
+	"github.com/jayridge/jayridge/version/routing"
+)
+
+const (
+	// maxQueuedBatches bounds the batches that wait for the control goroutine; the sources wait when it is full.
+	maxQueuedBatches = 16
+	// controlTick is the time between looks at what only time changes. It is short against the seconds in which such beliefs expire.
+	controlTick = 250 * time.Millisecond
+)
+
+// received is a batch from a source.
+type received struct {
+	batch mirror.Batch
+	// after is the revision that the batch continues from.
+	after uint64
+	// source is "store" or a peer's name.
+	source string
+	// applied, if set, is closed once the batch was applied.
+	applied chan<- uint64
+}
+
+// view is the published state. It is immutable.
+type view struct {
+	table     *routing.Table
+	upstreams []directory.Upstream
+	// evacuated are the data centres whose upstreams get nothing.
+	evacuated map[string]struct{}
+	revision  uint64
+}
+
+// state is what the control goroutine owns.
+type state struct {
+	g         *Gateway
+	mirror    *mirror.Mirror
+	directory *directory.Directory
+	table     *routing.Table
+	evacuated map[string]struct{}
+	// changed says that the published view is out of date.
+	changed bool
+}
+
+// control runs the control goroutine.
+func (g *Gateway) control() {
+	s := &state{
+		g:         g,
+		mirror:    mirror.New(),
+		directory: directory.New(bootclock.Now(), directory.DefaultConfig()),
+		evacuated: make(map[string]struct{}),
+	}
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case r := <-g.batches:
+			s.apply(r)
+		case <-ticker.C:
+			s.tick()
+		}
+		s.publish()
+	}
+}
+
+func (s *state) apply(r received) {
+	items := s.mirror.Apply(r.after, r.batch)
+	now := bootclock.Now()
+	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
+		s.directory.Contact(asOf)
+		s.g.confirmed.Store(asOf.UnixNano())
+	}
+	for _, item := range items {
+		s.take(now, item, r.source)
+	}
+	if r.applied != nil {
+		r.applied <- s.mirror.Revision()
+	}
+}
+
+// take changes the beliefs by one item.
+func (s *state) take(now time.Time, item mirror.Item, source string) {
+	fact, err := s.g.decoder.Decode(item)
+	if err != nil {
+		event.Log(event.FactInvalid, "key", item.Key, "revision", item.Revision, "source", source, "error", err)
+	}
+	switch fact.Kind {
+	case FactConfig:
+		s.takeConfig(fact, err, item.Revision, source)
+	case FactUpstream:
+		s.takeUpstream(now, fact, err, item.Revision, source)
+	case FactEvacuation:
+		s.takeEvacuation(fact, item.Revision, source)
+	}
+}
+
+// takeConfig adopts a newer version. The last good one stays in force if the item is unreadable or gone.
+func (s *state) takeConfig(fact Fact, err error, revision uint64, source string) {
+	if err != nil || fact.Deleted {
+		return
+	}
+	if s.table != nil && fact.Config.Version <= s.table.Version() {
+		return
+	}
+	table, err := routing.NewTable(fact.Config)
+	if err != nil {
+		event.Log(event.FactInvalid, "version", fact.Config.Version, "revision", revision, "source", source, "error", err)
+		return
+	}
+	s.table = table
+	s.changed = true
+	event.Log(event.ConfigAdopted, "version", table.Version(), "routes", len(fact.Config.Routes), "teams", len(fact.Config.Teams),
+		"revision", revision, "source", source)
+}
+
+func (s *state) takeUpstream(now time.Time, fact Fact, err error, revision uint64, source string) {
+	var change directory.Change
+	var changed bool
+	if err != nil || fact.Deleted {
+		change, changed = s.directory.Unlisted(now, fact.Name)
+	} else {
+		change, changed = s.directory.Listed(now, fact.Upstream)
+	}
+	if !changed {
+		return
+	}
+	s.changed = true
+	event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(),
+		"restarted", change.Restarted, "address", fact.Upstream.Address, "version", fact.Upstream.Version,
+		"cold_ms", fact.Upstream.ColdFor.Milliseconds(), "revision", revision, "source", source)
+}
+
+func (s *state) takeEvacuation(fact Fact, revision uint64, source string) {
+	id := event.DrainStarted
+	if fact.Deleted {
+		id = event.DrainEnded
+		delete(s.evacuated, fact.Name)
+	} else {
+		s.evacuated[fact.Name] = struct{}{}
+	}
+	s.changed = true
+	event.Log(id, "data_centre", fact.Name, "revision", revision, "source", source)
+}
+
+func (s *state) tick() {
+	for _, change := range s.directory.Tick(bootclock.Now()) {
+		s.changed = true
+		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
+	}
+	s.g.pools.trim()
+}
+
+// publish makes changed beliefs visible to request goroutines.
+func (s *state) publish() {
+	if !s.changed || s.table == nil {
+		return
+	}
+	s.changed = false
+	v := &view{table: s.table, evacuated: make(map[string]struct{}, len(s.evacuated)), revision: s.mirror.Revision()}
+	for name := range s.evacuated {
+		v.evacuated[name] = struct{}{}
+	}
+	v.upstreams = slices.DeleteFunc(s.directory.Usable(), func(u directory.Upstream) bool {
+		_, evacuated := s.evacuated[u.DataCentre]
+		return evacuated
+	})
+	s.g.balancer.SetUpstreams(v.upstreams, s.table.Service)
+	s.g.pools.retain(v.upstreams)
+	s.g.view.Store(v)
+}
--- /dev/null
+++ b/process/gateway/gateway.go
@@ -0,0 +1,131 @@
+// Package gateway is the role of an entry that sends to upstreams directly, without sidecars, and learns all it needs from the
+// platform's store and from other gateways.
+//
+// One control goroutine owns the copy of the store and the directory of upstreams, and publishes an immutable view. Request goroutines
+// read one view for each decision and report outcomes to the balancer.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/mirror"
+	"github.com/jayridge/jayridge/process/services"
+	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/forward"
+)
+
+// Store is what a gateway needs of the platform's store. Its methods are called from worker goroutines and may block until ctx ends.
+type Store interface {
+	services.KV
+	// Snapshot reads all items whose keys have a prefix.
+	Snapshot(ctx context.Context, prefix string) (mirror.Batch, error)
+	// Changes waits at most the given time for changes after a revision. It returns mirror.ErrHistoryLost if they are no longer known.
+	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error)
+}
+
+// Options are what a gateway is made of.
+type Options struct {
+	Settings *settings.Gateway
+	Store    Store
+	Decoder  Decoder
+	Headers  forward.Headers
+}
+
+// Gateway is one process.
+type Gateway struct {
+	settings *settings.Gateway
+	store    Store
+	decoder  Decoder
+	headers  forward.Headers
+	balancer *balancer.Balancer
+	pools    *pools
+	budgets  *budgets
+	calls    *callers
+	metrics  *metrics
+
+	// view is the latest published state, nil before the first configuration.
+	view atomic.Pointer[view]
+	// confirmed is the latest time at which the configuration was known to be current, in nanoseconds of bootclock.
+	confirmed atomic.Int64
+	batches   chan received
+	leaving   atomic.Bool
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	servers []*http.Server
+}
+
+// New returns a gateway that does not run yet.
+func New(o Options) (*Gateway, error) {
+	if o.Settings == nil || o.Store == nil || o.Decoder == nil {
+		return nil, trace.BadParameter("settings, store and decoder are required")
+	}
+	config := balancer.DefaultConfig(o.Settings.DataCentre)
+	config.Seed = rand.Uint64()
+	g := &Gateway{
+		settings: o.Settings,
+		store:    o.Store,
+		decoder:  o.Decoder,
+		headers:  o.Headers,
+		balancer: balancer.New(config),
+		pools:    newPools(),
+		budgets:  newBudgets(o.Settings.Fleet),
+		calls:    newCallers(),
+		metrics:  newMetrics(),
+		batches:  make(chan received, maxQueuedBatches),
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	return g, nil
+}
+
+// Start opens the listeners and starts the workers.
+func (g *Gateway) Start() error {
+	if err := g.listen(); err != nil {
+		g.cancel()
+		return trace.Wrap(err)
+	}
+	g.work(g.control)
+	g.work(g.watch)
+	g.work(g.probe)
+	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
+	return nil
+}
+
+func (g *Gateway) work(f func()) {
+	g.workers.Add(1)
+	go func() {
+		defer g.workers.Done()
+		f()
+	}()
+}
+
+// Leave makes the gateway not ready and ends its callers' connections with their next answer.
+func (g *Gateway) Leave() {
+	g.leaving.Store(true)
+	event.Log(event.ProcessLeaving)
+}
+
+// Drain closes the listeners and waits for the requests in progress until ctx ends.
+func (g *Gateway) Drain(ctx context.Context) error {
+	return trace.Wrap(g.calls.drain(ctx, g.servers))
+}
+
+// Stop ends all workers.
+func (g *Gateway) Stop(context.Context) {
+	g.cancel()
+	for _, s := range g.servers {
+		_ = s.Close() // what is still open at the end is cut off
+	}
+	g.workers.Wait()
+	event.Log(event.ProcessStopped)
+}
--- /dev/null
+++ b/process/gateway/metrics.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/request/result"
+)
+
+const (
+	// maxLatency bounds what the histograms record; callers wait for seconds at most.
+	maxLatency = 60 * time.Second
+	// latencyDigits is the precision of the histograms, in significant decimal digits; two keep one below 10 KB.
+	latencyDigits = 2
+)
+
+// metrics counts what a gateway does. Counters only grow.
+type metrics struct {
+	results       [256]atomic.Int64
+	attempts      atomic.Int64
+	dials         atomic.Int64
+	probes        atomic.Int64
+	storeFailures atomic.Int64
+
+	mu sync.Mutex
+	// latency is the time to the whole answer of requests without streams, first that to the first event, both in microseconds.
+	latency, first *hdrhistogram.Histogram
+}
+
+func newMetrics() *metrics {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
+	return &metrics{latency: histogram(), first: histogram()}
+}
+
+func (m *metrics) answered(code result.Code) { m.results[code].Add(1) }
+
+func (m *metrics) record(h *hdrhistogram.Histogram, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = h.RecordValue(min(max(1, d.Microseconds()), maxLatency.Microseconds())) // within the range by construction
+}
+
+// write prints one "name value" line for each metric.
+func (m *metrics) write(w io.Writer) {
+	line := func(name string, value int64) { _, _ = fmt.Fprintf(w, "%s %d\n", name, value) } // a reader that left needs no report
+	for _, info := range result.All() {
+		if n := m.results[info.Code].Load(); n > 0 {
+			line("jayridge_requests_total{result=\""+info.Name+"\"}", n)
+		}
+	}
+	line("jayridge_attempts_total", m.attempts.Load())
+	line("jayridge_upstream_connections_total", m.dials.Load())
+	line("jayridge_probes_total", m.probes.Load())
+	line("jayridge_store_failures_total", m.storeFailures.Load())
+	line("jayridge_log_lines_dropped_total", event.Dropped())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.first} {
+		for _, q := range []float64{50, 95, 99, 100} {
+			line(fmt.Sprintf("jayridge_%s_microseconds{quantile=\"%g\"}", name, q/100), h.ValueAtQuantile(q))
+		}
+		line("jayridge_"+name+"_count", h.TotalCount())
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m.write(w)
+}
--- /dev/null
+++ b/process/gateway/probe.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jayridge/jayridge/connection/upstream"
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/request/forward"
+)
+
+const (
+	// probeTick is the time between looks for upstreams to probe.
+	probeTick = 100 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 500 * time.Millisecond
+	// probeIdle is how old a connection may be that a probe uses: none, since the way to the upstream is in question.
+	probeIdle = 0
+)
+
+// probe asks upstreams that are down whether they are back.
+func (g *Gateway) probe() {
+	for g.ctx.Err() == nil {
+		for _, u := range g.balancer.ProbesDue(bootclock.Now()) {
+			g.work(func() { g.probeOne(u) })
+		}
+		sleep(g.ctx, probeTick)
+	}
+}
+
+func (g *Gateway) probeOne(u directory.Upstream) {
+	v := g.view.Load()
+	if v == nil {
+		return
+	}
+	service := v.table.Service(u.Service)
+	if service == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	well, coldFor, err := g.health(ctx, u, service.HealthPath)
+	if !well {
+		coldFor = 0
+	} else if coldFor == 0 && service.ColdFor > 0 {
+		// It may have restarted meanwhile and says nothing about it.
+		coldFor = service.ColdFor
+	}
+	if g.balancer.Probed(bootclock.Now(), u, well, coldFor) {
+		event.Log(event.UpstreamUp, "upstream", u.ID, "address", u.Address, "cold_ms", coldFor.Milliseconds())
+		return
+	}
+	if err != nil && g.ctx.Err() == nil {
+		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "error", err)
+	}
+}
+
+// health asks an upstream for its health.
+func (g *Gateway) health(ctx context.Context, u directory.Upstream, path string) (well bool, coldFor time.Duration, err error) {
+	g.metrics.probes.Add(1)
+	conn, err := g.pools.get(u.Address).Get(ctx, probeIdle)
+	if err != nil {
+		return false, 0, err
+	}
+	answer, err := upstream.Exchange(ctx, conn, &upstream.Request{
+		Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{"User-Agent": {""}}, IDHeader: g.headers.RequestID,
+	})
+	if err != nil {
+		return false, 0, err
+	}
+	defer answer.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxDrainBytes)); err != nil {
+		return false, 0, err
+	}
+	answer.Done()
+	coldFor, _ = forward.Milliseconds(answer.Header, g.headers.ColdFor)
+	return answer.Status == http.StatusOK && answer.Header.Get(g.headers.UpstreamID) == u.ID, coldFor, nil
+}
--- /dev/null
+++ b/process/gateway/watch.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/mirror"
+)
+
+const (
+	// watchWait is how long the store may hold a watch without changes. Each answer confirms that the copy is current, which keys need
+	// several times within the time in which a revoked one may still be served.
+	watchWait = time.Second
+	// watchPause is the least time between two answers of the store. Upstreams renew their entries all the time; a pause gathers the
+	// changes of many into one call.
+	watchPause = 300 * time.Millisecond
+	// watchRetry is the time before the next call after a failed one.
+	watchRetry = 250 * time.Millisecond
+	// storeDownAfter is the time without an answer of the store after which it is logged as lost.
+	storeDownAfter = 2 * time.Second
+)
+
+// allKeys is the prefix of everything in the store.
+const allKeys = ""
+
+// watch keeps the copy of the store current.
+func (g *Gateway) watch() {
+	w := &watcher{g: g}
+	for g.ctx.Err() == nil {
+		started := time.Now()
+		err := w.step()
+		w.report(err)
+		pause := watchPause - time.Since(started)
+		if err != nil {
+			pause = watchRetry
+		}
+		sleep(g.ctx, pause)
+	}
+}
+
+type watcher struct {
+	g        *Gateway
+	revision uint64
+	// lastAnswer is the time of the store's latest answer; lost says that its loss was logged.
+	lastAnswer time.Time
+	lost       bool
+}
+
+// step makes one call and hands its result to the control goroutine.
+func (w *watcher) step() error {
+	sent := bootclock.Now()
+	var batch mirror.Batch
+	var err error
+	if w.revision == 0 {
+		batch, err = w.g.store.Snapshot(w.g.ctx, allKeys)
+	} else {
+		batch, err = w.g.store.Changes(w.g.ctx, allKeys, w.revision, watchWait)
+	}
+	if errors.Is(err, mirror.ErrHistoryLost) {
+		event.Log(event.HistoryLost, "revision", w.revision)
+		w.revision = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	// The answer was made after the call was sent, so it was current then.
+	batch.AsOf = sent
+	return w.hand(batch)
+}
+
+// hand passes a batch on and waits until it is applied, so that the next call continues from there.
+func (w *watcher) hand(batch mirror.Batch) error {
+	applied := make(chan uint64, 1)
+	select {
+	case w.g.batches <- received{batch: batch, after: w.revision, source: "store", applied: applied}:
+	case <-w.g.ctx.Done():
+		return w.g.ctx.Err()
+	}
+	select {
+	case <-applied:
+		w.revision = batch.Revision
+		return nil
+	case <-w.g.ctx.Done():
+		return w.g.ctx.Err()
+	}
+}
+
+func (w *watcher) report(err error) {
+	now := time.Now()
+	if err == nil {
+		if w.lost {
+			event.Log(event.PlatformRecovered, "lost_ms", now.Sub(w.lastAnswer).Milliseconds())
+		}
+		w.lastAnswer, w.lost = now, false
+		return
+	}
+	w.g.metrics.storeFailures.Add(1)
+	if !w.lost && now.Sub(w.lastAnswer) > storeDownAfter && w.g.ctx.Err() == nil {
+		w.lost = true
+		event.Log(event.PlatformFailed, "since_ms", now.Sub(w.lastAnswer).Milliseconds(), "revision", w.revision, "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -56,20 +56,29 @@
 // Parse reads settings from text; name appears in the faults.
 func Parse(name string, text []byte) (*Settings, error) {
 	s := Defaults()
+	if err := decode(name, text, &s, func(scan *scanner) Faults { return crossChecks(&s, scan) }); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// decode reads a JSON document into target, which points to a struct with defaults, and returns all faults as a Faults value.
+func decode(name string, text []byte, target any, crossChecks func(*scanner) Faults) error {
 	scan := scanner{file: name, text: text, places: map[string]place{}}
-	scan.document(reflect.TypeOf(s))
+	scan.document(reflect.TypeOf(target).Elem())
 	if scan.wellFormed {
 		// Unmarshal goes on after a value of the wrong type, so the fields that are right are still checked.
-		if err := json.Unmarshal(text, &s); err != nil && len(scan.faults) == 0 {
+		if err := json.Unmarshal(text, target); err != nil && len(scan.faults) == 0 {
 			scan.faults = append(scan.faults, Fault{File: name, Path: "(document)", Text: err.Error()})
 		}
-		scan.faults = append(scan.faults, validate(&s, &scan)...)
+		scan.faults = append(scan.faults, validate(target, &scan)...)
+		scan.faults = append(scan.faults, crossChecks(&scan)...)
 	}
 	if len(scan.faults) > 0 {
 		sort.SliceStable(scan.faults, func(i, j int) bool { return before(scan.faults[i], scan.faults[j]) })
-		return nil, scan.faults
+		return scan.faults
 	}
-	return &s, nil
+	return nil
 }
 
 func before(a, b Fault) bool {
@@ -79,15 +88,15 @@
 	return a.Column < b.Column
 }
 
-var validate = func() func(*Settings, *scanner) Faults {
+var validate = func() func(any, *scanner) Faults {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return jsonName(f) })
-	return func(s *Settings, scan *scanner) Faults {
+	return func(target any, scan *scanner) Faults {
 		var faults Faults
 		var fieldErrors validator.ValidationErrors
-		if errors.As(v.Struct(s), &fieldErrors) {
+		if errors.As(v.Struct(target), &fieldErrors) {
 			for _, e := range fieldErrors {
-				path := strings.TrimPrefix(e.Namespace(), "Settings.")
+				_, path, _ := strings.Cut(e.Namespace(), ".")
 				if scan.faulty(path) {
 					continue
 				}
@@ -95,7 +104,7 @@
 				faults = append(faults, Fault{scan.file, at.line, at.column, path, explain(e)})
 			}
 		}
-		return append(faults, crossChecks(s, scan)...)
+		return faults
 	}
 }()
 
--- /dev/null
+++ b/request/forward/prompt.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jayridge/jayridge/request/placement"
+)
+
+// Prompt describes the prompt of a request to a model.
+type Prompt struct {
+	// Parts are in order, each including those before it.
+	Parts []placement.Part
+	// Tokens is the length of the whole prompt, MaxOutput that of the longest answer, in tokens; zero if the caller does not say.
+	Tokens, MaxOutput int
+}
+
+// maxParts bounds the parts that are looked at; prompts have a handful.
+const maxParts = 32
+
+// Session identifies what the request shares with others of its chat: the prompt up to the last shared part. Zero means nothing.
+func (p *Prompt) Session() uint64 {
+	switch n := len(p.Parts); n {
+	case 0:
+		return 0
+	case 1:
+		return p.Parts[0].Prefix
+	default:
+		return p.Parts[n-2].Prefix
+	}
+}
+
+// Shared is the number of tokens up to the last shared part.
+func (p *Prompt) Shared() int {
+	if n := len(p.Parts); n > 1 {
+		return p.Parts[n-2].Tokens
+	}
+	return 0
+}
+
+// Prompt reads the description of the prompt. What cannot be read is left out: it only decides where the request is cheapest.
+func (n *Headers) Prompt(h http.Header) Prompt {
+	var p Prompt
+	hash := xxhash.New()
+	_, _ = hash.WriteString(h.Get(n.Model) + ",") // never fails
+	tokens := 0
+	for part := range strings.SplitSeq(h.Get(n.PromptParts), ",") {
+		id, length, found := strings.Cut(strings.TrimSpace(part), ":")
+		count, err := strconv.Atoi(length)
+		if !found || err != nil || count < 0 || len(p.Parts) == maxParts {
+			break
+		}
+		_, _ = hash.WriteString(id + ",")
+		tokens += count
+		p.Parts = append(p.Parts, placement.Part{Prefix: hash.Sum64(), Tokens: tokens})
+	}
+	prompt, output, _ := strings.Cut(h.Get(n.TokenCounts), ",")
+	p.Tokens = atoiOr(prompt, tokens)
+	p.MaxOutput = atoiOr(output, 0)
+	return p
+}
+
+func atoiOr(text string, otherwise int) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 {
+		return otherwise
+	}
+	return n
+}
+
+// Load is what an upstream says of its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// ReadLoad reads the load from an answer. It returns false if the answer does not have it.
+func (n *Headers) ReadLoad(h http.Header) (Load, bool) {
+	fields := strings.Split(h.Get(n.Load), ",")
+	if len(fields) != 3 {
+		return Load{}, false
+	}
+	l := Load{atoiOr(fields[0], -1), atoiOr(fields[1], -1), atoiOr(fields[2], -1)}
+	return l, l.Running >= 0 && l.Waiting >= 0 && l.Slots >= 0
+}
--- /dev/null
+++ b/request/placement/placement.go
@@ -0,0 +1,167 @@
+// Package placement decides which upstream gets a request.
+//
+// Each upstream that may take the request has an expected cost in time: reading the part of the prompt that it does not hold, the
+// prompts that wait before it, the requests that share its steps, the way between data centres, and what its failures would cost. The
+// cheapest one gets the request. The upstream that rendezvous hashing ranks first for a chat is taken to hold the chat's prompt, so
+// that all entries prefer the same one without telling each other.
+//
+// A decision is a function of its inputs, without clock or I/O.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config weighs the costs.
+type Config struct {
+	// ReadTokensPerMS is the speed at which a model upstream reads prompts, in tokens per millisecond.
+	ReadTokensPerMS float64
+	// PerRequest is the cost of each request that already runs at a model upstream.
+	PerRequest time.Duration
+	// OtherDataCentre is the cost of leaving the entry's data centre.
+	OtherDataCentre time.Duration
+	// FailurePenalty is the cost of a request that fails for certain.
+	FailurePenalty time.Duration
+	// LoadFactor is the most requests that an upstream may hold as a multiple of the mean of its service, LoadSlack a number beyond it.
+	LoadFactor, LoadSlack float64
+}
+
+// DefaultConfig returns weights for engines that read some 60 prompt tokens in a millisecond.
+func DefaultConfig() Config {
+	return Config{
+		ReadTokensPerMS: 60,
+		PerRequest:      2 * time.Millisecond, // a running request delays each step a little
+		OtherDataCentre: 2 * time.Millisecond, // a round trip
+		FailurePenalty:  2 * time.Second,
+		LoadFactor:      1.5, // three quarters of a bound of 2, as views of the load differ
+		LoadSlack:       2,
+	}
+}
+
+// Upstream is what an entry knows of an upstream at the moment of the decision.
+type Upstream struct {
+	// Hash identifies the upstream in rendezvous hashing.
+	Hash uint64
+	// Local says that the upstream is in the entry's data centre.
+	Local bool
+	// Load is the number of requests that it holds, from all entries.
+	Load float64
+	// Slots is the number of requests that it runs at once; zero means unknown.
+	Slots int
+	// PendingTokens are the prompt tokens that it has yet to read.
+	PendingTokens float64
+	// CachedTokens are those of the request's prompt that it is known to hold.
+	CachedTokens int
+	// FailureRate is the share of requests that fail there.
+	FailureRate float64
+	// Excluded upstreams cannot take the request: they are down, full, cold with nothing left of their rate, or were tried.
+	Excluded bool
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	// Session identifies the chat, or zero.
+	Session uint64
+	// SharedTokens is the length of the prompt's part that the chat shares, Tokens that of the whole prompt. Zero for plain services.
+	SharedTokens, Tokens int
+	// Objective is the time within which the answer should begin; zero means none.
+	Objective time.Duration
+}
+
+// Choose returns the index of the upstream for a request, or -1 if none can take it. tie is uniform in [0, 1) and decides between equals.
+func Choose(c Config, r Request, upstreams []Upstream, tie float64) int {
+	limit := c.loadLimit(upstreams)
+	first := rankedFirst(r.Session, upstreams)
+	best, bestCost := -1, math.Inf(1)
+	for at := range upstreams {
+		// The scan begins at a random place, so that equals share the requests.
+		i := (at + int(tie*float64(len(upstreams)))) % len(upstreams)
+		u := &upstreams[i]
+		if u.Excluded || u.Load+1 > limit {
+			continue
+		}
+		if cost := c.cost(r, u, i == first); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// loadLimit is the most requests that an upstream may hold. Upstreams that take none do not lower the mean.
+func (c *Config) loadLimit(upstreams []Upstream) float64 {
+	sum, n := 0.0, 0
+	for i := range upstreams {
+		if upstreams[i].Excluded {
+			continue
+		}
+		sum += upstreams[i].Load
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return c.LoadFactor*(sum+1)/float64(n) + c.LoadSlack
+}
+
+// rankedFirst returns the index of the chat's first upstream among those that take requests, or -1.
+func rankedFirst(session uint64, upstreams []Upstream) int {
+	if session == 0 {
+		return -1
+	}
+	first, highest := -1, uint64(0)
+	for i := range upstreams {
+		if upstreams[i].Excluded {
+			continue
+		}
+		if h := mix(session, upstreams[i].Hash); first < 0 || h > highest {
+			first, highest = i, h
+		}
+	}
+	return first
+}
+
+func mix(session, upstream uint64) uint64 {
+	var b [16]byte
+	for i := range 8 {
+		b[i] = byte(session >> (8 * i))
+		b[8+i] = byte(upstream >> (8 * i))
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// cost is the expected time that the request costs at an upstream, in milliseconds.
+func (c *Config) cost(r Request, u *Upstream, first bool) float64 {
+	cost := 0.0
+	if !u.Local {
+		cost += milliseconds(c.OtherDataCentre)
+	}
+	cost += u.FailureRate * milliseconds(c.FailurePenalty)
+	if r.Tokens == 0 {
+		return cost + c.queueing(r, u)
+	}
+	cached := u.CachedTokens
+	if first {
+		cached = max(cached, r.SharedTokens)
+	}
+	cost += (float64(max(0, r.Tokens-cached)) + u.PendingTokens) / c.ReadTokensPerMS
+	return cost + u.Load*milliseconds(c.PerRequest)
+}
+
+// plainWork is the time that a request to a plain service is taken to run; its objective is several times that.
+const plainWork = 30 * time.Millisecond
+
+// queueing is the wait for a slot of a plain service. Half a request's time is added for each that runs, since entries see the load of
+// others with delay.
+func (c *Config) queueing(_ Request, u *Upstream) float64 {
+	if u.Slots == 0 {
+		return u.Load * milliseconds(plainWork)
+	}
+	waiting := max(0, u.Load+1-float64(u.Slots))
+	busy := min(1, u.Load/float64(u.Slots))
+	return (waiting/float64(u.Slots) + busy/2) * milliseconds(plainWork)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/request/placement/placement_test.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func fleet(n int) []Upstream {
+	ups := make([]Upstream, n)
+	for i := range ups {
+		ups[i] = Upstream{Hash: uint64(i + 1), Slots: 64, Local: true}
+	}
+	return ups
+}
+
+// Chats must return to the same upstream while loads are even, whatever the tie breaker, and spread over all upstreams.
+func TestChoose_ChatsReturn(t *testing.T) {
+	ups, counts := fleet(12), make([]int, 12)
+	for session := uint64(1); session <= 600; session++ {
+		r := Request{Session: session, SharedTokens: 700, Tokens: 800}
+		at := Choose(DefaultConfig(), r, ups, 0.1)
+		must.EqOp(t, at, Choose(DefaultConfig(), r, ups, 0.9))
+		counts[at]++
+	}
+	for _, n := range counts {
+		must.Between(t, 25, n, 80)
+	}
+}
+
+// A chat must leave its upstream when the wait there costs more than reading its prompt anew, and no sooner.
+func TestChoose_SpillsWhenWaitingCostsMore(t *testing.T) {
+	ups := fleet(12)
+	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500}
+	home := Choose(DefaultConfig(), r, ups, 0)
+	ups[home].PendingTokens = 5000
+	must.EqOp(t, home, Choose(DefaultConfig(), r, ups, 0))
+	ups[home].PendingTokens = 25_000
+	must.NotEqOp(t, home, Choose(DefaultConfig(), r, ups, 0))
+}
+
+// No upstream may be loaded beyond the bound, even if it alone holds the prompt.
+func TestChoose_LoadBound(t *testing.T) {
+	ups := fleet(4)
+	for i := range ups {
+		ups[i].Load = 4
+	}
+	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500}
+	home := Choose(DefaultConfig(), r, ups, 0)
+	ups[home].Load, ups[home].CachedTokens = 14, 10_500
+	must.NotEqOp(t, home, Choose(DefaultConfig(), r, ups, 0))
+}
+
+// An upstream that fails half of its requests must be avoided while others are sound, and used when it is the only one.
+func TestChoose_AvoidsFailing(t *testing.T) {
+	ups := fleet(3)
+	ups[1].FailureRate = 0.5
+	for session := uint64(1); session < 50; session++ {
+		must.NotEqOp(t, 1, Choose(DefaultConfig(), Request{Session: session, SharedTokens: 100, Tokens: 200}, ups, 0.5))
+	}
+	ups[0].Excluded, ups[2].Excluded = true, true
+	must.EqOp(t, 1, Choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
+	ups[1].Excluded = true
+	must.EqOp(t, -1, Choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
+}
+
+// Requests to a plain service must go to the upstream with free slots rather than queue.
+func TestChoose_PlainServicePrefersFreeSlots(t *testing.T) {
+	ups := []Upstream{{Hash: 1, Slots: 6, Load: 6, Local: true}, {Hash: 2, Slots: 6, Load: 2}, {Hash: 3, Slots: 6, Load: 5}}
+	must.EqOp(t, 1, Choose(DefaultConfig(), Request{}, ups, 0))
+}
+
+// What no longer fits the upstream's memory must not count as held, nor a part whose beginning is gone.
+func TestCache_ForgetsLeastRecentlyUsed(t *testing.T) {
+	c := NewCache(1000)
+	a := []Part{{Prefix: 1, Tokens: 100}, {Prefix: 2, Tokens: 500}}
+	b := []Part{{Prefix: 1, Tokens: 100}, {Prefix: 3, Tokens: 700}}
+	c.Used(a)
+	must.EqOp(t, 500, c.Holds(a))
+	must.EqOp(t, 100, c.Holds(b))
+	c.Used(b)
+	must.EqOp(t, 700, c.Holds(b))
+	c.Used([]Part{{Prefix: 4, Tokens: 250}})
+	must.EqOp(t, 100, c.Holds(a))
+	must.EqOp(t, 700, c.Holds(b))
+}
--- a/request/result/result.go
+++ b/request/result/result.go
@@ -58,6 +58,9 @@
 	Unreachable       Code = 26
 	FenceUnknown      Code = 27
 	CanceledBeforeRun Code = 28
+	UnknownKey        Code = 29
+	StaleConfig       Code = 30
+	BodyTooLarge      Code = 31
 
 	UpstreamError Code = 60
 	AlreadyRun    Code = 61
@@ -118,6 +121,9 @@
 	{Unreachable, "unreachable", NotRun, 503, true, "the sidecar could not be reached"},
 	{FenceUnknown, "fence-unknown", NotRun, 503, false, "the sidecar has not yet learned the highest fencing token"},
 	{CanceledBeforeRun, "canceled-before-run", NotRun, 499, false, "the caller canceled before the request was handed over"},
+	{UnknownKey, "unknown-key", NotRun, 401, false, "no team holds the caller's key"},
+	{StaleConfig, "stale-configuration", NotRun, 503, true, "the instance cannot tell whether its configuration is current"},
+	{BodyTooLarge, "body-too-large", NotRun, 413, false, "the request's body exceeds the limit of the configuration"},
 
 	{UpstreamError, "upstream-error", Run, 502, false, "the upstream ran the request and answered with an error"},
 	{AlreadyRun, "already-run", Run, 409, false, "the idempotency key has run; its answer is no longer kept"},
