Weigh reading a prompt again six times its time in placement

Cause: an upstream was left as soon as its waiting prompts took longer than reading the prompt anew elsewhere; each copy then drew later requests of the same chat, since an entry prefers an upstream that it knows to hold the prompt, and cost the engines more work than the wait that it saved. Change: the known holder goes before the one ranked first; uncached tokens weigh six times the time that they take. Conclusion: entries still open copies of their own; they need to tell each other.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -188,7 +188,7 @@
 	}
 	c := &Choice{
 		Upstream: e.Upstream, Cached: b.scratch[at].CachedTokens, Load: int(b.scratch[at].Load), Candidates: candidates,
-		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-b.scratch[at].CachedTokens),
+		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-placement.Assumed(q.Placement, b.scratch, at)),
 	}
 	e.inFlight++
 	e.pending += c.pending
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -3,7 +3,7 @@
 // Each upstream that may take the request has an expected cost in time: reading the part of the prompt that it does not hold, the
 // prompts that wait before it, the requests that share its steps, the way between data centres, and what its failures would cost. The
 // cheapest one gets the request. The upstream that rendezvous hashing ranks first for a chat is taken to hold the chat's prompt, so
-// that all entries prefer the same one without telling each other.
+// that all entries prefer the same one without telling each other, unless another upstream is known to hold it.
 //
 // A decision is a function of its inputs, without clock or I/O.
 package placement
@@ -19,6 +19,9 @@
 type Config struct {
 	// ReadTokensPerMS is the speed at which a model upstream reads prompts, in tokens per millisecond.
 	ReadTokensPerMS float64
+	// ReadAgainFactor is the weight of the time that an upstream spends on a prompt against the time that the caller waits: reading
+	// also delays all others there, and a copy of the prompt takes memory from theirs.
+	ReadAgainFactor float64
 	// PerRequest is the cost of each request that already runs at a model upstream.
 	PerRequest time.Duration
 	// OtherDataCentre is the cost of leaving the entry's data centre.
@@ -33,6 +36,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ReadTokensPerMS: 60,
+		ReadAgainFactor: 6,
 		PerRequest:      2 * time.Millisecond, // a running request delays each step a little
 		OtherDataCentre: 2 * time.Millisecond, // a round trip
 		FailurePenalty:  2 * time.Second,
@@ -74,7 +78,7 @@
 // Choose returns the index of the upstream for a request, or -1 if none can take it. tie is uniform in [0, 1) and decides between equals.
 func Choose(c Config, r Request, upstreams []Upstream, tie float64) int {
 	limit := c.loadLimit(upstreams)
-	first := rankedFirst(r.Session, upstreams)
+	first := expectedHolder(r, upstreams)
 	best, bestCost := -1, math.Inf(1)
 	for at := range upstreams {
 		// The scan begins at a random place, so that equals share the requests.
@@ -106,6 +110,26 @@
 	return c.LoadFactor*(sum+1)/float64(n) + c.LoadSlack
 }
 
+// Assumed returns the number of the request's tokens that the upstream at an index is taken to hold: those that it is known to hold, or
+// the shared ones if it is expected to hold the chat's prompt.
+func Assumed(r Request, upstreams []Upstream, at int) int {
+	if at == expectedHolder(r, upstreams) {
+		return max(upstreams[at].CachedTokens, r.SharedTokens)
+	}
+	return upstreams[at].CachedTokens
+}
+
+// expectedHolder returns the index of the upstream that is taken to hold the chat's prompt although it is not known to, or -1: the one
+// ranked first, unless another is known to hold the shared part.
+func expectedHolder(r Request, upstreams []Upstream) int {
+	for i := range upstreams {
+		if !upstreams[i].Excluded && r.SharedTokens > 0 && upstreams[i].CachedTokens >= r.SharedTokens {
+			return -1
+		}
+	}
+	return rankedFirst(r.Session, upstreams)
+}
+
 // rankedFirst returns the index of the chat's first upstream among those that take requests, or -1.
 func rankedFirst(session uint64, upstreams []Upstream) int {
 	if session == 0 {
@@ -146,7 +170,8 @@
 	if first {
 		cached = max(cached, r.SharedTokens)
 	}
-	cost += (float64(max(0, r.Tokens-cached)) + u.PendingTokens) / c.ReadTokensPerMS
+	read := float64(max(0, r.Tokens-cached))
+	cost += (c.ReadAgainFactor*read + u.PendingTokens) / c.ReadTokensPerMS
 	return cost + u.Load*milliseconds(c.PerRequest)
 }
 
