Let gateways tell each other loads, prompt holders and copies of the store

Cause: each gateway opened copies of a chat's prompt of its own, because it knew only its own sends; and limits were kept by each for itself. A gateway whose copy of the store is old asks its neighbours for theirs and dates the answer by the question. A chat that nobody holds gets a home by few chats, a common first part and rendezvous rank.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -232,6 +232,12 @@
 		return new(Claims)
 	case TypeClaimsDone:
 		return new(ClaimsDone)
+	case TypeFleetState:
+		return new(FleetState)
+	case TypeStorePull:
+		return new(StorePull)
+	case TypeStorePush:
+		return new(StorePush)
 	default:
 		return nil
 	}
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -42,6 +42,9 @@
 	TypeOrderDone  Type = 16
 	TypeClaims     Type = 17
 	TypeClaimsDone Type = 18
+	TypeFleetState Type = 19
+	TypeStorePull  Type = 20
+	TypeStorePush  Type = 21
 )
 
 // Message is the content of one frame.
@@ -375,3 +378,77 @@
 
 // Type implements Message.
 func (*ClaimsDone) Type() Type { return TypeClaimsDone }
+
+// FleetState is what a gateway tells its neighbours about its own requests. Both lists may be empty.
+type FleetState struct {
+	// Loads are the sender's requests in flight at each upstream that has any.
+	Loads []UpstreamLoad `msgpack:"l,omitempty"`
+	// Holders are upstreams that began to read prompts since the last message, by the sender's requests or as it heard.
+	Holders []PromptHolder `msgpack:"h,omitempty"`
+	// Suspects are requests that were in flight when an upstream broke.
+	Suspects []SuspectRequest `msgpack:"s,omitempty"`
+}
+
+// UpstreamLoad is the load that one gateway puts on an upstream.
+type UpstreamLoad struct {
+	Upstream string `msgpack:"u"`
+	// Requests are in flight; PendingTokens are of their prompts and not read yet.
+	Requests      uint32 `msgpack:"r"`
+	PendingTokens uint32 `msgpack:"p,omitempty"`
+}
+
+// PromptHolder says that an upstream holds the beginning of prompts.
+type PromptHolder struct {
+	Upstream string       `msgpack:"u"`
+	Parts    []PromptPart `msgpack:"p"`
+}
+
+// PromptPart is a part of a prompt: the hash of the prompt up to its end and that prompt's length in tokens.
+type PromptPart struct {
+	Prefix uint64 `msgpack:"h"`
+	Tokens uint32 `msgpack:"t"`
+}
+
+// SuspectRequest is a request that was in flight when an upstream broke.
+type SuspectRequest struct {
+	Fingerprint uint64 `msgpack:"f"`
+	// Upstream names the start of the upstream that broke, so that one break is counted once.
+	Upstream string `msgpack:"u"`
+}
+
+// StorePull asks a peer for what its copy of the platform's store has beyond the sender's.
+type StorePull struct {
+	// ID is repeated in the StorePush.
+	ID       uint64 `msgpack:"i"`
+	Revision uint64 `msgpack:"r"`
+}
+
+// StorePush answers a StorePull.
+type StorePush struct {
+	ID uint64 `msgpack:"i"`
+	// After is the revision that Items continue from, Revision the one that they lead to.
+	After    uint64 `msgpack:"a"`
+	Revision uint64 `msgpack:"r"`
+	// Whole says that Items are all items that exist.
+	Whole bool `msgpack:"w,omitempty"`
+	// AgeMS is the time since the copy was known to be current, in milliseconds.
+	AgeMS uint32      `msgpack:"g"`
+	Items []StoreItem `msgpack:"t,omitempty"`
+}
+
+// StoreItem is the latest change of a key in the platform's store.
+type StoreItem struct {
+	Key      string `msgpack:"k"`
+	Value    []byte `msgpack:"v,omitempty"`
+	Revision uint64 `msgpack:"r"`
+	Deleted  bool   `msgpack:"d,omitempty"`
+}
+
+// Type implements Message.
+func (*FleetState) Type() Type { return TypeFleetState }
+
+// Type implements Message.
+func (*StorePull) Type() Type { return TypeStorePull }
+
+// Type implements Message.
+func (*StorePush) Type() Type { return TypeStorePush }
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -51,6 +51,8 @@
 	// entries is the number of entries that share the fleet's limits.
 	entries int
 	peers   map[string]peerLoad
+	// news are the upstreams that began to hold prompts since News was called.
+	news []Holder
 	// scratch is reused between decisions.
 	scratch []placement.Upstream
 }
@@ -188,11 +190,13 @@
 	}
 	c := &Choice{
 		Upstream: e.Upstream, Cached: b.scratch[at].CachedTokens, Load: int(b.scratch[at].Load), Candidates: candidates,
-		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-placement.Assumed(q.Placement, b.scratch, at)),
+		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-b.scratch[at].CachedTokens),
 	}
 	e.inFlight++
 	e.pending += c.pending
-	e.cache.Used(q.Parts)
+	if e.cache.Used(q.Parts) {
+		b.addNews(Holder{e.ID, q.Parts})
+	}
 	return c
 }
 
@@ -205,6 +209,7 @@
 		Slots:         e.Slots,
 		PendingTokens: float64(e.pending + pending),
 		CachedTokens:  e.cache.Holds(q.Parts),
+		Chats:         e.cache.Chats(),
 		FailureRate:   e.monitor.FailureRate(now),
 		Excluded:      e.monitor.Down(),
 	}
@@ -231,24 +236,64 @@
 	return true
 }
 
-// othersLoad is the load of other entries on an upstream: what peers say, or else what its last answer suggests.
+// othersLoad is the load of other entries on an upstream: what peers say, scaled up if only some of them are heard, or else what its
+// last answer suggests.
 func (b *Balancer) othersLoad(now time.Time, e *backend) (requests, pending int) {
-	heard := false
+	heard := 0
 	for _, p := range b.peers {
 		if now.Sub(p.at) > b.config.LoadFreshFor {
 			continue
 		}
-		heard = true
+		heard++
 		l := p.loads[e.ID]
 		requests += l.Requests
 		pending += l.PendingTokens
 	}
-	if !heard && now.Sub(e.othersAt) <= b.config.LoadFreshFor {
-		return e.others, 0
+	if heard == 0 {
+		if now.Sub(e.othersAt) <= b.config.LoadFreshFor {
+			return e.others, 0
+		}
+		return 0, 0
+	}
+	if others := b.entries - 1; others > heard {
+		return requests * others / heard, pending * others / heard
 	}
 	return requests, pending
 }
 
+// Holder says that an upstream holds the beginning of prompts.
+type Holder struct {
+	Upstream string
+	Parts    []placement.Part
+}
+
+// maxNews bounds the news that wait to be told; what is left out costs reading a prompt twice.
+const maxNews = 1024
+
+func (b *Balancer) addNews(h Holder) {
+	if len(b.news) < maxNews {
+		b.news = append(b.news, h)
+	}
+}
+
+// News returns the upstreams that began to hold prompts since the last call.
+func (b *Balancer) News() []Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := b.news
+	b.news = nil
+	return news
+}
+
+// Heard takes a peer's news. What was not known becomes news for the other peers.
+func (b *Balancer) Heard(h Holder) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.backends[h.Upstream]; e != nil && e.cache.Used(h.Parts) {
+		b.addNews(h)
+	}
+}
+
 // PeerLoad takes another entry's loads by upstream.
 func (b *Balancer) PeerLoad(now time.Time, peer string, loads map[string]Load) {
 	b.mu.Lock()
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -39,6 +39,8 @@
 	UpstreamDown     ID = 308
 	UpstreamUp       ID = 309
 	ProbeFailed      ID = 310
+	PeerUnreachable  ID = 311
+	PushTooLarge     ID = 312
 
 	RequestFailed      ID = 400
 	UpstreamCold       ID = 401
@@ -65,9 +67,10 @@
 	LeaseAcquired   ID = 604
 	LeaseLost       ID = 605
 
-	PlatformThrottled ID = 700
-	PlatformFailed    ID = 701
-	PlatformRecovered ID = 702
+	PlatformThrottled  ID = 700
+	PlatformFailed     ID = 701
+	PlatformRecovered  ID = 702
+	RegistrationFailed ID = 703
 )
 
 // Level is the severity at which an event is logged.
@@ -112,6 +115,8 @@
 	{UpstreamDown, "upstream gets no requests until a probe succeeds", Warning, "look at the upstream's own log"},
 	{UpstreamUp, "upstream answers probes again", Info, ""},
 	{ProbeFailed, "probe of an upstream failed", Info, ""},
+	{PeerUnreachable, "peer could not be reached", Info, ""},
+	{PushTooLarge, "copy of the store is too large for a peer's question", Warning, "the peer reads the store itself; look for what fills it"},
 
 	{RequestFailed, "request failed after it was handed over", Warning, "look at the upstream's own log"},
 	{UpstreamCold, "upstream in cold start", Info, ""},
@@ -141,6 +146,7 @@
 	{PlatformThrottled, "platform calls delayed by the call budget", Warning, "raise kv_calls_per_second or find the caller"},
 	{PlatformFailed, "platform unavailable", Error, "check the platform's key-value service"},
 	{PlatformRecovered, "platform available again", Info, ""},
+	{RegistrationFailed, "registration in the platform's store failed", Info, ""},
 }
 
 var byID = func() map[ID]Description {
--- a/process/gateway/budget.go
+++ b/process/gateway/budget.go
@@ -12,9 +12,10 @@
 const (
 	// budgetShare is the part of the fleet's retry ratio that a gateway uses. The rest covers requests counted in another window.
 	budgetShare = 0.8
-	// budgetBurst is the number of retries that a gateway may make without requests. A fleet's bound allows some ten for each of a
-	// handful of gateways.
-	budgetBurst = 8
+	// minBurst is the least number of retries that a gateway may make without requests, whatever its share of the fleet's.
+	minBurst = 2
+	// assumedEntries is the number of gateways that share the budget as long as fewer are known.
+	assumedEntries = 4
 	// maxSends bounds the upstreams that one request is offered to, refusals included.
 	maxSends = 4
 )
@@ -27,6 +28,8 @@
 	random    *rand.Rand
 	byService map[string]*retry.Budget
 	policies  map[int]*retry.Policy
+	// entries is the number of gateways that share the fleet's budget.
+	entries int
 }
 
 func newBudgets(fleet settings.Fleet) *budgets {
@@ -35,6 +38,17 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), 0)),
 		byService: make(map[string]*retry.Budget),
 		policies:  make(map[int]*retry.Policy),
+		entries:   assumedEntries,
+	}
+}
+
+// setEntries tells how many gateways share the fleet's budget. Budgets begin anew if the number changes, which happens rarely.
+func (b *budgets) setEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n = max(assumedEntries, n); n != b.entries {
+		b.entries = n
+		clear(b.byService)
 	}
 }
 
@@ -45,7 +59,7 @@
 	c.MaxReruns = attempts - 1
 	c.BudgetShare = budgetShare * b.fleet.RetryRatio
 	c.BudgetPerSecond = 0
-	c.BudgetBurst = budgetBurst
+	c.BudgetBurst = max(minBurst, budgetShare*b.fleet.RetrySlack/float64(b.entries))
 	c.RefusalCost = 1 // a send that an upstream refuses counts like any other
 	return c
 }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -29,6 +29,12 @@
 	applied chan<- uint64
 }
 
+// question asks the control goroutine what its copy of the store has beyond a revision.
+type question struct {
+	revision uint64
+	reply    chan<- mirror.Batch
+}
+
 // view is the published state. It is immutable.
 type view struct {
 	table     *routing.Table
@@ -45,6 +51,8 @@
 	directory *directory.Directory
 	table     *routing.Table
 	evacuated map[string]struct{}
+	// members are the registered gateways.
+	members map[string]member
 	// changed says that the published view is out of date.
 	changed bool
 }
@@ -56,6 +64,7 @@
 		mirror:    mirror.New(),
 		directory: directory.New(bootclock.Now(), directory.DefaultConfig()),
 		evacuated: make(map[string]struct{}),
+		members:   make(map[string]member),
 	}
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
@@ -65,6 +74,8 @@
 			return
 		case r := <-g.batches:
 			s.apply(r)
+		case q := <-g.questions:
+			q.reply <- s.mirror.Since(q.revision)
 		case <-ticker.C:
 			s.tick()
 		}
@@ -79,9 +90,15 @@
 		s.directory.Contact(asOf)
 		s.g.confirmed.Store(asOf.UnixNano())
 	}
+	s.g.revision.Store(s.mirror.Revision())
+	joined := false
 	for _, item := range items {
+		joined = s.takeMember(item) || joined
 		s.take(now, item, r.source)
 	}
+	if joined {
+		s.g.peers.setMembers(s.members)
+	}
 	if r.applied != nil {
 		r.applied <- s.mirror.Revision()
 	}
@@ -103,6 +120,25 @@
 	}
 }
 
+// takeMember takes a gateway's registration and says whether it changed.
+func (s *state) takeMember(item mirror.Item) bool {
+	name, m, ok, err := memberOf(item.Key, item.Value, item.Deleted)
+	if !ok {
+		return false
+	}
+	if err != nil {
+		event.Log(event.FactInvalid, "key", item.Key, "revision", item.Revision, "error", err)
+		return false
+	}
+	known, found := s.members[name]
+	if item.Deleted {
+		delete(s.members, name)
+		return found
+	}
+	s.members[name] = m
+	return !found || known != m
+}
+
 // takeConfig adopts a newer version. The last good one stays in force if the item is unreadable or gone.
 func (s *state) takeConfig(fact Fact, err error, revision uint64, source string) {
 	if err != nil || fact.Deleted {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -51,12 +52,16 @@
 	budgets  *budgets
 	calls    *callers
 	metrics  *metrics
+	peers    *peers
 
 	// view is the latest published state, nil before the first configuration.
 	view atomic.Pointer[view]
 	// confirmed is the latest time at which the configuration was known to be current, in nanoseconds of bootclock.
 	confirmed atomic.Int64
+	// revision is that of the copy of the store.
+	revision  atomic.Uint64
 	batches   chan received
+	questions chan question
 	leaving   atomic.Bool
 
 	ctx     context.Context
@@ -73,30 +78,34 @@
 	config := balancer.DefaultConfig(o.Settings.DataCentre)
 	config.Seed = rand.Uint64()
 	g := &Gateway{
-		settings: o.Settings,
-		store:    o.Store,
-		decoder:  o.Decoder,
-		headers:  o.Headers,
-		balancer: balancer.New(config),
-		pools:    newPools(),
-		budgets:  newBudgets(o.Settings.Fleet),
-		calls:    newCallers(),
-		metrics:  newMetrics(),
-		batches:  make(chan received, maxQueuedBatches),
+		settings:  o.Settings,
+		store:     o.Store,
+		decoder:   o.Decoder,
+		headers:   o.Headers,
+		balancer:  balancer.New(config),
+		pools:     newPools(),
+		budgets:   newBudgets(o.Settings.Fleet),
+		calls:     newCallers(),
+		metrics:   newMetrics(),
+		batches:   make(chan received, maxQueuedBatches),
+		questions: make(chan question, maxQueuedBatches),
 	}
+	g.peers = newPeers(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
 }
 
 // Start opens the listeners and starts the workers.
 func (g *Gateway) Start() error {
-	if err := g.listen(); err != nil {
+	if err := errors.Join(g.listen(), g.peers.listen()); err != nil {
 		g.cancel()
 		return trace.Wrap(err)
 	}
 	g.work(g.control)
 	g.work(g.watch)
 	g.work(g.probe)
+	g.work(g.register)
+	g.work(g.peers.run)
 	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
 	return nil
 }
--- /dev/null
+++ b/process/gateway/peers.go
@@ -0,0 +1,375 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/mirror"
+	"github.com/jayridge/jayridge/request/placement"
+)
+
+const (
+	// statePeriod is the time between two FleetState messages to each neighbour. Loads change within tenths of a second.
+	statePeriod = 200 * time.Millisecond
+	// silentAfter is the time without a message after which a connection to a neighbour is replaced: the peer is gone or the connection
+	// hangs.
+	silentAfter = 1500 * time.Millisecond
+	// redialPause is the time between attempts to reach a neighbour.
+	redialPause = 500 * time.Millisecond
+	// pullAge is the age of the copy of the store from which neighbours are asked for theirs. The store answers more often than that.
+	pullAge = 1600 * time.Millisecond
+	// pullPeriod is the time between such questions.
+	pullPeriod = 300 * time.Millisecond
+	// pullTimeout is how long an answer is awaited.
+	pullTimeout = 2 * time.Second
+	// maxPushBytes bounds the items of one answer, so that it fits a frame.
+	maxPushBytes = 900 << 10
+)
+
+// peers keeps connections with the gateway's neighbours.
+type peers struct {
+	g      *Gateway
+	server *link.Server
+
+	mu      sync.Mutex
+	members map[string]member
+	// links are the neighbours by name.
+	links map[string]*peerLink
+	pulls map[uint64]pull
+	// nextPull numbers the questions.
+	nextPull uint64
+}
+
+// peerLink is the connection with one neighbour. Of two neighbours the one whose name is smaller dials.
+type peerLink struct {
+	conn    *link.Conn
+	address string
+	dialing bool
+	retryAt time.Time
+	// heardAt is the time of the latest message.
+	heardAt time.Time
+}
+
+// pull is a question for a neighbour's copy of the store.
+type pull struct {
+	sent time.Time
+	peer string
+}
+
+func newPeers(g *Gateway) *peers {
+	p := &peers{g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull)}
+	p.server = link.NewServer(peerConfig(), p.hello, p)
+	return p
+}
+
+// peerConfig returns settings for connections on which both ends speak several times a second.
+func peerConfig() link.Config {
+	c := link.DefaultConfig()
+	c.HandshakeTimeout = time.Second
+	c.WriteTimeout = 2 * time.Second
+	c.ControlQueueBytes = 2 << 20
+	return c
+}
+
+func (p *peers) hello() wire.Hello {
+	return wire.Hello{
+		Instance: p.g.settings.Instance, Role: "gateway", DataCentre: p.g.settings.DataCentre, Address: p.g.settings.PeerAddress,
+	}
+}
+
+func (p *peers) listen() error {
+	listener, err := net.Listen("tcp", p.g.settings.PeerAddress)
+	if err != nil {
+		event.Log(event.ListenerFailed, "address", p.g.settings.PeerAddress, "error", err)
+		return trace.Wrap(err)
+	}
+	p.g.work(func() { _ = p.server.Serve(listener) }) // ends when the server is closed
+	return nil
+}
+
+// setMembers takes the registered gateways. It is called by the control goroutine.
+func (p *peers) setMembers(members map[string]member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = maps.Clone(members)
+	names := slices.Sorted(maps.Keys(members))
+	self := p.g.settings.Instance
+	if !slices.Contains(names, self) {
+		names = append(names, self)
+	}
+	near := neighbours(self, names)
+	for _, name := range near {
+		l := p.links[name]
+		if l == nil {
+			l = &peerLink{}
+			p.links[name] = l
+		}
+		l.address = members[name].PeerAddress
+	}
+	for name, l := range p.links {
+		if slices.Contains(near, name) {
+			continue
+		}
+		// A member whose registration lapsed with the store may live: the connection is kept while it speaks.
+		if l.conn != nil && time.Since(l.heardAt) < silentAfter {
+			continue
+		}
+		p.drop(name, l)
+		delete(p.links, name)
+	}
+	p.g.balancer.SetEntries(len(names))
+	p.g.budgets.setEntries(len(names))
+}
+
+// drop ends a connection. The lock is held.
+func (p *peers) drop(name string, l *peerLink) {
+	if l.conn != nil {
+		_ = l.conn.Close() // an orderly close has no error
+		l.conn = nil
+		event.Log(event.PeerLost, "peer", name, "heard_ms_ago", time.Since(l.heardAt).Milliseconds())
+	}
+	p.g.balancer.ForgetPeer(name)
+}
+
+// run speaks with the neighbours until the gateway stops.
+func (p *peers) run() {
+	var pulledAt time.Time
+	for p.g.ctx.Err() == nil {
+		p.maintain()
+		p.sendState()
+		if time.Since(pulledAt) >= pullPeriod && p.g.configAge() > pullAge {
+			pulledAt = time.Now()
+			p.pull()
+		}
+		sleep(p.g.ctx, statePeriod)
+	}
+	_ = p.server.Close() // returns no error
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range p.links {
+		p.drop(name, l)
+	}
+}
+
+// maintain dials neighbours and replaces silent connections.
+func (p *peers) maintain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for name, l := range p.links {
+		if l.conn != nil && now.Sub(l.heardAt) > silentAfter {
+			p.drop(name, l)
+		}
+		if l.conn == nil && !l.dialing && p.g.settings.Instance < name && now.After(l.retryAt) && l.address != "" {
+			l.dialing = true
+			l.retryAt = now.Add(redialPause)
+			address := l.address
+			p.g.work(func() { p.dial(name, address) })
+		}
+	}
+	for id, q := range p.pulls {
+		if now.Sub(q.sent) > pullTimeout {
+			delete(p.pulls, id)
+		}
+	}
+}
+
+func (p *peers) dial(name, address string) {
+	conn, err := link.Dial(p.g.ctx, address, peerConfig(), p.hello, p)
+	p.mu.Lock()
+	l := p.links[name]
+	if l != nil {
+		l.dialing = false
+	}
+	p.mu.Unlock()
+	if err != nil {
+		event.Sampled(event.PeerUnreachable, "peer", name, "address", address, "error", err)
+		return
+	}
+	if l == nil || conn.Remote().Instance != name {
+		_ = conn.Close() // an orderly close has no error
+		return
+	}
+	p.connected(conn)
+}
+
+// connected takes a connection of either direction.
+func (p *peers) connected(conn *link.Conn) {
+	name := conn.Remote().Instance
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[name]
+	if l == nil {
+		// The peer may know of this gateway's registration before this gateway knows of the peer's.
+		l = &peerLink{}
+		p.links[name] = l
+	}
+	if l.conn != nil && l.conn != conn {
+		_ = l.conn.Close()
+	}
+	l.conn = conn
+	l.heardAt = time.Now()
+	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
+}
+
+// HandleConnect implements link.ConnectHandler.
+func (p *peers) HandleConnect(c *link.Conn) { p.connected(c) }
+
+// HandleOpen implements link.Handler. Gateways send each other no requests.
+func (p *peers) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
+
+// HandleClose implements link.Handler.
+func (p *peers) HandleClose(c *link.Conn, _ error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := c.Remote().Instance
+	if l := p.links[name]; l != nil && l.conn == c {
+		l.conn = nil
+		p.g.balancer.ForgetPeer(name)
+		event.Log(event.PeerLost, "peer", name)
+	}
+}
+
+// HandleControl implements link.Handler.
+func (p *peers) HandleControl(c *link.Conn, m wire.Message) {
+	name := c.Remote().Instance
+	p.mu.Lock()
+	if l := p.links[name]; l != nil && l.conn == c {
+		l.heardAt = time.Now()
+	}
+	p.mu.Unlock()
+	switch m := m.(type) {
+	case *wire.FleetState:
+		p.takeState(name, m)
+	case *wire.StorePull:
+		p.answer(c, m)
+	case *wire.StorePush:
+		p.takePush(name, m)
+	}
+}
+
+// takeState applies what a neighbour says of its requests.
+func (p *peers) takeState(name string, m *wire.FleetState) {
+	loads := make(map[string]balancer.Load, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Upstream] = balancer.Load{Requests: int(l.Requests), PendingTokens: int(l.PendingTokens)}
+	}
+	p.g.balancer.PeerLoad(bootclock.Now(), name, loads)
+	for _, h := range m.Holders {
+		holder := balancer.Holder{Upstream: h.Upstream}
+		for _, part := range h.Parts {
+			holder.Parts = append(holder.Parts, placement.Part{Prefix: part.Prefix, Tokens: int(part.Tokens)})
+		}
+		p.g.balancer.Heard(holder)
+	}
+}
+
+// sendState tells the neighbours about this gateway's requests.
+func (p *peers) sendState() {
+	m := &wire.FleetState{}
+	loads := p.g.balancer.Loads()
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[id]
+		m.Loads = append(m.Loads, wire.UpstreamLoad{Upstream: id, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens)})
+	}
+	for _, h := range p.g.balancer.News() {
+		holder := wire.PromptHolder{Upstream: h.Upstream}
+		for _, part := range h.Parts {
+			holder.Parts = append(holder.Parts, wire.PromptPart{Prefix: part.Prefix, Tokens: uint32(part.Tokens)})
+		}
+		m.Holders = append(m.Holders, holder)
+	}
+	for _, c := range p.conns() {
+		_ = c.Send(m) // a neighbour that is gone or does not read shows in its silence
+	}
+}
+
+func (p *peers) conns() []*link.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var conns []*link.Conn
+	for _, l := range p.links {
+		if l.conn != nil {
+			conns = append(conns, l.conn)
+		}
+	}
+	return conns
+}
+
+// pull asks the neighbours for what their copies of the store have beyond this one.
+func (p *peers) pull() {
+	for _, c := range p.conns() {
+		p.mu.Lock()
+		p.nextPull++
+		id := p.nextPull
+		p.pulls[id] = pull{sent: bootclock.Now(), peer: c.Remote().Instance}
+		p.mu.Unlock()
+		_ = c.Send(&wire.StorePull{ID: id, Revision: p.g.revision.Load()}) // the next question follows soon
+	}
+}
+
+// answer sends a neighbour what it lacks, unless this gateway knows no better.
+func (p *peers) answer(c *link.Conn, m *wire.StorePull) {
+	reply := make(chan mirror.Batch, 1)
+	select {
+	case p.g.questions <- question{revision: m.Revision, reply: reply}:
+	default:
+		return // the control goroutine is busy; the neighbour asks again
+	}
+	p.g.work(func() {
+		select {
+		case batch := <-reply:
+			p.push(c, m, batch)
+		case <-p.g.ctx.Done():
+		}
+	})
+}
+
+func (p *peers) push(c *link.Conn, m *wire.StorePull, batch mirror.Batch) {
+	if batch.Revision == 0 {
+		return
+	}
+	push := &wire.StorePush{ID: m.ID, After: m.Revision, Revision: batch.Revision, Whole: batch.Whole}
+	push.AgeMS = uint32(max(0, bootclock.Now().Sub(batch.AsOf).Milliseconds()) + 1) // rounded up
+	size := 0
+	for _, i := range batch.Items {
+		push.Items = append(push.Items, wire.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		size += len(i.Key) + len(i.Value)
+	}
+	if size > maxPushBytes {
+		event.Sampled(event.PushTooLarge, "peer", c.Remote().Instance, "bytes", size, "revision", batch.Revision)
+		return
+	}
+	_ = c.Send(push) // the neighbour asks again
+}
+
+// takePush hands a neighbour's answer to the control goroutine. The copy was current at the question's sending less its age then.
+func (p *peers) takePush(name string, m *wire.StorePush) {
+	p.mu.Lock()
+	q, known := p.pulls[m.ID]
+	delete(p.pulls, m.ID)
+	p.mu.Unlock()
+	if !known || q.peer != name {
+		return
+	}
+	batch := mirror.Batch{Revision: m.Revision, Whole: m.Whole, AsOf: q.sent.Add(-time.Duration(m.AgeMS) * time.Millisecond)}
+	for _, i := range m.Items {
+		batch.Items = append(batch.Items, mirror.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	select {
+	case p.g.batches <- received{batch: batch, after: m.After, source: name}:
+	default:
+		// The control goroutine is busy; the next question brings it again.
+	}
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -97,11 +97,11 @@
 		DataCentre: c.mayRunIn,
 		Placement: placement.Request{
 			Session:      c.prompt.Session(),
-			SharedTokens: c.prompt.Shared(),
+			SharedTokens: c.prompt.SharedTokens(),
 			Tokens:       c.prompt.Tokens,
 			Objective:    c.route.Objective,
 		},
-		Parts: c.prompt.Parts,
+		Parts: c.prompt.Shared(),
 		Tried: c.progress.tried,
 	})
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -98,7 +98,7 @@
 		fields = append(fields, "upstream", p.upstream, "attempts", len(p.attempts)+1, "first_ms", milliseconds(p.first), "load", p.load)
 	}
 	if c.prompt.Tokens > 0 {
-		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.Shared(),
+		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
 			"cached", c.progress.cached)
 	}
 	event.Sampled(id, fields...)
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -13,11 +13,11 @@
 
 // Item is the latest change of one key.
 type Item struct {
-	Key      string `msgpack:"k"`
-	Value    []byte `msgpack:"v"`
-	Revision uint64 `msgpack:"r"`
+	Key      string
+	Value    []byte
+	Revision uint64
 	// Deleted says that the change removed the key; Value is empty then.
-	Deleted bool `msgpack:"d"`
+	Deleted bool
 }
 
 // Batch is a set of changes that leads a copy to a revision.
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -65,6 +65,8 @@
 	StrictRevoke bool `json:"strict_revoke"`
 	// RetryRatio is the share of repeated sends in a service's requests. Default 0.2.
 	RetryRatio float64 `json:"retry_ratio" validate:"min=0,max=1"`
+	// RetrySlack is the number of repeated sends beyond that share that the fleet may make to a service within a few seconds. Default 50.
+	RetrySlack float64 `json:"retry_slack" validate:"min=0,max=1000000"`
 	// LoadFactor is the most requests that a runner may hold, as a multiple of the mean of its service. Default 2.
 	LoadFactor float64 `json:"load_factor" validate:"min=1,max=100"`
 	// PromptReuseS is the time after its use in which a part of a prompt is worth keeping, in seconds. Default 10.
@@ -78,7 +80,7 @@
 		MaxFiles: 4096,
 		Store:    Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
-			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, LoadFactor: 2, PromptReuseS: 10,
+			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
 		},
 	}
 }
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -21,22 +21,21 @@
 // maxParts bounds the parts that are looked at; prompts have a handful.
 const maxParts = 32
 
+// Shared returns the parts that the request shares with others: all but the last.
+func (p *Prompt) Shared() []placement.Part { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // Session identifies what the request shares with others of its chat: the prompt up to the last shared part. Zero means nothing.
 func (p *Prompt) Session() uint64 {
-	switch n := len(p.Parts); n {
-	case 0:
-		return 0
-	case 1:
-		return p.Parts[0].Prefix
-	default:
-		return p.Parts[n-2].Prefix
+	if shared := p.Shared(); len(shared) > 0 {
+		return shared[len(shared)-1].Prefix
 	}
+	return 0
 }
 
-// Shared is the number of tokens up to the last shared part.
-func (p *Prompt) Shared() int {
-	if n := len(p.Parts); n > 1 {
-		return p.Parts[n-2].Tokens
+// SharedTokens is the number of tokens up to the last shared part.
+func (p *Prompt) SharedTokens() int {
+	if shared := p.Shared(); len(shared) > 0 {
+		return shared[len(shared)-1].Tokens
 	}
 	return 0
 }
--- a/request/placement/cache.go
+++ b/request/placement/cache.go
@@ -29,12 +29,16 @@
 	Tokens int
 }
 
-// Used records that the upstream reads a prompt with the given parts, each with those before it.
-func (c *Cache) Used(parts []Part) {
+// Chats returns the number of parts that are held. Most are the last shared part of a chat.
+func (c *Cache) Chats() int { return c.parts.Len() }
+
+// Used records that the upstream reads a prompt with the given parts, each with those before it. It says whether one of them is new.
+func (c *Cache) Used(parts []Part) (added bool) {
 	before := 0
 	for _, p := range parts {
 		if !c.parts.Contains(p.Prefix) {
 			c.tokens += p.Tokens - before
+			added = true
 		}
 		c.parts.Add(p.Prefix, p.Tokens-before)
 		before = p.Tokens
@@ -42,6 +46,7 @@
 	for c.tokens > c.capacity && c.parts.Len() > 0 {
 		c.parts.RemoveOldest()
 	}
+	return added
 }
 
 // Holds returns the number of a prompt's first tokens that the upstream is believed to hold.
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -2,8 +2,8 @@
 //
 // Each upstream that may take the request has an expected cost in time: reading the part of the prompt that it does not hold, the
 // prompts that wait before it, the requests that share its steps, the way between data centres, and what its failures would cost. The
-// cheapest one gets the request. The upstream that rendezvous hashing ranks first for a chat is taken to hold the chat's prompt, so
-// that all entries prefer the same one without telling each other, unless another upstream is known to hold it.
+// cheapest one gets the request. A chat that no upstream is known to hold gets a home: upstreams with few chats cost less then, and the
+// one that rendezvous hashing ranks first is preferred a little, so that entries that decide at the same moment agree.
 //
 // A decision is a function of its inputs, without clock or I/O.
 package placement
@@ -24,6 +24,10 @@
 	ReadAgainFactor float64
 	// PerRequest is the cost of each request that already runs at a model upstream.
 	PerRequest time.Duration
+	// PerChat is the cost of each chat that an upstream holds, when a chat gets a home.
+	PerChat time.Duration
+	// RankedFirst is the advantage of the upstream that rendezvous hashing ranks first, when a chat gets a home.
+	RankedFirst time.Duration
 	// OtherDataCentre is the cost of leaving the entry's data centre.
 	OtherDataCentre time.Duration
 	// FailurePenalty is the cost of a request that fails for certain.
@@ -38,6 +42,8 @@
 		ReadTokensPerMS: 60,
 		ReadAgainFactor: 6,
 		PerRequest:      2 * time.Millisecond, // a running request delays each step a little
+		PerChat:         8 * time.Millisecond, // a short common part is worth a few chats more than elsewhere
+		RankedFirst:     4 * time.Millisecond,
 		OtherDataCentre: 2 * time.Millisecond, // a round trip
 		FailurePenalty:  2 * time.Second,
 		LoadFactor:      1.5, // three quarters of a bound of 2, as views of the load differ
@@ -59,6 +65,8 @@
 	PendingTokens float64
 	// CachedTokens are those of the request's prompt that it is known to hold.
 	CachedTokens int
+	// Chats is the number of chats that it is known to hold.
+	Chats int
 	// FailureRate is the share of requests that fail there.
 	FailureRate float64
 	// Excluded upstreams cannot take the request: they are down, full, cold with nothing left of their rate, or were tried.
@@ -78,7 +86,11 @@
 // Choose returns the index of the upstream for a request, or -1 if none can take it. tie is uniform in [0, 1) and decides between equals.
 func Choose(c Config, r Request, upstreams []Upstream, tie float64) int {
 	limit := c.loadLimit(upstreams)
-	first := expectedHolder(r, upstreams)
+	home := needsHome(r, upstreams)
+	first := -1
+	if home {
+		first = rankedFirst(r.Session, upstreams)
+	}
 	best, bestCost := -1, math.Inf(1)
 	for at := range upstreams {
 		// The scan begins at a random place, so that equals share the requests.
@@ -87,13 +99,33 @@
 		if u.Excluded || u.Load+1 > limit {
 			continue
 		}
-		if cost := c.cost(r, u, i == first); cost < bestCost {
+		cost := c.cost(r, u)
+		if home {
+			cost += float64(u.Chats) * milliseconds(c.PerChat)
+		}
+		if i == first {
+			cost -= milliseconds(c.RankedFirst)
+		}
+		if cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
+// needsHome says whether no upstream that can take the request is known to hold the chat's prompt.
+func needsHome(r Request, upstreams []Upstream) bool {
+	if r.SharedTokens == 0 {
+		return false
+	}
+	for i := range upstreams {
+		if !upstreams[i].Excluded && upstreams[i].CachedTokens >= r.SharedTokens {
+			return false
+		}
+	}
+	return true
+}
+
 // loadLimit is the most requests that an upstream may hold. Upstreams that take none do not lower the mean.
 func (c *Config) loadLimit(upstreams []Upstream) float64 {
 	sum, n := 0.0, 0
@@ -110,26 +142,6 @@
 	return c.LoadFactor*(sum+1)/float64(n) + c.LoadSlack
 }
 
-// Assumed returns the number of the request's tokens that the upstream at an index is taken to hold: those that it is known to hold, or
-// the shared ones if it is expected to hold the chat's prompt.
-func Assumed(r Request, upstreams []Upstream, at int) int {
-	if at == expectedHolder(r, upstreams) {
-		return max(upstreams[at].CachedTokens, r.SharedTokens)
-	}
-	return upstreams[at].CachedTokens
-}
-
-// expectedHolder returns the index of the upstream that is taken to hold the chat's prompt although it is not known to, or -1: the one
-// ranked first, unless another is known to hold the shared part.
-func expectedHolder(r Request, upstreams []Upstream) int {
-	for i := range upstreams {
-		if !upstreams[i].Excluded && r.SharedTokens > 0 && upstreams[i].CachedTokens >= r.SharedTokens {
-			return -1
-		}
-	}
-	return rankedFirst(r.Session, upstreams)
-}
-
 // rankedFirst returns the index of the chat's first upstream among those that take requests, or -1.
 func rankedFirst(session uint64, upstreams []Upstream) int {
 	if session == 0 {
@@ -157,20 +169,15 @@
 }
 
 // cost is the expected time that the request costs at an upstream, in milliseconds.
-func (c *Config) cost(r Request, u *Upstream, first bool) float64 {
-	cost := 0.0
+func (c *Config) cost(r Request, u *Upstream) float64 {
+	cost := u.FailureRate * milliseconds(c.FailurePenalty)
 	if !u.Local {
 		cost += milliseconds(c.OtherDataCentre)
 	}
-	cost += u.FailureRate * milliseconds(c.FailurePenalty)
 	if r.Tokens == 0 {
-		return cost + c.queueing(r, u)
-	}
-	cached := u.CachedTokens
-	if first {
-		cached = max(cached, r.SharedTokens)
+		return cost + queueing(u)
 	}
-	read := float64(max(0, r.Tokens-cached))
+	read := float64(max(0, r.Tokens-u.CachedTokens))
 	cost += (c.ReadAgainFactor*read + u.PendingTokens) / c.ReadTokensPerMS
 	return cost + u.Load*milliseconds(c.PerRequest)
 }
@@ -180,7 +187,7 @@
 
 // queueing is the wait for a slot of a plain service. Half a request's time is added for each that runs, since entries see the load of
 // others with delay.
-func (c *Config) queueing(_ Request, u *Upstream) float64 {
+func queueing(u *Upstream) float64 {
 	if u.Slots == 0 {
 		return u.Load * milliseconds(plainWork)
 	}
