Ignore failures that all upstreams have in common when placing a request

Change: the failure rate counts beyond that of the least failing upstream and a tolerance; prompt parts are known by id rather than by prefix.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -403,9 +403,9 @@
 	Parts    []PromptPart `msgpack:"p"`
 }
 
-// PromptPart is a part of a prompt: the hash of the prompt up to its end and that prompt's length in tokens.
+// PromptPart is a part of a prompt: the hash of its model and id, and its length in tokens.
 type PromptPart struct {
-	Prefix uint64 `msgpack:"h"`
+	ID     uint64 `msgpack:"h"`
 	Tokens uint32 `msgpack:"t"`
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -269,7 +269,7 @@
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
-			holder.Parts = append(holder.Parts, placement.Part{Prefix: part.Prefix, Tokens: int(part.Tokens)})
+			holder.Parts = append(holder.Parts, placement.Part{ID: part.ID, Tokens: int(part.Tokens)})
 		}
 		p.g.balancer.Heard(holder)
 	}
@@ -286,7 +286,7 @@
 	for _, h := range p.g.balancer.News() {
 		holder := wire.PromptHolder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
-			holder.Parts = append(holder.Parts, wire.PromptPart{Prefix: part.Prefix, Tokens: uint32(part.Tokens)})
+			holder.Parts = append(holder.Parts, wire.PromptPart{ID: part.ID, Tokens: uint32(part.Tokens)})
 		}
 		m.Holders = append(m.Holders, holder)
 	}
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -12,7 +12,7 @@
 
 // Prompt describes the prompt of a request to a model.
 type Prompt struct {
-	// Parts are in order, each including those before it.
+	// Parts are in order.
 	Parts []placement.Part
 	// Tokens is the length of the whole prompt, MaxOutput that of the longest answer, in tokens; zero if the caller does not say.
 	Tokens, MaxOutput int
@@ -24,27 +24,24 @@
 // Shared returns the parts that the request shares with others: all but the last.
 func (p *Prompt) Shared() []placement.Part { return p.Parts[:max(0, len(p.Parts)-1)] }
 
-// Session identifies what the request shares with others of its chat: the prompt up to the last shared part. Zero means nothing.
+// Session identifies what the request shares with others of its chat: the last shared part. Zero means nothing.
 func (p *Prompt) Session() uint64 {
 	if shared := p.Shared(); len(shared) > 0 {
-		return shared[len(shared)-1].Prefix
+		return shared[len(shared)-1].ID
 	}
 	return 0
 }
 
 // SharedTokens is the number of tokens up to the last shared part.
-func (p *Prompt) SharedTokens() int {
-	if shared := p.Shared(); len(shared) > 0 {
-		return shared[len(shared)-1].Tokens
-	}
-	return 0
-}
+func (p *Prompt) SharedTokens() int { return placement.Tokens(p.Shared()) }
+
+// PartID returns the hash that stands for a part of a prompt to a model.
+func PartID(model, id string) uint64 { return xxhash.Sum64String(model + "," + id) }
 
 // Prompt reads the description of the prompt. What cannot be read is left out: it only decides where the request is cheapest.
 func (n *Headers) Prompt(h http.Header) Prompt {
 	var p Prompt
-	hash := xxhash.New()
-	_, _ = hash.WriteString(h.Get(n.Model) + ",") // never fails
+	model := h.Get(n.Model)
 	tokens := 0
 	for part := range strings.SplitSeq(h.Get(n.PromptParts), ",") {
 		id, length, found := strings.Cut(strings.TrimSpace(part), ":")
@@ -52,9 +49,8 @@
 		if !found || err != nil || count < 0 || len(p.Parts) == maxParts {
 			break
 		}
-		_, _ = hash.WriteString(id + ",")
 		tokens += count
-		p.Parts = append(p.Parts, placement.Part{Prefix: hash.Sum64(), Tokens: tokens})
+		p.Parts = append(p.Parts, placement.Part{ID: PartID(model, id), Tokens: count})
 	}
 	prompt, output, _ := strings.Cut(h.Get(n.TokenCounts), ",")
 	p.Tokens = atoiOr(prompt, tokens)
--- a/request/placement/cache.go
+++ b/request/placement/cache.go
@@ -23,25 +23,44 @@
 	return c
 }
 
-// Part is a part of a prompt: the hash of the prompt up to its end, and that prompt's length in tokens.
+// Part is a part of a prompt: the hash of its model and id, and its length in tokens.
 type Part struct {
-	Prefix uint64
+	ID     uint64
 	Tokens int
 }
 
+// Tokens is the length of parts together.
+func Tokens(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
 // Chats returns the number of parts that are held. Most are the last shared part of a chat.
 func (c *Cache) Chats() int { return c.parts.Len() }
 
-// Used records that the upstream reads a prompt with the given parts, each with those before it. It says whether one of them is new.
+// Parts returns all parts that are held, the least recently used first.
+func (c *Cache) Parts() []Part {
+	parts := make([]Part, 0, c.parts.Len())
+	for _, id := range c.parts.Keys() {
+		tokens, _ := c.parts.Peek(id) // a key that Keys lists is there
+		parts = append(parts, Part{id, tokens})
+	}
+	return parts
+}
+
+// Used records that the upstream reads parts. It says whether one of them is new.
 func (c *Cache) Used(parts []Part) (added bool) {
-	before := 0
 	for _, p := range parts {
-		if !c.parts.Contains(p.Prefix) {
-			c.tokens += p.Tokens - before
+		if !c.parts.Contains(p.ID) {
+			c.tokens += p.Tokens
 			added = true
+			c.parts.Add(p.ID, p.Tokens)
+			continue
 		}
-		c.parts.Add(p.Prefix, p.Tokens-before)
-		before = p.Tokens
+		c.parts.Get(p.ID) // makes it the most recently used
 	}
 	for c.tokens > c.capacity && c.parts.Len() > 0 {
 		c.parts.RemoveOldest()
@@ -49,14 +68,14 @@
 	return added
 }
 
-// Holds returns the number of a prompt's first tokens that the upstream is believed to hold.
+// Holds returns the number of a prompt's first tokens that the upstream is believed to hold. A part counts only with those before it.
 func (c *Cache) Holds(parts []Part) int {
 	held := 0
 	for _, p := range parts {
-		if !c.parts.Contains(p.Prefix) {
+		if !c.parts.Contains(p.ID) {
 			break
 		}
-		held = p.Tokens
+		held += p.Tokens
 	}
 	return held
 }
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -30,8 +30,10 @@
 	RankedFirst time.Duration
 	// OtherDataCentre is the cost of leaving the entry's data centre.
 	OtherDataCentre time.Duration
-	// FailurePenalty is the cost of a request that fails for certain.
-	FailurePenalty time.Duration
+	// FailurePenalty is the cost of a request that fails for certain. It counts for what an upstream fails beyond the least failing
+	// one and FailureTolerance: failures that all have in common are no reason to choose another.
+	FailurePenalty   time.Duration
+	FailureTolerance float64
 	// LoadFactor is the most requests that an upstream may hold as a multiple of the mean of its service, LoadSlack a number beyond it.
 	LoadFactor, LoadSlack float64
 }
@@ -39,15 +41,16 @@
 // DefaultConfig returns weights for engines that read some 60 prompt tokens in a millisecond.
 func DefaultConfig() Config {
 	return Config{
-		ReadTokensPerMS: 60,
-		ReadAgainFactor: 6,
-		PerRequest:      2 * time.Millisecond, // a running request delays each step a little
-		PerChat:         8 * time.Millisecond, // a short common part is worth a few chats more than elsewhere
-		RankedFirst:     4 * time.Millisecond,
-		OtherDataCentre: 2 * time.Millisecond, // a round trip
-		FailurePenalty:  2 * time.Second,
-		LoadFactor:      1.5, // three quarters of a bound of 2, as views of the load differ
-		LoadSlack:       2,
+		ReadTokensPerMS:  60,
+		ReadAgainFactor:  6,
+		PerRequest:       2 * time.Millisecond, // a running request delays each step a little
+		PerChat:          8 * time.Millisecond, // a short common part is worth a few chats more than elsewhere
+		RankedFirst:      4 * time.Millisecond,
+		OtherDataCentre:  2 * time.Millisecond, // a round trip
+		FailurePenalty:   2 * time.Second,
+		FailureTolerance: 0.15, // a single failure among the latest requests
+		LoadFactor:       1.5,  // three quarters of a bound of 2, as views of the load differ
+		LoadSlack:        2,
 	}
 }
 
@@ -91,6 +94,7 @@
 	if home {
 		first = rankedFirst(r.Session, upstreams)
 	}
+	common := leastFailing(upstreams) + c.FailureTolerance
 	best, bestCost := -1, math.Inf(1)
 	for at := range upstreams {
 		// The scan begins at a random place, so that equals share the requests.
@@ -99,7 +103,7 @@
 		if u.Excluded || u.Load+1 > limit {
 			continue
 		}
-		cost := c.cost(r, u)
+		cost := c.cost(r, u) + max(0, u.FailureRate-common)*milliseconds(c.FailurePenalty)
 		if home {
 			cost += float64(u.Chats) * milliseconds(c.PerChat)
 		}
@@ -168,9 +172,20 @@
 	return xxhash.Sum64(b[:])
 }
 
+// leastFailing is the lowest failure rate of the upstreams that take requests.
+func leastFailing(upstreams []Upstream) float64 {
+	least := 1.0
+	for i := range upstreams {
+		if !upstreams[i].Excluded {
+			least = min(least, upstreams[i].FailureRate)
+		}
+	}
+	return least
+}
+
 // cost is the expected time that the request costs at an upstream, in milliseconds.
 func (c *Config) cost(r Request, u *Upstream) float64 {
-	cost := u.FailureRate * milliseconds(c.FailurePenalty)
+	cost := 0.0
 	if !u.Local {
 		cost += milliseconds(c.OtherDataCentre)
 	}
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -86,14 +86,26 @@
 // What no longer fits the upstream's memory must not count as held, nor a part whose beginning is gone.
 func TestCache_ForgetsLeastRecentlyUsed(t *testing.T) {
 	c := NewCache(1000)
-	a := []Part{{Prefix: 1, Tokens: 100}, {Prefix: 2, Tokens: 500}}
-	b := []Part{{Prefix: 1, Tokens: 100}, {Prefix: 3, Tokens: 700}}
-	c.Used(a)
+	a := []Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 400}}
+	b := []Part{{ID: 1, Tokens: 100}, {ID: 3, Tokens: 600}}
+	must.True(t, c.Used(a))
+	must.False(t, c.Used(a))
 	must.EqOp(t, 500, c.Holds(a))
 	must.EqOp(t, 100, c.Holds(b))
 	c.Used(b)
 	must.EqOp(t, 700, c.Holds(b))
-	c.Used([]Part{{Prefix: 4, Tokens: 250}})
+	c.Used([]Part{{ID: 4, Tokens: 250}})
 	must.EqOp(t, 100, c.Holds(a))
 	must.EqOp(t, 700, c.Holds(b))
+	must.Eq(t, []Part{{1, 100}, {3, 600}, {4, 250}}, c.Parts())
+}
+
+// Failures that all upstreams have in common must not move chats, which would read their prompts again for nothing.
+func TestChoose_CommonFailuresMoveNoChat(t *testing.T) {
+	ups := fleet(12)
+	for i := range ups {
+		ups[i].FailureRate = 0.4 + 0.01*float64(i)
+	}
+	ups[11].CachedTokens = 700
+	must.EqOp(t, 11, Choose(DefaultConfig(), Request{Session: 7, SharedTokens: 700, Tokens: 800}, ups, 0))
 }
