Ask model upstreams which prompts they hold after a start

Change: after its start a gateway asks its share of the model upstreams for their prompts and tells its neighbours; a neighbour that connects is told all that is known. Conclusion: the call costs a probe for each upstream and restart, which is little against one long prompt.

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -48,6 +48,7 @@
 		Store:    platform.NewStore(s.Store.Address, settings.Duration(s.Store.TimeoutMS)),
 		Decoder:  platform.Facts{},
 		Headers:  platform.Headers(),
+		Prompts:  platform.Prompts{},
 	})
 	if err != nil {
 		return fail(result.InvalidSettings, err)
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -285,7 +285,20 @@
 	return news
 }
 
-// Heard takes a peer's news. What was not known becomes news for the other peers.
+// Holders returns what all upstreams are known to hold.
+func (b *Balancer) Holders() []Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var holders []Holder
+	for id, e := range b.backends {
+		if parts := e.cache.Parts(); len(parts) > 0 {
+			holders = append(holders, Holder{id, parts})
+		}
+	}
+	return holders
+}
+
+// Heard takes a peer's or an upstream's news. What was not known becomes news for the other peers.
 func (b *Balancer) Heard(h Holder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -41,6 +41,7 @@
 	ProbeFailed      ID = 310
 	PeerUnreachable  ID = 311
 	PushTooLarge     ID = 312
+	PromptsLearned   ID = 313
 
 	RequestFailed      ID = 400
 	UpstreamCold       ID = 401
@@ -116,6 +117,7 @@
 	{UpstreamUp, "upstream answers probes again", Info, ""},
 	{ProbeFailed, "probe of an upstream failed", Info, ""},
 	{PeerUnreachable, "peer could not be reached", Info, ""},
+	{PromptsLearned, "upstream told which prompts it holds", Info, ""},
 	{PushTooLarge, "copy of the store is too large for a peer's question", Warning, "the peer reads the store itself; look for what fills it"},
 
 	{RequestFailed, "request failed after it was handed over", Warning, "look at the upstream's own log"},
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/forward"
+	"github.com/jayridge/jayridge/request/placement"
 )
 
 // Store is what a gateway needs of the platform's store. Its methods are called from worker goroutines and may block until ctx ends.
@@ -39,6 +40,15 @@
 	Store    Store
 	Decoder  Decoder
 	Headers  forward.Headers
+	Prompts  Prompts
+}
+
+// Prompts is how model upstreams tell which prompts they hold.
+type Prompts interface {
+	// Path is that of the request, without a query.
+	Path() string
+	// Decode reads the answer's body.
+	Decode(body []byte) ([]placement.Part, error)
 }
 
 // Gateway is one process.
@@ -47,6 +57,7 @@
 	store    Store
 	decoder  Decoder
 	headers  forward.Headers
+	prompts  Prompts
 	balancer *balancer.Balancer
 	pools    *pools
 	budgets  *budgets
@@ -72,8 +83,8 @@
 
 // New returns a gateway that does not run yet.
 func New(o Options) (*Gateway, error) {
-	if o.Settings == nil || o.Store == nil || o.Decoder == nil {
-		return nil, trace.BadParameter("settings, store and decoder are required")
+	if o.Settings == nil || o.Store == nil || o.Decoder == nil || o.Prompts == nil {
+		return nil, trace.BadParameter("settings, store, decoder and prompts are required")
 	}
 	config := balancer.DefaultConfig(o.Settings.DataCentre)
 	config.Seed = rand.Uint64()
@@ -82,6 +93,7 @@
 		store:     o.Store,
 		decoder:   o.Decoder,
 		headers:   o.Headers,
+		prompts:   o.Prompts,
 		balancer:  balancer.New(config),
 		pools:     newPools(),
 		budgets:   newBudgets(o.Settings.Fleet),
@@ -106,6 +118,7 @@
 	g.work(g.probe)
 	g.work(g.register)
 	g.work(g.peers.run)
+	g.work(g.learnPrompts)
 	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
 	return nil
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -132,6 +132,15 @@
 	p.g.budgets.setEntries(len(names))
 }
 
+// share says whether this gateway is the one of all registered that has a task, so that each task is done once.
+func (p *peers) share(task uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := slices.Sorted(maps.Keys(p.members))
+	at := slices.Index(names, p.g.settings.Instance)
+	return at < 0 || task%uint64(len(names)) == uint64(at)
+}
+
 // drop ends a connection. The lock is held.
 func (p *peers) drop(name string, l *peerLink) {
 	if l.conn != nil {
@@ -220,6 +229,7 @@
 	}
 	l.conn = conn
 	l.heardAt = time.Now()
+	p.introduce(conn)
 	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
 }
 
@@ -283,15 +293,28 @@
 		l := loads[id]
 		m.Loads = append(m.Loads, wire.UpstreamLoad{Upstream: id, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens)})
 	}
-	for _, h := range p.g.balancer.News() {
+	m.Holders = promptHolders(p.g.balancer.News())
+	for _, c := range p.conns() {
+		_ = c.Send(m) // a neighbour that is gone or does not read shows in its silence
+	}
+}
+
+func promptHolders(holders []balancer.Holder) []wire.PromptHolder {
+	var all []wire.PromptHolder
+	for _, h := range holders {
 		holder := wire.PromptHolder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
 			holder.Parts = append(holder.Parts, wire.PromptPart{ID: part.ID, Tokens: uint32(part.Tokens)})
 		}
-		m.Holders = append(m.Holders, holder)
+		all = append(all, holder)
 	}
-	for _, c := range p.conns() {
-		_ = c.Send(m) // a neighbour that is gone or does not read shows in its silence
+	return all
+}
+
+// introduce tells a neighbour that has just connected all that is known of prompts: it may have restarted.
+func (p *peers) introduce(c *link.Conn) {
+	for _, h := range promptHolders(p.g.balancer.Holders()) {
+		_ = c.Send(&wire.FleetState{Holders: []wire.PromptHolder{h}}) // what is lost costs reading a prompt twice
 	}
 }
 
--- /dev/null
+++ b/process/gateway/prompts.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/jayridge/jayridge/connection/upstream"
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/event"
+)
+
+const (
+	// viewPoll is the time between looks for the first view after a start.
+	viewPoll = 10 * time.Millisecond
+	// learnTimeout bounds one upstream's answer about its prompts.
+	learnTimeout = time.Second
+	// maxPromptsBytes bounds that answer; an upstream holds some thousand parts at most.
+	maxPromptsBytes = 4 << 20
+)
+
+// learnPrompts asks the model upstreams once, after the gateway's start, which prompts they hold. Each gateway asks its share and tells
+// the others, so that a fleet that restarts together sends chats back to where their prompts are.
+func (g *Gateway) learnPrompts() {
+	for g.view.Load() == nil {
+		if sleep(g.ctx, viewPoll); g.ctx.Err() != nil {
+			return
+		}
+	}
+	v := g.view.Load()
+	for _, u := range v.upstreams {
+		if s := v.table.Service(u.Service); s == nil || s.CacheTokens == 0 || !g.peers.share(xxhash.Sum64String(u.ID)) {
+			continue
+		}
+		g.work(func() { g.learnFrom(u) })
+	}
+}
+
+func (g *Gateway) learnFrom(u directory.Upstream) {
+	ctx, cancel := context.WithTimeout(g.ctx, learnTimeout)
+	defer cancel()
+	body, err := g.ask(ctx, u, g.prompts.Path())
+	if err != nil {
+		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "asked", "prompts", "error", err)
+		return
+	}
+	parts, err := g.prompts.Decode(body)
+	if err != nil {
+		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "asked", "prompts", "error", err)
+		return
+	}
+	if len(parts) > 0 {
+		g.balancer.Heard(balancer.Holder{Upstream: u.ID, Parts: parts})
+	}
+	event.Log(event.PromptsLearned, "upstream", u.ID, "parts", len(parts))
+}
+
+// ask returns the body of an upstream's answer to a request of the gateway's own.
+func (g *Gateway) ask(ctx context.Context, u directory.Upstream, path string) ([]byte, error) {
+	g.metrics.probes.Add(1)
+	conn, err := g.pools.get(u.Address).Get(ctx, probeIdle)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := upstream.Exchange(ctx, conn, &upstream.Request{
+		Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{"User-Agent": {""}}, IDHeader: g.headers.RequestID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPromptsBytes))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if answer.Status != http.StatusOK {
+		return nil, trace.BadParameter("upstream answered with status %d", answer.Status)
+	}
+	answer.Done()
+	return body, nil
+}
