Keep what gateways tell each other small in large fleets

Change: loads are short arrays and carry the total that the upstream's latest answer suggests, so that a sample of six neighbours is enough; a neighbour is told everything only after another start; short parts are learned in small fleets only; gateways whose registration lapsed still count among those that share limits for 15 s. The load bound is nine tenths of the fleet's, since homes of chats are uneven.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -379,22 +379,26 @@
 // Type implements Message.
 func (*ClaimsDone) Type() Type { return TypeClaimsDone }
 
-// FleetState is what a gateway tells its neighbours about its own requests. Both lists may be empty.
+// FleetState is what a gateway tells its neighbours about its own requests. All lists may be empty.
 type FleetState struct {
-	// Loads are the sender's requests in flight at each upstream that has any.
+	// Loads are about each upstream that has requests of the sender or has answered one since the last message.
 	Loads []UpstreamLoad `msgpack:"l,omitempty"`
 	// Holders are upstreams that began to read prompts since the last message, by the sender's requests or as it heard.
 	Holders []PromptHolder `msgpack:"h,omitempty"`
-	// Suspects are requests that were in flight when an upstream broke.
-	Suspects []SuspectRequest `msgpack:"s,omitempty"`
+	// Partial says that Loads is left out.
+	Partial bool `msgpack:"p,omitempty"`
 }
 
-// UpstreamLoad is the load that one gateway puts on an upstream.
+// UpstreamLoad is what one gateway knows of the load on an upstream. It is an array on the wire, since it is sent most often.
 type UpstreamLoad struct {
-	Upstream string `msgpack:"u"`
-	// Requests are in flight; PendingTokens are of their prompts and not read yet.
-	Requests      uint32 `msgpack:"r"`
-	PendingTokens uint32 `msgpack:"p,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
+	// Upstream is a hash of the upstream's name.
+	Upstream uint32
+	// Requests of the sender are in flight; PendingTokens are of their prompts and not read yet.
+	Requests, PendingTokens uint32
+	// Total is the number of requests of all gateways that the upstream's latest answer suggests, AgeMS the time since then in
+	// milliseconds. Zero for both means unknown.
+	Total, AgeMS uint32
 }
 
 // PromptHolder says that an upstream holds the beginning of prompts.
@@ -409,13 +413,6 @@
 	Tokens uint32 `msgpack:"t"`
 }
 
-// SuspectRequest is a request that was in flight when an upstream broke.
-type SuspectRequest struct {
-	Fingerprint uint64 `msgpack:"f"`
-	// Upstream names the start of the upstream that broke, so that one break is counted once.
-	Upstream string `msgpack:"u"`
-}
-
 // StorePull asks a peer for what its copy of the platform's store has beyond the sender's.
 type StorePull struct {
 	// ID is repeated in the StorePush.
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -24,8 +24,10 @@
 	DataCentre string
 	Placement  placement.Config
 	Health     health.Config
-	// LoadFreshFor is how long a peer's or an upstream's statement about its load is used.
+	// LoadFreshFor is how long a peer's statement about its load is used.
 	LoadFreshFor time.Duration
+	// TotalFreshFor is how long an upstream's statement about its load is used if not all peers are heard.
+	TotalFreshFor time.Duration
 	// Seed is that of the tie breaker.
 	Seed uint64
 }
@@ -33,10 +35,11 @@
 // DefaultConfig returns the default settings of an entry in a data centre.
 func DefaultConfig(dataCentre string) Config {
 	return Config{
-		DataCentre:   dataCentre,
-		Placement:    placement.DefaultConfig(),
-		Health:       health.DefaultConfig(),
-		LoadFreshFor: time.Second, // twice the time between peers' reports
+		DataCentre:    dataCentre,
+		Placement:     placement.DefaultConfig(),
+		Health:        health.DefaultConfig(),
+		LoadFreshFor:  1200 * time.Millisecond, // three times the longest time between peers' reports
+		TotalFreshFor: 2 * time.Second,         // about as long as a long answer takes
 	}
 }
 
@@ -69,21 +72,25 @@
 	// inFlight are this entry's requests, pending their prompt tokens that were not read yet.
 	inFlight int
 	pending  int
-	// others are the requests of other entries as the upstream's last answer suggests.
-	others   int
-	othersAt time.Time
+	// total is the number of requests of all entries as its latest answer suggests, to this entry or to a peer.
+	total   int
+	totalAt time.Time
+	// answered says that it answered a request of this entry since Loads was called.
+	answered bool
 }
 
 type peerLoad struct {
-	loads map[string]Load
+	loads map[uint32]Load
 	at    time.Time
 }
 
-// Load is the load that one entry puts on an upstream.
+// Load is what one entry knows of the load on an upstream.
 type Load struct {
-	// Requests are in flight; PendingTokens are of their prompts and not read yet.
-	Requests      int `msgpack:"r"`
-	PendingTokens int `msgpack:"p"`
+	// Requests of the entry are in flight; PendingTokens are of their prompts and not read yet.
+	Requests, PendingTokens int
+	// Total is what the upstream's latest answer suggests for all entries together, Age the time since then. Zero for both means unknown.
+	Total int
+	Age   time.Duration
 }
 
 // New returns a balancer without upstreams.
@@ -123,7 +130,7 @@
 
 func (b *Balancer) newBackend(u directory.Upstream, service *routing.Service) *backend {
 	return &backend{
-		hash:    xxhash.Sum64String(u.ID),
+		hash:    upstreamHash(u.ID),
 		local:   u.DataCentre == b.config.DataCentre,
 		monitor: health.New(b.config.Health),
 		cache:   placement.NewCache(service.CacheTokens * 3 / 4), // a quarter is left for answers and for what other entries send
@@ -131,6 +138,11 @@
 	}
 }
 
+func upstreamHash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// shortHash names an upstream in messages. Two upstreams with the same one only blur each other's load.
+func (e *backend) shortHash() uint32 { return uint32(e.hash) }
+
 // SetEntries tells how many entries share the fleet's limits.
 func (b *Balancer) SetEntries(n int) {
 	b.mu.Lock()
@@ -157,6 +169,10 @@
 	// Load is what the upstream was believed to hold at the decision, Candidates the number of upstreams that could take the request.
 	Load       int
 	Candidates int
+	// PassedOver is an upstream that holds more of the prompt and was not chosen, "" if there is none; PassedLoad is its load, PassedPending
+	// what it has yet to read, in tokens.
+	PassedOver                string
+	PassedLoad, PassedPending int
 
 	balancer *Balancer
 	backend  *backend
@@ -192,14 +208,27 @@
 		Upstream: e.Upstream, Cached: b.scratch[at].CachedTokens, Load: int(b.scratch[at].Load), Candidates: candidates,
 		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-b.scratch[at].CachedTokens),
 	}
+	c.notePassedOver(group, at)
 	e.inFlight++
 	e.pending += c.pending
-	if e.cache.Used(q.Parts) {
-		b.addNews(Holder{e.ID, q.Parts})
-	}
+	b.addNews(e, e.cache.Used(q.Parts))
 	return c
 }
 
+// notePassedOver finds the upstream that holds most of the prompt, for the log.
+func (c *Choice) notePassedOver(group []*backend, at int) {
+	scratch := c.balancer.scratch
+	most := at
+	for i := range scratch {
+		if scratch[i].CachedTokens > scratch[most].CachedTokens {
+			most = i
+		}
+	}
+	if most != at {
+		c.PassedOver, c.PassedLoad, c.PassedPending = group[most].ID, int(scratch[most].Load), int(scratch[most].PendingTokens)
+	}
+}
+
 func (b *Balancer) view(now time.Time, e *backend, q Query) placement.Upstream {
 	requests, pending := b.othersLoad(now, e)
 	u := placement.Upstream{
@@ -236,8 +265,8 @@
 	return true
 }
 
-// othersLoad is the load of other entries on an upstream: what peers say, scaled up if only some of them are heard, or else what its
-// last answer suggests.
+// othersLoad is the load of other entries on an upstream. If all of them are heard, it is what they say. Otherwise it is what the
+// upstream's latest answer suggests, to whichever entry.
 func (b *Balancer) othersLoad(now time.Time, e *backend) (requests, pending int) {
 	heard := 0
 	for _, p := range b.peers {
@@ -245,18 +274,12 @@
 			continue
 		}
 		heard++
-		l := p.loads[e.ID]
+		l := p.loads[e.shortHash()]
 		requests += l.Requests
 		pending += l.PendingTokens
 	}
-	if heard == 0 {
-		if now.Sub(e.othersAt) <= b.config.LoadFreshFor {
-			return e.others, 0
-		}
-		return 0, 0
-	}
-	if others := b.entries - 1; others > heard {
-		return requests * others / heard, pending * others / heard
+	if heard < b.entries-1 && now.Sub(e.totalAt) <= b.config.TotalFreshFor {
+		return max(requests, e.total-e.inFlight), pending
 	}
 	return requests, pending
 }
@@ -270,9 +293,9 @@
 // maxNews bounds the news that wait to be told; what is left out costs reading a prompt twice.
 const maxNews = 1024
 
-func (b *Balancer) addNews(h Holder) {
-	if len(b.news) < maxNews {
-		b.news = append(b.news, h)
+func (b *Balancer) addNews(e *backend, parts []placement.Part) {
+	if len(parts) > 0 && len(b.news) < maxNews {
+		b.news = append(b.news, Holder{e.ID, parts})
 	}
 }
 
@@ -302,16 +325,25 @@
 func (b *Balancer) Heard(h Holder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.backends[h.Upstream]; e != nil && e.cache.Used(h.Parts) {
-		b.addNews(h)
+	if e := b.backends[h.Upstream]; e != nil {
+		b.addNews(e, e.cache.Used(h.Parts))
 	}
 }
 
-// PeerLoad takes another entry's loads by upstream.
-func (b *Balancer) PeerLoad(now time.Time, peer string, loads map[string]Load) {
+// PeerLoad takes another entry's loads by the short hash of the upstream's name.
+func (b *Balancer) PeerLoad(now time.Time, peer string, loads map[uint32]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[peer] = peerLoad{loads, now}
+	for _, e := range b.backends {
+		l, found := loads[e.shortHash()]
+		if !found || l.Total == 0 && l.Age == 0 {
+			continue
+		}
+		if at := now.Add(-l.Age); at.After(e.totalAt) {
+			e.total, e.totalAt = l.Total, at
+		}
+	}
 }
 
 // ForgetPeer drops the loads of an entry that left.
@@ -321,15 +353,21 @@
 	delete(b.peers, peer)
 }
 
-// Loads returns this entry's load on each upstream that has any.
-func (b *Balancer) Loads() map[string]Load {
+// Loads returns what this entry knows of each upstream that has requests of it or has answered one since the last call.
+func (b *Balancer) Loads(now time.Time) map[uint32]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	loads := make(map[string]Load)
-	for id, e := range b.backends {
-		if e.inFlight > 0 {
-			loads[id] = Load{e.inFlight, e.pending}
+	loads := make(map[uint32]Load)
+	for _, e := range b.backends {
+		if e.inFlight == 0 && !e.answered {
+			continue
+		}
+		l := Load{Requests: e.inFlight, PendingTokens: e.pending}
+		if e.answered {
+			l.Total, l.Age = e.total, now.Sub(e.totalAt)
 		}
+		e.answered = false
+		loads[e.shortHash()] = l
 	}
 	return loads
 }
@@ -341,8 +379,7 @@
 	defer b.mu.Unlock()
 	c.read()
 	if total >= 0 {
-		c.backend.others = max(0, total-c.backend.inFlight)
-		c.backend.othersAt = now
+		c.backend.total, c.backend.totalAt, c.backend.answered = total, now, true
 	}
 }
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -60,6 +60,7 @@
 	}
 	p := &c.progress
 	p.upstream, p.cached, p.load = choice.ID, choice.Cached, choice.Load
+	p.passed, p.passedLoad, p.passedPending = choice.PassedOver, choice.PassedLoad, choice.PassedPending
 	p.tried = append(p.tried, choice.ID)
 	c.g.metrics.attempts.Add(1)
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,6 +34,9 @@
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error)
 }
 
+// loadShare is the part of the fleet's load factor up to which a gateway loads an upstream. Gateways see each other's load with delay.
+const loadShare = 0.9
+
 // Options are what a gateway is made of.
 type Options struct {
 	Settings *settings.Gateway
@@ -88,6 +91,7 @@
 	}
 	config := balancer.DefaultConfig(o.Settings.DataCentre)
 	config.Seed = rand.Uint64()
+	config.Placement.LoadFactor = loadShare * o.Settings.Fleet.LoadFactor
 	g := &Gateway{
 		settings:  o.Settings,
 		store:     o.Store,
--- a/process/gateway/neighbours.go
+++ b/process/gateway/neighbours.go
@@ -7,14 +7,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxNeighbours bounds the peers that a gateway exchanges loads with. A dozen is every other gateway of a small fleet; in a large one
-// their loads are a sample of the fleet's, and news pass from neighbour to neighbour.
-const maxNeighbours = 12
+const (
+	// maxMesh is the size of a fleet up to which each gateway exchanges loads with each other.
+	maxMesh = 10
+	// maxNeighbours bounds the peers of a gateway in a larger fleet, where the control traffic of a gateway must not grow with the fleet.
+	// Loads are then a sample, and news pass from neighbour to neighbour.
+	maxNeighbours = 6
+)
 
 // neighbours returns the peers that a gateway keeps connections with: all of a small fleet, else those nearest on a ring in both
 // directions, so that each is also its neighbours' neighbour.
 func neighbours(self string, members []string) []string {
-	if len(members) <= maxNeighbours+1 {
+	if len(members) <= maxMesh {
 		return slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == self })
 	}
 	ring := slices.Clone(members)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,9 +24,11 @@
 const (
 	// statePeriod is the time between two FleetState messages to each neighbour. Loads change within tenths of a second.
 	statePeriod = 200 * time.Millisecond
+	// sampledPeriod is that time in a fleet where neighbours are only some of the gateways, and their loads a sample.
+	sampledPeriod = 400 * time.Millisecond
 	// silentAfter is the time without a message after which a connection to a neighbour is replaced: the peer is gone or the connection
 	// hangs.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 3 * time.Second
 	// redialPause is the time between attempts to reach a neighbour.
 	redialPause = 500 * time.Millisecond
 	// pullAge is the age of the copy of the store from which neighbours are asked for theirs. The store answers more often than that.
@@ -33,6 +37,9 @@
 	pullPeriod = 300 * time.Millisecond
 	// pullTimeout is how long an answer is awaited.
 	pullTimeout = 2 * time.Second
+	// countLeftFor is how long a member that is no longer registered counts among those that share limits. Outages of the store, in which
+	// registrations lapse, last about as long.
+	countLeftFor = 15 * time.Second
 	// maxPushBytes bounds the items of one answer, so that it fits a frame.
 	maxPushBytes = 900 << 10
 )
@@ -49,6 +56,10 @@
 	pulls map[uint64]pull
 	// nextPull numbers the questions.
 	nextPull uint64
+	// start names this start of the process.
+	start string
+	// leftAt is when a member's registration ended, while the member still counts.
+	leftAt map[string]time.Time
 }
 
 // peerLink is the connection with one neighbour. Of two neighbours the one whose name is smaller dials.
@@ -59,6 +70,8 @@
 	retryAt time.Time
 	// heardAt is the time of the latest message.
 	heardAt time.Time
+	// start names the start of the neighbour's process that was last connected.
+	start string
 }
 
 // pull is a question for a neighbour's copy of the store.
@@ -68,7 +81,10 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	p := &peers{g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull)}
+	p := &peers{
+		g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull),
+		leftAt: make(map[string]time.Time), start: strconv.FormatUint(rand.Uint64(), 36),
+	}
 	p.server = link.NewServer(peerConfig(), p.hello, p)
 	return p
 }
@@ -85,6 +101,7 @@
 func (p *peers) hello() wire.Hello {
 	return wire.Hello{
 		Instance: p.g.settings.Instance, Role: "gateway", DataCentre: p.g.settings.DataCentre, Address: p.g.settings.PeerAddress,
+		Version: p.start,
 	}
 }
 
@@ -102,6 +119,11 @@
 func (p *peers) setMembers(members map[string]member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for name := range p.members {
+		if _, stays := members[name]; !stays {
+			p.leftAt[name] = time.Now()
+		}
+	}
 	p.members = maps.Clone(members)
 	names := slices.Sorted(maps.Keys(members))
 	self := p.g.settings.Instance
@@ -128,8 +150,22 @@
 		p.drop(name, l)
 		delete(p.links, name)
 	}
-	p.g.balancer.SetEntries(len(names))
-	p.g.budgets.setEntries(len(names))
+	p.count(names)
+}
+
+// count tells how many gateways share the fleet's limits. A member that left counts for a while: its registration may have lapsed while
+// it lives. The lock is held.
+func (p *peers) count(names []string) {
+	n := len(names)
+	for name, at := range p.leftAt {
+		if slices.Contains(names, name) || time.Since(at) > countLeftFor {
+			delete(p.leftAt, name)
+			continue
+		}
+		n++
+	}
+	p.g.balancer.SetEntries(n)
+	p.g.budgets.setEntries(n)
 }
 
 // share says whether this gateway is the one of all registered that has a task, so that each task is done once.
@@ -161,7 +197,7 @@
 			pulledAt = time.Now()
 			p.pull()
 		}
-		sleep(p.g.ctx, statePeriod)
+		sleep(p.g.ctx, p.period())
 	}
 	_ = p.server.Close() // returns no error
 	p.mu.Lock()
@@ -171,6 +207,21 @@
 	}
 }
 
+// sampled says whether the neighbours are only some of the gateways.
+func (p *peers) sampled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members) > maxMesh
+}
+
+// period is the time between two messages to each neighbour.
+func (p *peers) period() time.Duration {
+	if p.sampled() {
+		return sampledPeriod
+	}
+	return statePeriod
+}
+
 // maintain dials neighbours and replaces silent connections.
 func (p *peers) maintain() {
 	p.mu.Lock()
@@ -229,7 +280,11 @@
 	}
 	l.conn = conn
 	l.heardAt = time.Now()
-	p.introduce(conn)
+	// A neighbour that only lost its connection knows already.
+	if start := conn.Remote().Version; start != l.start {
+		l.start = start
+		p.introduce(conn)
+	}
 	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
 }
 
@@ -271,11 +326,15 @@
 
 // takeState applies what a neighbour says of its requests.
 func (p *peers) takeState(name string, m *wire.FleetState) {
-	loads := make(map[string]balancer.Load, len(m.Loads))
+	loads := make(map[uint32]balancer.Load, len(m.Loads))
 	for _, l := range m.Loads {
-		loads[l.Upstream] = balancer.Load{Requests: int(l.Requests), PendingTokens: int(l.PendingTokens)}
+		loads[l.Upstream] = balancer.Load{
+			Requests: int(l.Requests), PendingTokens: int(l.PendingTokens), Total: int(l.Total), Age: time.Duration(l.AgeMS) * time.Millisecond,
+		}
+	}
+	if !m.Partial {
+		p.g.balancer.PeerLoad(bootclock.Now(), name, loads)
 	}
-	p.g.balancer.PeerLoad(bootclock.Now(), name, loads)
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
@@ -288,10 +347,11 @@
 // sendState tells the neighbours about this gateway's requests.
 func (p *peers) sendState() {
 	m := &wire.FleetState{}
-	loads := p.g.balancer.Loads()
-	for _, id := range slices.Sorted(maps.Keys(loads)) {
-		l := loads[id]
-		m.Loads = append(m.Loads, wire.UpstreamLoad{Upstream: id, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens)})
+	for hash, l := range p.g.balancer.Loads(bootclock.Now()) {
+		m.Loads = append(m.Loads, wire.UpstreamLoad{
+			Upstream: hash, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens), Total: uint32(l.Total),
+			AgeMS: uint32(l.Age.Milliseconds()),
+		})
 	}
 	m.Holders = promptHolders(p.g.balancer.News())
 	for _, c := range p.conns() {
@@ -314,7 +374,7 @@
 // introduce tells a neighbour that has just connected all that is known of prompts: it may have restarted.
 func (p *peers) introduce(c *link.Conn) {
 	for _, h := range promptHolders(p.g.balancer.Holders()) {
-		_ = c.Send(&wire.FleetState{Holders: []wire.PromptHolder{h}}) // what is lost costs reading a prompt twice
+		_ = c.Send(&wire.FleetState{Partial: true, Holders: []wire.PromptHolder{h}}) // what is lost costs reading a prompt twice
 	}
 }
 
--- a/process/gateway/prompts.go
+++ b/process/gateway/prompts.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,7 @@
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/request/placement"
 )
 
 const (
@@ -20,6 +22,9 @@
 	viewPoll = 10 * time.Millisecond
 	// learnTimeout bounds one upstream's answer about its prompts.
 	learnTimeout = time.Second
+	// minLearnTokens is the length from which a part is learned in a fleet where news pass from neighbour to neighbour. Most parts are the
+	// ends of prompts that nobody asks for again; short ones cost less to read again than to tell to such a fleet.
+	minLearnTokens = 1000
 	// maxPromptsBytes bounds that answer; an upstream holds some thousand parts at most.
 	maxPromptsBytes = 4 << 20
 )
@@ -54,10 +59,14 @@
 		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "asked", "prompts", "error", err)
 		return
 	}
+	total := len(parts)
+	if g.peers.sampled() {
+		parts = slices.DeleteFunc(parts, func(p placement.Part) bool { return p.Tokens < minLearnTokens })
+	}
 	if len(parts) > 0 {
 		g.balancer.Heard(balancer.Holder{Upstream: u.ID, Parts: parts})
 	}
-	event.Log(event.PromptsLearned, "upstream", u.ID, "parts", len(parts))
+	event.Log(event.PromptsLearned, "upstream", u.ID, "parts", total, "told", len(parts))
 }
 
 // ask returns the body of an upstream's answer to a request of the gateway's own.
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -30,6 +30,9 @@
 	upstream     string
 	first        time.Duration
 	cached, load int
+	// passed is an upstream that holds more of the prompt and was not chosen, with its load and unread tokens.
+	passed                    string
+	passedLoad, passedPending int
 }
 
 // run sends the request to upstreams until it is answered or given up.
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -101,6 +101,9 @@
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
 			"cached", c.progress.cached)
 	}
+	if p := &c.progress; p.passed != "" {
+		fields = append(fields, "passed_over", p.passed, "passed_load", p.passedLoad, "passed_pending", p.passedPending)
+	}
 	event.Sampled(id, fields...)
 }
 
--- a/request/placement/cache.go
+++ b/request/placement/cache.go
@@ -51,12 +51,12 @@
 	return parts
 }
 
-// Used records that the upstream reads parts. It says whether one of them is new.
-func (c *Cache) Used(parts []Part) (added bool) {
+// Used records that the upstream reads parts. It returns those that were not held.
+func (c *Cache) Used(parts []Part) (added []Part) {
 	for _, p := range parts {
 		if !c.parts.Contains(p.ID) {
 			c.tokens += p.Tokens
-			added = true
+			added = append(added, p)
 			c.parts.Add(p.ID, p.Tokens)
 			continue
 		}
