--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -69,7 +69,13 @@
 	end := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
 	a := &attempt{call: c, choice: choice, ctx: ctx}
-	a.patience = time.AfterFunc(c.patience(choice), func() { cancel(errNoProgress) })
+	a.patience = time.AfterFunc(c.patience(choice), func() {
+		if time.Now().Before(c.deadline) {
+			cancel(errNoProgress)
+			return
+		}
+		cancel(context.DeadlineExceeded)
+	})
 	defer a.patience.Stop()
 	code, accepted = a.do()
 	a.settle(code)
--- /dev/null
+++ b/process/gateway/gateway_test.go
@@ -0,0 +1,338 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A booking whose connection breaks after it was sent may have run: it must not be sent again, and the caller must not be told that it
+// has not run.
+func TestServe_NonIdempotentIsNotRepeated(t *testing.T) {
+	a, b := newUpstream(t, "a", cut), newUpstream(t, "b", cut)
+	f := newFixture(t, a, b)
+	got := f.send(f.gateway, http.MethodPost, "/book/1", nil)
+	must.EqOp(t, http.StatusBadGateway, got.status)
+	must.EqOp(t, 1, len(a.got())+len(b.got()))
+}
+
+// A booking that an upstream refuses without running it may go to another one.
+func TestServe_RefusedElsewhere(t *testing.T) {
+	a, b := newUpstream(t, "a", refuse), newUpstream(t, "b", ok)
+	f := newFixture(t, a, b)
+	for i := range 8 {
+		got := f.send(f.gateway, http.MethodPost, "/book/"+string(rune('a'+i)), nil)
+		must.EqOp(t, http.StatusOK, got.status)
+	}
+	must.Len(t, 8, b.got())
+}
+
+// If all upstreams refuse, the caller must learn that the request has not run and when to come again.
+func TestServe_RefusedByAll(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", refuse), newUpstream(t, "b", refuse))
+	got := f.send(f.gateway, http.MethodPost, "/book/1", nil)
+	must.EqOp(t, http.StatusServiceUnavailable, got.status)
+	must.NotEq(t, "", got.header.Get("Retry-After"))
+	must.EqOp(t, "", got.header.Get("Test-Signature"))
+}
+
+// An upstream's 503 without the word that the request has not run must not reach the caller as a promise.
+func TestServe_UnmarkedRefusalIsNoPromise(t *testing.T) {
+	busy := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 503, "", "busy")
+	}
+	f := newFixture(t, newUpstream(t, "a", busy))
+	must.EqOp(t, http.StatusBadGateway, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+}
+
+// A look-up may be repeated: an upstream that fails or breaks off must not be what the caller sees while another is sound.
+func TestServe_IdempotentGoesElsewhere(t *testing.T) {
+	fail := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 500, "", "failed")
+	}
+	for name, serve := range map[string]func(net.Conn, *http.Request, string) bool{"fails": fail, "cut": cut} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newUpstream(t, "a", serve), newUpstream(t, "b", ok))
+			for i := range 4 {
+				must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodGet, "/look/"+string(rune('a'+i)), nil).status)
+			}
+		})
+	}
+}
+
+// An address that another upstream has now must not run the request: 421 sends it elsewhere.
+func TestServe_AddressUsedAgain(t *testing.T) {
+	other := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 421, "Test-Upstream-Id: z\r\n", "")
+	}
+	f := newFixture(t, newUpstream(t, "a", other), newUpstream(t, "b", ok))
+	for i := range 4 {
+		must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/"+string(rune('a'+i)), nil).status)
+	}
+}
+
+// An answer to an earlier request on the same connection must be skipped, and bytes after an answer must not become the next one.
+func TestServe_ForeignAnswers(t *testing.T) {
+	extra := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, "other", 200, "", "not yours") && respond(conn, r.Header.Get("Test-Id"), 200, "", "yours") &&
+			respond(conn, r.Header.Get("Test-Id"), 200, "", "late")
+	}
+	f := newFixture(t, newUpstream(t, "a", extra))
+	for i := range 6 {
+		got := f.send(f.gateway, http.MethodPost, "/book/"+string(rune('a'+i)), nil)
+		must.EqOp(t, http.StatusOK, got.status)
+		must.EqOp(t, "yours", got.body)
+	}
+}
+
+// A success without the upstream's signature, or with an encoded body, is not the upstream's answer.
+func TestServe_AnswerNotGenuine(t *testing.T) {
+	encoded := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 200, "Content-Encoding: gzip\r\n", "xx")
+	}
+	unsigned := func(conn net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nContent-Length: 2\r\n\r\nxx")
+		return err == nil
+	}
+	for name, serve := range map[string]func(net.Conn, *http.Request, string) bool{"encoded": encoded, "unsigned": unsigned} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newUpstream(t, "a", serve))
+			must.EqOp(t, http.StatusBadGateway, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+		})
+	}
+}
+
+// A stream that breaks in the middle of an event must go on elsewhere after the last whole one, each event exactly once.
+func TestStream_ResumedAfterLastEvent(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	serve := func(conn net.Conn, r *http.Request, _ string) bool {
+		if last := r.Header.Get("Last-Event-Id"); last == "2" {
+			return events(conn, r, whole[strings.Index(whole, "id: 3"):], true)
+		}
+		return events(conn, r, whole[:len(whole)-4], false)
+	}
+	f := newFixture(t, newUpstream(t, "a", serve), newUpstream(t, "b", serve))
+	got := f.send(f.gateway, http.MethodPost, "/chat/1", nil)
+	must.NoError(t, got.err)
+	must.EqOp(t, whole, got.body)
+}
+
+// A stream that cannot be continued must not look complete.
+func TestStream_CutIsNotComplete(t *testing.T) {
+	serve := func(conn net.Conn, r *http.Request, _ string) bool {
+		return events(conn, r, "id: 1\ndata: a\n\n", false)
+	}
+	f := newFixture(t, newUpstream(t, "a", serve), newUpstream(t, "b", serve))
+	got := f.send(f.gateway, http.MethodPost, "/talk/1", nil)
+	must.EqOp(t, http.StatusOK, got.status)
+	must.Error(t, got.err)
+}
+
+// What callers send in headers that belong to the fleet must not reach an upstream, nor their key.
+func TestServe_ReservedHeaders(t *testing.T) {
+	u := newUpstream(t, "a", ok)
+	f := newFixture(t, u)
+	f.send(f.gateway, http.MethodPost, "/book/1?q=%2F", func(r *http.Request) {
+		r.Header.Set("Test-Team", "other")
+		r.Header.Set("Test-Reserved", "1")
+		r.Header.Set("Connection", "Test-Id, X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("X-Kept", "1")
+	})
+	must.Len(t, 1, u.got())
+	r := u.got()[0]
+	must.EqOp(t, "/book/1?q=%2F", r.RequestURI)
+	must.EqOp(t, "a.test", r.Host)
+	for name, want := range map[string]string{
+		"Test-Team": "drivers", "Test-Upstream": "a", "Test-Reserved": "", "Authorization": "", "X-Hop": "", "X-Kept": "1",
+		"Test-Id": "id-book-1?q=%2F",
+	} {
+		must.EqOp(t, want, r.Header.Get(name), must.Sprint(name))
+	}
+}
+
+// Whoever has no key, or an unknown one, must be denied, and what no route matches.
+func TestServe_Denied(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", ok))
+	unknown := func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }
+	must.EqOp(t, http.StatusUnauthorized, f.send(f.gateway, http.MethodPost, "/book/1", unknown).status)
+	must.EqOp(t, http.StatusNotFound, f.send(f.gateway, http.MethodPost, "/none/1", nil).status)
+}
+
+// A gateway that has lost the store and its peers cannot know of a revoked key: it must stop serving keys in time, and must say 503, not
+// 401, also to keys that it does not know.
+func TestServe_KeysEndWithoutTheStore(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", ok))
+	f.store.setDown(true)
+	f.eventually("keys are refused", func() bool {
+		return f.send(f.gateway, http.MethodPost, "/book/1", nil).status == http.StatusServiceUnavailable
+	})
+	must.Less(t, 3*time.Second, f.gateway.configAge())
+	unknown := func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }
+	must.EqOp(t, http.StatusServiceUnavailable, f.send(f.gateway, http.MethodPost, "/book/1", unknown).status)
+	must.NotEq(t, "", f.gateway.notReady())
+	f.store.setDown(false)
+	f.waitReady(f.gateway)
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+}
+
+// A gateway that cannot reach the store must learn a revoked key from its peers, and stay in service.
+func TestPeers_CutOffFromTheStore(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", ok))
+	cutOff := &cutStore{fakeStore: f.store}
+	two := f.startWith("two", cutOff)
+	f.waitReady(two)
+	f.eventually("peers are connected", func() bool { return len(two.peers.conns()) == 1 && len(f.gateway.peers.conns()) == 1 })
+	cutOff.cut.Store(true)
+	next := f.config
+	next.Version, next.Teams = 2, nil
+	next.Teams = append(next.Teams, f.config.Teams[0])
+	next.Teams[0].Keys = []string{"new"}
+	f.store.put("config", next)
+	f.eventually("the old key is denied", func() bool {
+		return f.send(two, http.MethodPost, "/book/1", nil).status == http.StatusUnauthorized
+	})
+	withNew := func(r *http.Request) { r.Header.Set("Authorization", "Bearer new") }
+	must.EqOp(t, http.StatusOK, f.send(two, http.MethodPost, "/book/1", withNew).status)
+	time.Sleep(time.Duration(two.settings.Fleet.RevokeMS) * time.Millisecond)
+	must.EqOp(t, "", two.notReady())
+}
+
+// An upstream that drains or disappears must get nothing more, and one in an evacuated data centre neither.
+func TestServe_LeavingUpstreams(t *testing.T) {
+	a, b := newUpstream(t, "a", ok), newUpstream(t, "b", ok)
+	f := newFixture(t, a, b)
+	draining := a.entry()
+	draining.Draining, draining.Sequence = true, 1
+	f.store.put("upstream/a", draining)
+	f.eventually("a is out", func() bool { return len(f.gateway.view.Load().upstreams) == 1 })
+	before := len(a.got())
+	for i := range 6 {
+		must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/"+string(rune('a'+i)), nil).status)
+	}
+	must.Len(t, before, a.got())
+	f.store.put("evacuate/here", struct{}{})
+	f.eventually("all are out", func() bool { return len(f.gateway.view.Load().upstreams) == 0 })
+	must.EqOp(t, http.StatusServiceUnavailable, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+	f.store.remove("evacuate/here")
+	f.eventually("b is back", func() bool { return len(f.gateway.view.Load().upstreams) == 1 })
+}
+
+// A request that takes longer than its route allows must be answered then, and not as one that has not run.
+func TestServe_RouteTimeout(t *testing.T) {
+	release := make(chan struct{})
+	hang := func(net.Conn, *http.Request, string) bool { <-release; return false }
+	defer close(release)
+	f := newFixture(t, newUpstream(t, "a", hang))
+	started := time.Now()
+	got := f.send(f.gateway, http.MethodGet, "/look/1", nil)
+	must.EqOp(t, http.StatusGatewayTimeout, got.status)
+	must.Between(t, 2*time.Second, time.Since(started), 4*time.Second)
+}
+
+// The upstream must be freed as soon as the caller has left.
+func TestServe_CallerLeft(t *testing.T) {
+	closed := make(chan struct{})
+	hang := func(conn net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.Copy(io.Discard, conn)
+		close(closed)
+		return false
+	}
+	u := newUpstream(t, "a", hang)
+	f := newFixture(t, u)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		f.eventually("the request runs", func() bool { return len(u.got()) == 1 })
+		cancel()
+	}()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.gateway.settings.CallersAddress+"/look/1", nil)
+	must.NoError(t, err)
+	r.Host = "a.test"
+	r.Header.Set("Authorization", "Bearer key")
+	_, err = f.client.Do(r)
+	must.Error(t, err)
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the upstream's connection stays open")
+	}
+}
+
+// A gateway that stops must answer what it has read, take new callers until the balancer has noticed, and end then.
+func TestLeave_AnswersWhatItHasRead(t *testing.T) {
+	release := make(chan struct{})
+	slow := func(conn net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.URL.Path, "/look/slow") {
+			<-release
+		}
+		return ok(conn, r, body)
+	}
+	u := newUpstream(t, "a", slow)
+	f := newFixture(t, u)
+	answers := make(chan answer, 1)
+	go func() { answers <- f.send(f.gateway, http.MethodGet, "/look/slow", nil) }()
+	f.eventually("the request runs", func() bool { return len(u.got()) == 1 })
+	f.gateway.Leave()
+	must.EqOp(t, "leaving", f.gateway.notReady())
+	got := f.send(f.gateway, http.MethodGet, "/look/quick", nil)
+	must.EqOp(t, http.StatusOK, got.status)
+	drained := make(chan error, 1)
+	go func() { drained <- f.gateway.Drain(context.Background()) }()
+	f.eventually("the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", f.gateway.settings.CallersAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	close(release)
+	must.NoError(t, <-drained)
+	must.EqOp(t, http.StatusOK, (<-answers).status)
+}
+
+// An upstream that cannot be reached must be left out until a probe finds it, so that callers do not wait for it.
+func TestServe_UnreachableUpstreamComesBack(t *testing.T) {
+	a, b := newUpstream(t, "a", ok), newUpstream(t, "b", ok)
+	address := a.listener.Addr().String()
+	must.NoError(t, a.listener.Close())
+	f := newFixture(t, a, b)
+	for i := range 10 {
+		must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/"+string(rune('a'+i)), nil).status)
+	}
+	down, all := f.gateway.balancer.Down("plain")
+	must.EqOp(t, 1, down)
+	must.EqOp(t, 2, all)
+	listener, err := net.Listen("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go a.handle(conn)
+		}
+	}()
+	f.eventually("a is back", func() bool { down, _ := f.gateway.balancer.Down("plain"); return down == 0 })
+}
+
+// An item that cannot be read must change nothing but that an upstream it stands for gets no requests.
+func TestControl_UnreadableItems(t *testing.T) {
+	a, b := newUpstream(t, "a", ok), newUpstream(t, "b", ok)
+	f := newFixture(t, a, b)
+	f.store.put("config", "not a configuration")
+	f.store.put("upstream/a", 7)
+	f.eventually("a is out", func() bool { return len(f.gateway.view.Load().upstreams) == 1 })
+	must.EqOp(t, "b", f.gateway.view.Load().upstreams[0].ID)
+	must.EqOp(t, 1, f.gateway.view.Load().table.Version())
+	must.True(t, slices.ContainsFunc(f.gateway.view.Load().table.Services(), func(s serviceOf) bool { return s.Name == "plain" }))
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+}
