Reload settings on a change of the file, and survive a hangup

Ruled out: memory (15 MB at most). Conclusion: the wait for a signal is not needed, since the file may also change without one.

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
@@ -35,12 +36,13 @@
 			if err != nil {
 				return fail(result.InvalidSettings, err)
 			}
-			return runGateway(s)
+			return runGateway(cmd.String("settings"), s)
 		},
 	}
 }
 
-func runGateway(s *settings.Gateway) error {
+// runGateway runs a gateway until SIGTERM or SIGINT.
+func runGateway(path string, s *settings.Gateway) error {
 	debug.SetMemoryLimit(int64(memoryShare * s.MemoryMB * (1 << 20)))
 	defer event.Start(os.Stdout, s.Instance)()
 	g, err := gateway.New(gateway.Options{
@@ -53,11 +55,16 @@
 	if err != nil {
 		return fail(result.InvalidSettings, err)
 	}
+	// A hangup only means that the settings changed. It must not end the process, also before the settings are watched.
+	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := g.Start(); err != nil {
 		return fail(result.InvalidSettings, err)
 	}
+	watching, stopWatching := context.WithCancel(context.Background())
+	defer stopWatching()
+	go watchSettings(watching, path, g.Reload)
 	<-signals
 	toStop := time.Duration(s.Fleet.ShutdownS * float64(time.Second))
 	ctx, cancel := context.WithTimeout(context.Background(), toStop-stopReserve)
@@ -74,3 +81,34 @@
 	g.Stop(ctx)
 	return nil
 }
+
+// settingsPoll is the time between looks at the settings file, which may change without a signal.
+const settingsPoll = time.Second
+
+// watchSettings hands changed settings on until ctx ends. A file that is not valid is logged once and changes nothing.
+func watchSettings(ctx context.Context, path string, changed func(*settings.Gateway)) {
+	last, err := os.ReadFile(path)
+	if err != nil {
+		event.Log(event.SettingsRefused, "error", err)
+	}
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(text, last) {
+			continue // a file that is being replaced is read at the next look
+		}
+		last = text
+		s, err := settings.ParseGateway(path, text)
+		if err != nil {
+			event.Log(event.SettingsRefused, "error", err)
+			continue
+		}
+		changed(s)
+	}
+}
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -149,6 +149,13 @@
 	b.entries = max(1, n)
 }
 
+// SetLoadFactor changes the most requests that an upstream may hold, as a multiple of the mean of its service.
+func (b *Balancer) SetLoadFactor(factor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Placement.LoadFactor = factor
+}
+
 // Query is a request that needs an upstream.
 type Query struct {
 	Service string
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -17,11 +17,13 @@
 // Log events by concern: 1xx process, 2xx configuration, 3xx membership and connections, 4xx requests and admission,
 // 5xx claims, 6xx rollouts, 7xx platform.
 const (
-	ProcessStarted  ID = 100
-	ProcessLeaving  ID = 101
-	ProcessStopped  ID = 102
-	ListenerFailed  ID = 103
-	ShutdownExpired ID = 104
+	ProcessStarted   ID = 100
+	ProcessLeaving   ID = 101
+	ProcessStopped   ID = 102
+	ListenerFailed   ID = 103
+	ShutdownExpired  ID = 104
+	SettingsReloaded ID = 105
+	SettingsRefused  ID = 106
 
 	ConfigAdopted     ID = 200
 	ConfigInvalid     ID = 202
@@ -99,6 +101,8 @@
 	{ProcessStopped, "process stopped", Info, ""},
 	{ListenerFailed, "listener failed", Error, "check the addresses in the settings"},
 	{ShutdownExpired, "shutdown deadline passed with requests in progress", Warning, "raise shutdown_timeout_ms"},
+	{SettingsReloaded, "changed settings in force", Info, ""},
+	{SettingsRefused, "changed settings refused, the old ones stay", Error, "correct the settings file"},
 
 	{ConfigAdopted, "configuration version adopted", Info, ""},
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -34,10 +34,8 @@
 
 // keysCurrent says whether keys can be served: none can have been revoked for too long without the gateway's knowledge.
 func (g *Gateway) keysCurrent() bool {
-	if !g.settings.Fleet.StrictRevoke {
-		return true
-	}
-	return float64(g.configAge()) < keyAgeShare*g.settings.Fleet.RevokeMS*float64(time.Millisecond)
+	fleet := g.fleet.Load()
+	return !fleet.StrictRevoke || float64(g.configAge()) < keyAgeShare*fleet.RevokeMS*float64(time.Millisecond)
 }
 
 // call is one request of a caller.
--- a/process/gateway/budget.go
+++ b/process/gateway/budget.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// setFleet takes changed bounds. Budgets begin anew.
+func (b *budgets) setFleet(fleet settings.Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fleet == fleet {
+		return
+	}
+	b.fleet = fleet
+	clear(b.byService)
+	clear(b.policies)
+}
+
 // setEntries tells how many gateways share the fleet's budget. Budgets begin anew if the number changes, which happens rarely.
 func (b *budgets) setEntries(n int) {
 	b.mu.Lock()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -72,6 +72,8 @@
 	view atomic.Pointer[view]
 	// confirmed is the latest time at which the configuration was known to be current, in nanoseconds of bootclock.
 	confirmed atomic.Int64
+	// fleet are the bounds in force.
+	fleet atomic.Pointer[settings.Fleet]
 	// revision is that of the copy of the store.
 	revision  atomic.Uint64
 	batches   chan received
@@ -106,6 +108,7 @@
 		batches:   make(chan received, maxQueuedBatches),
 		questions: make(chan question, maxQueuedBatches),
 	}
+	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -201,7 +201,7 @@
 	})
 	withNew := func(r *http.Request) { r.Header.Set("Authorization", "Bearer new") }
 	must.EqOp(t, http.StatusOK, f.send(two, http.MethodPost, "/book/1", withNew).status)
-	time.Sleep(time.Duration(two.settings.Fleet.RevokeMS) * time.Millisecond)
+	time.Sleep(time.Duration(two.fleet.Load().RevokeMS) * time.Millisecond)
 	must.EqOp(t, "", two.notReady())
 }
 
@@ -336,3 +336,16 @@
 	must.True(t, slices.ContainsFunc(f.gateway.view.Load().table.Services(), func(s serviceOf) bool { return s.Name == "plain" }))
 	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
 }
+
+// Changed bounds must hold from the next decision on.
+func TestReload(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", ok))
+	must.True(t, f.gateway.keysCurrent())
+	changed := *f.gateway.settings
+	changed.Fleet.RevokeMS = 0.001
+	f.gateway.Reload(&changed)
+	must.False(t, f.gateway.keysCurrent())
+	changed.Fleet.StrictRevoke = false
+	f.gateway.Reload(&changed)
+	must.True(t, f.gateway.keysCurrent())
+}
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -113,5 +115,12 @@
 	return Faults{{scan.file, at.line, at.column, "data_centre", "is not among data_centres"}}
 }
 
+// Equal says whether two settings are the same.
+func (g *Gateway) Equal(other *Gateway) bool {
+	same := *g
+	same.DataCentres = other.DataCentres
+	return slices.Equal(g.DataCentres, other.DataCentres) && reflect.DeepEqual(same, *other)
+}
+
 // Duration converts a field whose name ends in MS and that allows fractions.
 func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
