--- /dev/null
+++ b/process/balancer/balancer_test.go
@@ -0,0 +1,97 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/health"
+	"github.com/jayridge/jayridge/request/placement"
+	"github.com/jayridge/jayridge/version/routing"
+)
+
+// Entries that share a cold upstream must together not send it more than it bears: each keeps its part of the rate.
+func TestPick_ColdShare(t *testing.T) {
+	const entries, seconds = 5, 3
+	service := &routing.Service{Name: "model", ColdRate: 10}
+	cold := directory.Upstream{
+		Entry: directory.Entry{ID: "a", Service: "model", Slots: 64}, ColdUntil: at(1000 * seconds),
+	}
+	sent := 0
+	for range entries {
+		b := New(DefaultConfig("here"))
+		b.SetEntries(entries)
+		b.SetUpstreams([]directory.Upstream{cold}, func(string) *routing.Service { return service })
+		for ms := range 1000 * seconds {
+			if c := b.Pick(at(ms), Query{Service: "model"}); c != nil {
+				c.Done(at(ms), health.Answered)
+				sent++
+			}
+		}
+	}
+	must.LessEq(t, 10*seconds+entries, sent)
+	must.Greater(t, 10*seconds/2, sent)
+}
+
+// An upstream that is down must get nothing until a probe succeeds, and begin slowly then.
+func TestPick_DownUntilProbed(t *testing.T) {
+	b := newModel(1000, "a", "b")
+	for range 20 {
+		c := b.Pick(at(0), Query{Service: "model"})
+		if c.ID == "a" {
+			must.True(t, c.Done(at(0), health.Unreachable))
+			break
+		}
+		c.Done(at(0), health.Answered)
+	}
+	for i := range 50 {
+		c := b.Pick(at(i), Query{Service: "model"})
+		must.EqOp(t, "b", c.ID)
+		c.Done(at(i), health.Answered)
+	}
+	due := b.ProbesDue(at(300))
+	must.Len(t, 1, due)
+	must.True(t, b.Probed(at(310), due[0], true, 2*time.Second))
+	picked := 0
+	for i := range 100 {
+		c := b.Pick(at(311+i), Query{Service: "model", Tried: []string{"b"}})
+		if c != nil {
+			picked++
+			c.Done(at(311+i), health.Answered)
+		}
+	}
+	must.Between(t, 1, picked, 3)
+}
+
+// Peers' requests must count towards the load bound; those of a peer that is not heard any more must not.
+func TestPick_CountsPeersRequests(t *testing.T) {
+	b := newModel(100_000, "a", "b", "c", "d")
+	b.SetEntries(2)
+	q := Query{Service: "model", Placement: placement.Request{Session: 1, SharedTokens: 10_000, Tokens: 10_100},
+		Parts: []placement.Part{{ID: 1, Tokens: 10_000}}}
+	home := b.Pick(at(0), q)
+	home.Done(at(0), health.Answered)
+	again := b.Pick(at(1), q)
+	must.EqOp(t, home.ID, again.ID)
+	again.Done(at(1), health.Answered)
+	b.PeerLoad(at(2), "peer", map[uint32]Load{uint32(upstreamHash(home.ID)): {Requests: 40}})
+	other := b.Pick(at(3), q)
+	must.NotEqOp(t, home.ID, other.ID)
+	must.EqOp(t, home.ID, other.PassedOver)
+	other.Done(at(3), health.Answered)
+	later := b.Pick(at(3000), Query{Service: "model", Placement: q.Placement, Parts: q.Parts, Tried: []string{other.ID}})
+	must.EqOp(t, home.ID, later.ID)
+	later.Done(at(3000), health.Answered)
+}
+
+// Another start under the same name holds nothing of before.
+func TestSetUpstreams_RestartForgetsPrompts(t *testing.T) {
+	b := newModel(100_000, "a")
+	b.Heard(at(0), Holder{"a", []placement.Part{{ID: 1, Tokens: 10}}})
+	must.Len(t, 1, b.Holders())
+	restarted := directory.Upstream{Entry: directory.Entry{ID: "a", Service: "model", DataCentre: "here", Slots: 64, Started: 9}}
+	b.SetUpstreams([]directory.Upstream{restarted}, func(string) *routing.Service { return &routing.Service{CacheTokens: 100} })
+	must.SliceEmpty(t, b.Holders())
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -27,7 +27,7 @@
 	"github.com/jayridge/jayridge/request/retry"
 )
 
-// metrics counts what an entry does; docs/operations.md lists the names.
+// metrics counts what an entry does; docs/OPERATIONS.md lists the names.
 var metrics = expvar.NewMap("jayridge_entry")
 
 // Options are an entry's collaborators. KV and List may be nil.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -16,7 +16,7 @@
 	"github.com/jayridge/jayridge/version/config"
 )
 
-// metrics counts what the shared part of a process does; docs/operations.md lists the names.
+// metrics counts what the shared part of a process does; docs/OPERATIONS.md lists the names.
 var metrics = expvar.NewMap("jayridge_node")
 
 // connected notes a connection with a peer. The handshake showed each side the other's configuration version.
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -91,4 +91,25 @@
 		}
 	}
 	walk(reflect.TypeOf(Settings{}), "")
+	walk(reflect.TypeOf(Gateway{}), "")
+}
+
+// A gateway's settings must be refused with the place of each fault, and defaults must fill what is left out.
+func TestParseGateway(t *testing.T) {
+	const text = `{"instance":"one","data_centre":"here","data_centres":[{"name":"here","region":"r"}],"callers_address":"127.0.0.1:7001",
+"ready_address":"127.0.0.1:7002","peer_address":"127.0.0.1:7003","store":{"address":"127.0.0.1:7004"}}`
+	g, err := ParseGateway("g.json", []byte(text))
+	must.NoError(t, err)
+	must.EqOp(t, 5000, g.Fleet.RevokeMS)
+	must.True(t, g.Fleet.StrictRevoke)
+	for change, path := range map[string]string{
+		`"data_centre":"here"`:                 "data_centre",
+		`"store":{"address":"127.0.0.1:7004"}`: "store.address",
+		`"ready_address":"127.0.0.1:7002"`:     "ready_address",
+	} {
+		_, err := ParseGateway("g.json", []byte(strings.Replace(text, change, strings.NewReplacer("here", "x", "127.0.0.1", "").Replace(change), 1)))
+		var faults Faults
+		must.True(t, errors.As(err, &faults), must.Sprint(change))
+		must.Eq(t, path, faults[0].Path)
+	}
 }
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -24,7 +24,7 @@
 	"github.com/jayridge/jayridge/version/rules"
 )
 
-// metrics counts what a sidecar does; docs/operations.md lists the names.
+// metrics counts what a sidecar does; docs/OPERATIONS.md lists the names.
 var metrics = expvar.NewMap("jayridge_sidecar")
 
 // Options are a sidecar's collaborators. Exactly one of Engine and Plain is set; KV may be nil, and then calls that need a claim
