Let the pause between watches of the store grow with the fleet

Change: from ten gateways on the pause grows with their number, up to 0.3 of the time in which a configuration must be in force.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -72,6 +72,8 @@
 	view atomic.Pointer[view]
 	// confirmed is the latest time at which the configuration was known to be current, in nanoseconds of bootclock.
 	confirmed atomic.Int64
+	// entries is the number of gateways that share the fleet's limits.
+	entries atomic.Int64
 	// fleet are the bounds in force.
 	fleet atomic.Pointer[settings.Fleet]
 	// revision is that of the copy of the store.
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -164,6 +164,7 @@
 		}
 		n++
 	}
+	p.g.entries.Store(int64(n))
 	p.g.balancer.SetEntries(n)
 	p.g.budgets.setEntries(n)
 }
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -14,9 +14,14 @@
 	// watchWait is how long the store may hold a watch without changes. Each answer confirms that the copy is current, which keys need
 	// several times within the time in which a revoked one may still be served.
 	watchWait = time.Second
-	// watchPause is the least time between two answers of the store. Upstreams renew their entries all the time; a pause gathers the
-	// changes of many into one call.
+	// watchPause is the least time between two answers of the store in a small fleet. Upstreams renew their entries all the time; a pause
+	// gathers the changes of many into one call.
 	watchPause = 300 * time.Millisecond
+	// pausePerGateways is the number of gateways for which watchPause is meant. More wait longer, since the store's rates do not grow with
+	// the fleet.
+	pausePerGateways = 10
+	// maxPauseShare bounds the pause to a part of the time in which a configuration must be in force.
+	maxPauseShare = 0.3
 	// watchRetry is the time before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without an answer of the store after which it is logged as lost.
@@ -33,7 +38,7 @@
 		started := time.Now()
 		err := w.step()
 		w.report(err)
-		pause := watchPause - time.Since(started)
+		pause := watchPauseOf(int(g.entries.Load()), g.fleet.Load().ConfigMS) - time.Since(started)
 		if err != nil {
 			pause = watchRetry
 		}
@@ -41,6 +46,13 @@
 	}
 }
 
+// watchPauseOf is the least time between two answers of the store to one of a number of gateways. configMS is the time in which a
+// configuration must be in force, in milliseconds.
+func watchPauseOf(gateways int, configMS float64) time.Duration {
+	pause := watchPause * time.Duration(max(gateways, pausePerGateways)) / pausePerGateways
+	return min(pause, max(watchPause, time.Duration(maxPauseShare*configMS*float64(time.Millisecond))))
+}
+
 type watcher struct {
 	g        *Gateway
 	revision uint64
