--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -168,9 +168,6 @@
 	return nil, ErrForeignAnswer
 }
 
-// Reused says whether the answer came over a connection that had served another request.
-func (a *Answer) Reused() bool { return a.conn.reused }
-
 // Done tells that the body was read to its end, so that the connection can be kept.
 func (a *Answer) Done() { a.ended = true }
 
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -49,14 +49,11 @@
 type Pool struct {
 	address string
 	config  Config
-	// OnDial, if set, is called for each new connection.
-	OnDial func()
-
-	mu     sync.Mutex
-	idle   []*Conn // the most recently used last
-	open   int
-	limit  int
-	closed bool
+	mu      sync.Mutex
+	idle    []*Conn // the most recently used last
+	open    int
+	limit   int
+	closed  bool
 }
 
 // NewPool returns a pool for a TCP address.
@@ -74,13 +71,6 @@
 	p.limit = limit
 }
 
-// Open returns the number of open connections.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Get returns an idle connection that was used within maxIdle, or a new one. An error means that nothing was sent.
 func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
 	if c := p.take(min(maxIdle, p.config.MaxIdle)); c != nil {
@@ -140,9 +130,6 @@
 	if !p.reserve() {
 		return nil, ErrTooManyConnections
 	}
-	if p.OnDial != nil {
-		p.OnDial()
-	}
 	dialer := net.Dialer{
 		Timeout: p.config.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/connection/wire/array.go
+++ b/connection/wire/array.go
@@ -13,6 +13,7 @@
 	_ msgpack.CustomEncoder = (*RolloutRecord)(nil)
 	_ msgpack.CustomEncoder = (*QuarantineEntry)(nil)
 	_ msgpack.CustomEncoder = (*ConfigChange)(nil)
+	_ msgpack.CustomEncoder = (*UpstreamLoad)(nil)
 )
 
 // encodeArray encodes a struct, and the structs in it, as arrays.
@@ -51,3 +52,9 @@
 	type fields ConfigChange
 	return encodeArray(enc, (*fields)(c))
 }
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (l *UpstreamLoad) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type fields UpstreamLoad
+	return encodeArray(enc, (*fields)(l))
+}
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -391,7 +391,6 @@
 
 // UpstreamLoad is what one gateway knows of the load on an upstream. It is an array on the wire, since it is sent most often.
 type UpstreamLoad struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Upstream is a hash of the upstream's name.
 	Upstream uint32
 	// Requests of the sender are in flight; PendingTokens are of their prompts and not read yet.
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -16,6 +16,8 @@
 	maxQueuedBatches = 16
 	// controlTick is the time between looks at what only time changes. It is short against the seconds in which such beliefs expire.
 	controlTick = 250 * time.Millisecond
+	// trimPeriod is the time between looks for idle connections that are too old or closed. Each look costs a system call a connection.
+	trimPeriod = 2 * time.Second
 )
 
 // received is a batch from a source.
@@ -53,6 +55,8 @@
 	evacuated map[string]struct{}
 	// members are the registered gateways.
 	members map[string]member
+	// trimmed is when idle connections were last looked at.
+	trimmed time.Time
 	// changed says that the published view is out of date.
 	changed bool
 }
@@ -98,6 +102,7 @@
 	}
 	if joined {
 		s.g.peers.setMembers(s.members)
+		s.changed = true // shares of limits depend on the number of members
 	}
 	if r.applied != nil {
 		r.applied <- s.mirror.Revision()
@@ -192,7 +197,10 @@
 		s.changed = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
 	}
-	s.g.pools.trim()
+	if now := time.Now(); now.Sub(s.trimmed) >= trimPeriod {
+		s.trimmed = now
+		s.g.pools.trim()
+	}
 }
 
 // publish makes changed beliefs visible to request goroutines.
@@ -210,6 +218,6 @@
 		return evacuated
 	})
 	s.g.balancer.SetUpstreams(v.upstreams, s.table.Service)
-	s.g.pools.retain(v.upstreams)
+	s.g.pools.retain(v.upstreams, s.table, int(s.g.entries.Load()))
 	s.g.view.Store(v)
 }
--- a/process/gateway/neighbours.go
+++ b/process/gateway/neighbours.go
@@ -33,7 +33,8 @@
 	}
 	root := math.Cbrt(float64(len(ring)))
 	var near []string
-	for _, step := range []int{1, int(math.Round(root)), int(math.Round(root * root))} {
+	for power := range maxNeighbours / 2 {
+		step := int(math.Round(math.Pow(root, float64(power))))
 		near = append(near, ring[(at+step)%len(ring)], ring[(at-step+len(ring))%len(ring)])
 	}
 	slices.Sort(near)
--- a/process/gateway/probe.go
+++ b/process/gateway/probe.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
@@ -61,22 +63,34 @@
 
 // health asks an upstream for its health.
 func (g *Gateway) health(ctx context.Context, u directory.Upstream, path string) (well bool, coldFor time.Duration, err error) {
+	answer, err := g.ask(ctx, u, path, maxDrainBytes)
+	if err != nil {
+		return false, 0, err
+	}
+	coldFor, _ = forward.Milliseconds(answer.header, g.headers.ColdFor)
+	return answer.status == http.StatusOK && answer.header.Get(g.headers.UpstreamID) == u.ID, coldFor, nil
+}
+
+// ask sends a request of the gateway's own to an upstream. maxBytes bounds the answer's body; what lies beyond is cut off.
+func (g *Gateway) ask(ctx context.Context, u directory.Upstream, path string, maxBytes int64) (*reply, error) {
 	g.metrics.probes.Add(1)
 	conn, err := g.pools.get(u.Address).Get(ctx, probeIdle)
 	if err != nil {
-		return false, 0, err
+		return nil, err
 	}
 	answer, err := upstream.Exchange(ctx, conn, &upstream.Request{
 		Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{"User-Agent": {""}}, IDHeader: g.headers.RequestID,
 	})
 	if err != nil {
-		return false, 0, err
+		return nil, err
 	}
 	defer answer.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxDrainBytes)); err != nil {
-		return false, 0, err
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBytes))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if int64(len(body)) < maxBytes {
+		answer.Done()
 	}
-	answer.Done()
-	coldFor, _ = forward.Milliseconds(answer.Header, g.headers.ColdFor)
-	return answer.Status == http.StatusOK && answer.Header.Get(g.headers.UpstreamID) == u.ID, coldFor, nil
+	return &reply{status: answer.Status, header: answer.Header, body: body}, nil
 }
--- a/process/gateway/prompts.go
+++ b/process/gateway/prompts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
@@ -50,12 +48,7 @@
 func (g *Gateway) learnFrom(u directory.Upstream) {
 	ctx, cancel := context.WithTimeout(g.ctx, learnTimeout)
 	defer cancel()
-	body, err := g.ask(ctx, u, g.prompts.Path())
-	if err != nil {
-		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "asked", "prompts", "error", err)
-		return
-	}
-	parts, err := g.prompts.Decode(body)
+	parts, err := g.promptsOf(ctx, u)
 	if err != nil {
 		event.Sampled(event.ProbeFailed, "upstream", u.ID, "address", u.Address, "asked", "prompts", "error", err)
 		return
@@ -70,27 +63,13 @@
 	event.Log(event.PromptsLearned, "upstream", u.ID, "parts", total, "told", len(parts))
 }
 
-// ask returns the body of an upstream's answer to a request of the gateway's own.
-func (g *Gateway) ask(ctx context.Context, u directory.Upstream, path string) ([]byte, error) {
-	g.metrics.probes.Add(1)
-	conn, err := g.pools.get(u.Address).Get(ctx, probeIdle)
+func (g *Gateway) promptsOf(ctx context.Context, u directory.Upstream) ([]placement.Part, error) {
+	answer, err := g.ask(ctx, u, g.prompts.Path(), maxPromptsBytes)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := upstream.Exchange(ctx, conn, &upstream.Request{
-		Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{"User-Agent": {""}}, IDHeader: g.headers.RequestID,
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPromptsBytes))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if answer.Status != http.StatusOK {
-		return nil, trace.BadParameter("upstream answered with status %d", answer.Status)
+	if answer.status != http.StatusOK {
+		return nil, trace.BadParameter("upstream answered with status %d", answer.status)
 	}
-	answer.Done()
-	return body, nil
+	return g.prompts.Decode(answer.body)
 }
