Split the gateway's peers by concern, and bound the pause between watches

Cause: peers.go held links, load messages and questions about the store; the pause between watches could grow beyond the ages from which the copy of the store counts as old (3.9 s for 790 gateways with a bound of 13 s), which would have refused requests with 503 for nothing. Change: fleetstate.go and storepull.go have their concerns; the pause is at most 1 s, which is 790 of 2,000 reads a second at the size to design for. The log counts sends rather than failed attempts plus one.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -62,6 +62,7 @@
 	p.upstream, p.cached, p.load = choice.ID, choice.Cached, choice.Load
 	p.passed, p.passedLoad, p.passedPending = choice.PassedOver, choice.PassedLoad, choice.PassedPending
 	p.tried = append(p.tried, choice.ID)
+	p.sends++
 	c.g.metrics.attempts.Add(1)
 
 	ctx, cancel := context.WithCancelCause(c.request.Context())
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -14,34 +14,18 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/process/balancer"
-	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
-	"github.com/jayridge/jayridge/process/mirror"
-	"github.com/jayridge/jayridge/request/placement"
 )
 
 const (
-	// statePeriod is the time between two FleetState messages to each neighbour. Loads change within tenths of a second.
-	statePeriod = 200 * time.Millisecond
-	// sampledPeriod is that time in a fleet where neighbours are only some of the gateways, and their loads a sample.
-	sampledPeriod = 400 * time.Millisecond
 	// silentAfter is the time without a message after which a connection to a neighbour is replaced: the peer is gone or the connection
 	// hangs.
 	silentAfter = 3 * time.Second
 	// redialPause is the time between attempts to reach a neighbour.
 	redialPause = 500 * time.Millisecond
-	// pullAge is the age of the copy of the store from which neighbours are asked for theirs. The store answers more often than that.
-	pullAge = 1600 * time.Millisecond
-	// pullPeriod is the time between such questions.
-	pullPeriod = 300 * time.Millisecond
-	// pullTimeout is how long an answer is awaited.
-	pullTimeout = 2 * time.Second
 	// countLeftFor is how long a member that is no longer registered counts among those that share limits. Outages of the store, in which
 	// registrations lapse, last about as long.
 	countLeftFor = 15 * time.Second
-	// maxPushBytes bounds the items of one answer, so that it fits a frame.
-	maxPushBytes = 900 << 10
 )
 
 // peers keeps connections with the gateway's neighbours.
@@ -74,12 +58,6 @@
 	start string
 }
 
-// pull is a question for a neighbour's copy of the store.
-type pull struct {
-	sent time.Time
-	peer string
-}
-
 func newPeers(g *Gateway) *peers {
 	p := &peers{
 		g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull),
@@ -208,21 +186,6 @@
 	}
 }
 
-// sampled says whether the neighbours are only some of the gateways.
-func (p *peers) sampled() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.members) > maxMesh
-}
-
-// period is the time between two messages to each neighbour.
-func (p *peers) period() time.Duration {
-	if p.sampled() {
-		return sampledPeriod
-	}
-	return statePeriod
-}
-
 // maintain dials neighbours and replaces silent connections.
 func (p *peers) maintain() {
 	p.mu.Lock()
@@ -325,60 +288,6 @@
 	}
 }
 
-// takeState applies what a neighbour says of its requests.
-func (p *peers) takeState(name string, m *wire.FleetState) {
-	loads := make(map[uint32]balancer.Load, len(m.Loads))
-	for _, l := range m.Loads {
-		loads[l.Upstream] = balancer.Load{
-			Requests: int(l.Requests), PendingTokens: int(l.PendingTokens), Total: int(l.Total), Age: time.Duration(l.AgeMS) * time.Millisecond,
-		}
-	}
-	if !m.Partial {
-		p.g.balancer.PeerLoad(bootclock.Now(), name, loads)
-	}
-	for _, h := range m.Holders {
-		holder := balancer.Holder{Upstream: h.Upstream}
-		for _, part := range h.Parts {
-			holder.Parts = append(holder.Parts, placement.Part{ID: part.ID, Tokens: int(part.Tokens)})
-		}
-		p.g.balancer.Heard(bootclock.Now(), holder)
-	}
-}
-
-// sendState tells the neighbours about this gateway's requests.
-func (p *peers) sendState() {
-	m := &wire.FleetState{}
-	for hash, l := range p.g.balancer.Loads(bootclock.Now()) {
-		m.Loads = append(m.Loads, wire.UpstreamLoad{
-			Upstream: hash, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens), Total: uint32(l.Total),
-			AgeMS: uint32(l.Age.Milliseconds()),
-		})
-	}
-	m.Holders = promptHolders(p.g.balancer.News())
-	for _, c := range p.conns() {
-		_ = c.Send(m) // a neighbour that is gone or does not read shows in its silence
-	}
-}
-
-func promptHolders(holders []balancer.Holder) []wire.PromptHolder {
-	var all []wire.PromptHolder
-	for _, h := range holders {
-		holder := wire.PromptHolder{Upstream: h.Upstream}
-		for _, part := range h.Parts {
-			holder.Parts = append(holder.Parts, wire.PromptPart{ID: part.ID, Tokens: uint32(part.Tokens)})
-		}
-		all = append(all, holder)
-	}
-	return all
-}
-
-// introduce tells a neighbour that has just connected all that is known of prompts: it may have restarted.
-func (p *peers) introduce(c *link.Conn) {
-	for _, h := range promptHolders(p.g.balancer.Holders()) {
-		_ = c.Send(&wire.FleetState{Partial: true, Holders: []wire.PromptHolder{h}}) // what is lost costs reading a prompt twice
-	}
-}
-
 func (p *peers) conns() []*link.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -390,70 +299,3 @@
 	}
 	return conns
 }
-
-// pull asks the neighbours for what their copies of the store have beyond this one.
-func (p *peers) pull() {
-	for _, c := range p.conns() {
-		p.mu.Lock()
-		p.nextPull++
-		id := p.nextPull
-		p.pulls[id] = pull{sent: bootclock.Now(), peer: c.Remote().Instance}
-		p.mu.Unlock()
-		_ = c.Send(&wire.StorePull{ID: id, Revision: p.g.revision.Load()}) // the next question follows soon
-	}
-}
-
-// answer sends a neighbour what it lacks, unless this gateway knows no better.
-func (p *peers) answer(c *link.Conn, m *wire.StorePull) {
-	reply := make(chan mirror.Batch, 1)
-	select {
-	case p.g.questions <- question{revision: m.Revision, reply: reply}:
-	default:
-		return // the control goroutine is busy; the neighbour asks again
-	}
-	p.g.work(func() {
-		select {
-		case batch := <-reply:
-			p.push(c, m, batch)
-		case <-p.g.ctx.Done():
-		}
-	})
-}
-
-func (p *peers) push(c *link.Conn, m *wire.StorePull, batch mirror.Batch) {
-	if batch.Revision == 0 {
-		return
-	}
-	push := &wire.StorePush{ID: m.ID, After: m.Revision, Revision: batch.Revision, Whole: batch.Whole}
-	push.AgeMS = uint32(max(0, bootclock.Now().Sub(batch.AsOf).Milliseconds()) + 1) // rounded up
-	size := 0
-	for _, i := range batch.Items {
-		push.Items = append(push.Items, wire.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-		size += len(i.Key) + len(i.Value)
-	}
-	if size > maxPushBytes {
-		event.Sampled(event.PushTooLarge, "peer", c.Remote().Instance, "bytes", size, "revision", batch.Revision)
-		return
-	}
-	_ = c.Send(push) // the neighbour asks again
-}
-
-// takePush hands a neighbour's answer to the control goroutine. The copy was current at the question's sending less its age then.
-func (p *peers) takePush(name string, m *wire.StorePush) {
-	p.mu.Lock()
-	q, known := p.pulls[m.ID]
-	delete(p.pulls, m.ID)
-	p.mu.Unlock()
-	if !known || q.peer != name {
-		return
-	}
-	batch := mirror.Batch{Revision: m.Revision, Whole: m.Whole, AsOf: q.sent.Add(-time.Duration(m.AgeMS) * time.Millisecond)}
-	for _, i := range m.Items {
-		batch.Items = append(batch.Items, mirror.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-	}
-	select {
-	case p.g.batches <- received{batch: batch, after: m.After, source: name}:
-	default:
-		// The control goroutine is busy; the next question brings it again.
-	}
-}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -17,6 +17,8 @@
 type progress struct {
 	// attempts are those that failed.
 	attempts []retry.Attempt
+	// sends is the number of upstreams that were chosen so far.
+	sends int
 	// tried are the upstreams that must not get the request again.
 	tried []string
 	// answered says that the head of an answer went to the caller, broken that its rest cannot follow.
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -94,8 +94,8 @@
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "kind", c.route.Kind.String(), "team", c.team, "service", c.service)
 	}
-	if p := &c.progress; len(p.attempts) > 0 || p.upstream != "" {
-		fields = append(fields, "upstream", p.upstream, "attempts", len(p.attempts)+1, "first_ms", milliseconds(p.first), "load", p.load)
+	if p := &c.progress; p.sends > 0 {
+		fields = append(fields, "upstream", p.upstream, "attempts", p.sends, "first_ms", milliseconds(p.first), "load", p.load)
 	}
 	if c.prompt.Tokens > 0 {
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -22,6 +22,8 @@
 	pausePerGateways = 10
 	// maxPauseShare bounds the pause to a part of the time in which a configuration must be in force.
 	maxPauseShare = 0.3
+	// maxWatchPause bounds the pause below the ages from which the copy counts as old. 790 gateways then read the store 790 times a second.
+	maxWatchPause = time.Second
 	// watchRetry is the time before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without an answer of the store after which it is logged as lost.
@@ -50,7 +52,7 @@
 // configuration must be in force, in milliseconds.
 func watchPauseOf(gateways int, configMS float64) time.Duration {
 	pause := watchPause * time.Duration(max(gateways, pausePerGateways)) / pausePerGateways
-	return min(pause, max(watchPause, time.Duration(maxPauseShare*configMS*float64(time.Millisecond))))
+	return min(pause, maxWatchPause, max(watchPause, time.Duration(maxPauseShare*configMS*float64(time.Millisecond))))
 }
 
 type watcher struct {
