Use one context sleep, and drop what the gateway's code does not need

Cause, from reading the change as a whole: the same wait for a time or the end of a context stood in five places (gateway, node, entry, lease, commands) and a sixth in the call budget; a goroutine and a channel carried each answer to a peer's question, although sending never waits; each attempt had two timers of which the second never runs beyond the first; the published view copied the evacuations that only the control goroutine reads; the check for bodies without a length, the conversion of milliseconds and the test's accept loop stood twice; fields and functions without readers (Answer.Length, upstream.Config.MaxConnections, Pool.Address, Prompt.MaxOutput, placement.Request.Objective, Directory.Cold); loads of partial messages were decoded for nothing; a comment said that the configuration's header limits are applied, which they are not. Change: internal/sleep serves all; the control goroutine answers questions itself, which also ends the case of a goroutine started while the process waits for its last ones; the rest is removed or joined. Ruled out: joining the registration of a gateway with lease.Keeper (one holds a right against others, the other only a key under a lease), and the HTTP clients of the stand-ins' store and of the platform's (other protocols).

--- a/cmd/jayridge/apply.go
+++ b/cmd/jayridge/apply.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
@@ -171,7 +172,7 @@
 			out.InForce = len(missing) == 0
 		}
 		out.Seconds = time.Since(start).Seconds()
-		if out.InForce || !sleepUntil(ctx, waitPoll) {
+		if out.InForce || !sleep.For(ctx, waitPoll) {
 			break
 		}
 	}
@@ -186,15 +187,6 @@
 	return nil
 }
 
-func sleepUntil(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // unconfirmed returns the instances of the list that have not shown a version yet. One entry of each data centre knows the sidecars
 // around it, so a few status pages suffice; instances that they do not know are asked themselves.
 func unconfirmed(ctx context.Context, cmd *cli.Command, version uint64) ([]string, error) {
--- a/cmd/jayridge/order.go
+++ b/cmd/jayridge/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/lease"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/request/result"
@@ -94,7 +95,7 @@
 		if fence, ok := keeper.Held(time.Now()); ok {
 			return fence, release, nil
 		}
-		if !sleepUntil(ctx, leasePoll) {
+		if !sleep.For(ctx, leasePoll) {
 			release()
 			return 0, nil, failf(result.PlatformDown, "the lease %s could not be acquired in time", name)
 		}
--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -50,8 +50,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body in bytes, -1 if it is not known beforehand.
-	Length int64
 	Body   io.Reader
 	// Identified says that the answer carries the request's id.
 	Identified bool
@@ -154,11 +152,11 @@
 		id := response.Header.Get(r.IDHeader)
 		if id == "" || id == r.ID {
 			return &Answer{
-				Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
+				Status: response.StatusCode, Header: response.Header, Body: response.Body,
 				Identified: id == r.ID, conn: c, response: response,
 			}, nil
 		}
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if response.Close || closeDelimited(response) {
 			return nil, ErrForeignAnswer
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes)); err != nil {
@@ -175,7 +173,7 @@
 func (a *Answer) Close() {
 	live := a.stop()
 	c := a.conn
-	if !a.ended || !live || !a.written.Load() || a.response.Close || c.reader.Buffered() > 0 || a.closeDelimited() {
+	if !a.ended || !live || !a.written.Load() || a.response.Close || c.reader.Buffered() > 0 || closeDelimited(a.response) {
 		c.Close()
 		return
 	}
@@ -184,8 +182,8 @@
 }
 
 // closeDelimited says whether only the end of the connection ends the body.
-func (a *Answer) closeDelimited() bool {
-	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+func closeDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
 // idleTime returns how long to keep a connection whose upstream sent the given Keep-Alive header. A quarter of the stated time is left
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -26,8 +26,6 @@
 	// MaxUnackedTime is how long sent bytes may stay unacknowledged before the connection fails, and the time after which keepalive
 	// probes find that the peer is gone.
 	MaxUnackedTime time.Duration
-	// MaxConnections bounds the open connections; zero means no limit.
-	MaxConnections int
 	// BufferBytes is the size of a connection's read buffer.
 	BufferBytes int
 }
@@ -56,14 +54,11 @@
 	closed  bool
 }
 
-// NewPool returns a pool for a TCP address.
+// NewPool returns a pool for a TCP address, without a limit on connections.
 func NewPool(address string, config Config) *Pool {
-	return &Pool{address: address, config: config, limit: config.MaxConnections}
+	return &Pool{address: address, config: config}
 }
 
-// Address is the address of the upstream.
-func (p *Pool) Address() string { return p.address }
-
 // SetLimit changes the bound on open connections; zero means none.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -186,13 +186,6 @@
 	return changes
 }
 
-// Cold sets how much longer an upstream is cold, as its health answers say or as its return suggests.
-func (d *Directory) Cold(now time.Time, id string, coldFor time.Duration) {
-	if m := d.members[id]; m != nil {
-		m.ColdUntil = now.Add(coldFor)
-	}
-}
-
 // Usable returns the upstreams that take requests, in ascending order of ID.
 func (d *Directory) Usable() []Upstream {
 	var usable []Upstream
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/node"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/candidate"
@@ -106,7 +107,7 @@
 		}
 		x.narrow(&c, target, last.code, decision)
 		metrics.Add("retries", 1)
-		if !pause(ctx, decision.Backoff) {
+		if !sleep.For(ctx, decision.Backoff) {
 			last.code = retry.FinalCode(retry.Request{Attempts: x.attempts, Delivered: x.delivered})
 			return last
 		}
@@ -133,17 +134,3 @@
 	defer x.e.mu.Unlock()
 	return x.e.policy.Decide(now, request, x.e.budget, x.e.random)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/forward"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
@@ -35,7 +36,7 @@
 // keysCurrent says whether keys can be served: none can have been revoked for too long without the gateway's knowledge.
 func (g *Gateway) keysCurrent() bool {
 	fleet := g.fleet.Load()
-	return !fleet.StrictRevoke || float64(g.configAge()) < keyAgeShare*fleet.RevokeMS*float64(time.Millisecond)
+	return !fleet.StrictRevoke || g.configAge() < settings.Duration(keyAgeShare*fleet.RevokeMS)
 }
 
 // call is one request of a caller.
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -67,8 +67,6 @@
 
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
-	end := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
-	defer end.Stop()
 	a := &attempt{call: c, choice: choice, ctx: ctx}
 	a.patience = time.AfterFunc(c.patience(choice), func() {
 		if time.Now().Before(c.deadline) {
@@ -97,7 +95,7 @@
 	call   *call
 	choice *balancer.Choice
 	ctx    context.Context
-	// patience ends the attempt unless it is stopped or prolonged.
+	// patience ends the attempt unless it is stopped or prolonged. It never runs beyond the deadline.
 	patience *time.Timer
 	// outcome is what the attempt says about the upstream.
 	outcome health.Outcome
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -28,21 +28,20 @@
 	// source is "store" or a peer's name.
 	source string
 	// applied, if set, is closed once the batch was applied.
-	applied chan<- uint64
+	applied chan<- struct{}
 }
 
 // question asks the control goroutine what its copy of the store has beyond a revision.
 type question struct {
 	revision uint64
-	reply    chan<- mirror.Batch
+	// reply takes the answer on the control goroutine and must not block.
+	reply func(mirror.Batch)
 }
 
 // view is the published state. It is immutable.
 type view struct {
 	table     *routing.Table
 	upstreams []directory.Upstream
-	// evacuated are the data centres whose upstreams get nothing.
-	evacuated map[string]struct{}
 	revision  uint64
 }
 
@@ -52,6 +51,7 @@
 	mirror    *mirror.Mirror
 	directory *directory.Directory
 	table     *routing.Table
+	// evacuated are the data centres whose upstreams get nothing.
 	evacuated map[string]struct{}
 	// members are the registered gateways.
 	members map[string]member
@@ -79,7 +79,7 @@
 		case r := <-g.batches:
 			s.apply(r)
 		case q := <-g.questions:
-			q.reply <- s.mirror.Since(q.revision)
+			q.reply(s.mirror.Since(q.revision))
 		case <-ticker.C:
 			s.tick()
 		}
@@ -105,7 +105,7 @@
 		s.changed = true // shares of limits depend on the number of members
 	}
 	if r.applied != nil {
-		r.applied <- s.mirror.Revision()
+		close(r.applied)
 	}
 }
 
@@ -209,10 +209,7 @@
 		return
 	}
 	s.changed = false
-	v := &view{table: s.table, evacuated: make(map[string]struct{}, len(s.evacuated)), revision: s.mirror.Revision()}
-	for name := range s.evacuated {
-		v.evacuated[name] = struct{}{}
-	}
+	v := &view{table: s.table, revision: s.mirror.Revision()}
 	v.upstreams = slices.DeleteFunc(s.directory.Usable(), func(u directory.Upstream) bool {
 		_, evacuated := s.evacuated[u.DataCentre]
 		return evacuated
--- a/process/gateway/fake_test.go
+++ b/process/gateway/fake_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
@@ -83,7 +84,7 @@
 		if err != nil || len(b.Items) > 0 {
 			return b, err
 		}
-		sleep(ctx, 10*time.Millisecond)
+		sleep.For(ctx, 10*time.Millisecond)
 	}
 	return s.since(after, false)
 }
@@ -293,6 +294,12 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	u := &fakeUpstream{id: id, listener: listener, serve: serve}
+	u.acceptFrom(t, listener)
+	return u
+}
+
+// acceptFrom serves the connections of a listener until the end of the test.
+func (u *fakeUpstream) acceptFrom(t *testing.T, listener net.Listener) {
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -303,7 +310,6 @@
 			go u.handle(conn)
 		}
 	}()
-	return u
 }
 
 func (u *fakeUpstream) handle(conn net.Conn) {
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -34,22 +34,27 @@
 
 // takeState applies what a neighbour says of its requests.
 func (p *peers) takeState(name string, m *wire.FleetState) {
-	loads := make(map[uint32]balancer.Load, len(m.Loads))
-	for _, l := range m.Loads {
-		loads[l.Upstream] = balancer.Load{
-			Requests: int(l.Requests), PendingTokens: int(l.PendingTokens), Total: int(l.Total), Age: time.Duration(l.AgeMS) * time.Millisecond,
-		}
-	}
+	now := bootclock.Now()
 	if !m.Partial {
-		p.g.balancer.PeerLoad(bootclock.Now(), name, loads)
+		p.g.balancer.PeerLoad(now, name, loadsOf(m))
 	}
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
 			holder.Parts = append(holder.Parts, placement.Part{ID: part.ID, Tokens: int(part.Tokens)})
 		}
-		p.g.balancer.Heard(bootclock.Now(), holder)
+		p.g.balancer.Heard(now, holder)
+	}
+}
+
+func loadsOf(m *wire.FleetState) map[uint32]balancer.Load {
+	loads := make(map[uint32]balancer.Load, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Upstream] = balancer.Load{
+			Requests: int(l.Requests), PendingTokens: int(l.PendingTokens), Total: int(l.Total), Age: time.Duration(l.AgeMS) * time.Millisecond,
+		}
 	}
+	return loads
 }
 
 // sendState tells the neighbours about this gateway's requests.
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -311,16 +311,7 @@
 	must.EqOp(t, 2, all)
 	listener, err := net.Listen("tcp", address)
 	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go a.handle(conn)
-		}
-	}()
+	a.acceptFrom(t, listener)
 	f.eventually("a is back", func() bool { down, _ := f.gateway.balancer.Down("plain"); return down == 0 })
 }
 
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -13,11 +13,13 @@
 	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 )
 
 const (
-	// defaultHeaderTimeout and defaultHeaderBytes bound a caller's headers until a configuration states the limits.
+	// defaultHeaderTimeout and defaultHeaderBytes bound a caller's headers. Those of the configuration are not applied: a running
+	// net/http server cannot change them.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultHeaderBytes   = 64 << 10
 	// defaultIdleTimeout is how long a caller's connection without requests is kept until a configuration states it.
@@ -112,7 +114,7 @@
 // sweepIdle closes connections that have been idle for longer than the configuration says.
 func (g *Gateway) sweepIdle() {
 	for g.ctx.Err() == nil {
-		sleep(g.ctx, idleSweep)
+		sleep.For(g.ctx, idleSweep)
 		limit := defaultIdleTimeout
 		if v := g.view.Load(); v != nil && v.table.Limits().IdleTimeout > 0 {
 			limit = v.table.Limits().IdleTimeout
@@ -144,7 +146,7 @@
 		if err := ctx.Err(); err != nil {
 			return trace.Wrap(err, "%d requests in progress", c.requests.Load())
 		}
-		sleep(ctx, drainPoll)
+		sleep.For(ctx, drainPoll)
 	}
 	return nil
 }
--- a/process/gateway/member.go
+++ b/process/gateway/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
@@ -46,7 +47,7 @@
 			event.Sampled(event.RegistrationFailed, "error", err)
 			pause = watchRetry
 		}
-		sleep(g.ctx, pause)
+		sleep.For(g.ctx, pause)
 	}
 	r.end()
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 )
 
@@ -176,7 +177,7 @@
 			pulledAt = time.Now()
 			p.pull()
 		}
-		sleep(p.g.ctx, p.period())
+		sleep.For(p.g.ctx, p.period())
 	}
 	_ = p.server.Close() // returns no error
 	p.mu.Lock()
--- a/process/gateway/probe.go
+++ b/process/gateway/probe.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/upstream"
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/event"
@@ -30,7 +31,7 @@
 		for _, u := range g.balancer.ProbesDue(bootclock.Now()) {
 			g.work(func() { g.probeOne(u) })
 		}
-		sleep(g.ctx, probeTick)
+		sleep.For(g.ctx, probeTick)
 	}
 }
 
--- a/process/gateway/prompts.go
+++ b/process/gateway/prompts.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
@@ -32,7 +33,7 @@
 // the others, so that a fleet that restarts together sends chats back to where their prompts are.
 func (g *Gateway) learnPrompts() {
 	for g.view.Load() == nil {
-		if sleep(g.ctx, viewPoll); g.ctx.Err() != nil {
+		if sleep.For(g.ctx, viewPoll); g.ctx.Err() != nil {
 			return
 		}
 	}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
@@ -52,7 +53,7 @@
 		if decision.Action == retry.GiveUp {
 			return c.giveUp(decision.Code)
 		}
-		sleep(c.request.Context(), decision.Backoff)
+		sleep.For(c.request.Context(), decision.Backoff)
 	}
 }
 
@@ -104,7 +105,6 @@
 			Session:      c.prompt.Session(),
 			SharedTokens: c.prompt.SharedTokens(),
 			Tokens:       c.prompt.Tokens,
-			Objective:    c.route.Objective,
 		},
 		Parts: c.prompt.Shared(),
 		Tried: c.progress.tried,
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -41,19 +41,12 @@
 
 // answer sends a neighbour what it lacks, unless this gateway knows no better.
 func (p *peers) answer(c *link.Conn, m *wire.StorePull) {
-	reply := make(chan mirror.Batch, 1)
+	reply := func(batch mirror.Batch) { p.push(c, m, batch) }
 	select {
 	case p.g.questions <- question{revision: m.Revision, reply: reply}:
 	default:
-		return // the control goroutine is busy; the neighbour asks again
+		// The control goroutine is busy; the neighbour asks again.
 	}
-	p.g.work(func() {
-		select {
-		case batch := <-reply:
-			p.push(c, m, batch)
-		case <-p.g.ctx.Done():
-		}
-	})
 }
 
 func (p *peers) push(c *link.Conn, m *wire.StorePull, batch mirror.Batch) {
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"time"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/mirror"
+	"github.com/jayridge/jayridge/process/settings"
 )
 
 const (
@@ -44,7 +45,7 @@
 		if err != nil {
 			pause = watchRetry
 		}
-		sleep(g.ctx, pause)
+		sleep.For(g.ctx, pause)
 	}
 }
 
@@ -52,7 +53,7 @@
 // configuration must be in force, in milliseconds.
 func watchPauseOf(gateways int, configMS float64) time.Duration {
 	pause := watchPause * time.Duration(max(gateways, pausePerGateways)) / pausePerGateways
-	return min(pause, maxWatchPause, max(watchPause, time.Duration(maxPauseShare*configMS*float64(time.Millisecond))))
+	return min(pause, maxWatchPause, max(watchPause, settings.Duration(maxPauseShare*configMS)))
 }
 
 type watcher struct {
@@ -88,7 +89,7 @@
 
 // hand passes a batch on and waits until it is applied, so that the next call continues from there.
 func (w *watcher) hand(batch mirror.Batch) error {
-	applied := make(chan uint64, 1)
+	applied := make(chan struct{})
 	select {
 	case w.g.batches <- received{batch: batch, after: w.revision, source: "store", applied: applied}:
 	case <-w.g.ctx.Done():
@@ -118,15 +119,3 @@
 		event.Log(event.PlatformFailed, "since_ms", now.Sub(w.lastAnswer).Milliseconds(), "revision", w.revision, "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 )
@@ -61,19 +62,7 @@
 	for ctx.Err() == nil {
 		k.step(ctx)
 		_, next := k.state.Next(time.Now())
-		wait(ctx, time.Until(next))
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		sleep.For(ctx, time.Until(next))
 	}
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -280,15 +280,3 @@
 	}
 	return time.Duration(rand.Int64N(int64(d)))
 }
-
-// sleep waits for d and reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/services/budget"
@@ -70,7 +71,7 @@
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded) {
 				event.Log(event.ConfigWatchFailed, "error", err)
-				sleep(ctx, backoff.next())
+				sleep.For(ctx, backoff.next())
 			}
 			continue
 		}
@@ -110,7 +111,7 @@
 		delay += sidecarReadDelay
 	}
 	backoff := newBackoff()
-	for sleep(ctx, delay) && n.Snapshot().Config == nil {
+	for sleep.For(ctx, delay) && n.Snapshot().Config == nil {
 		kv, err := n.opts.KV.Get(ctx, config.HeadKey)
 		if err == nil {
 			n.takeHead(ctx, kv)
@@ -136,7 +137,7 @@
 			}
 		}
 		// Polls of many instances are spread over the interval.
-		if !sleep(ctx, interval/2+jitter(interval)) {
+		if !sleep.For(ctx, interval/2+jitter(interval)) {
 			return
 		}
 	}
--- a/process/services/budget/report.go
+++ b/process/services/budget/report.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 )
@@ -67,14 +68,10 @@
 		counters.Add("rejected", 1)
 		return fmt.Errorf("%w: the call budget allows this call in %v", services.ErrUnavailable, delay)
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleep.For(ctx, delay) {
 		reservation.Cancel()
 		counters.Add("rejected", 1)
 		return fmt.Errorf("%w: %w", services.ErrUnavailable, ctx.Err())
 	}
+	return nil
 }
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -14,8 +14,8 @@
 type Prompt struct {
 	// Parts are in order.
 	Parts []placement.Part
-	// Tokens is the length of the whole prompt, MaxOutput that of the longest answer, in tokens; zero if the caller does not say.
-	Tokens, MaxOutput int
+	// Tokens is the length of the whole prompt in tokens; zero if the caller does not say.
+	Tokens int
 }
 
 // maxParts bounds the parts that are looked at; prompts have a handful.
@@ -52,9 +52,8 @@
 		tokens += count
 		p.Parts = append(p.Parts, placement.Part{ID: PartID(model, id), Tokens: count})
 	}
-	prompt, output, _ := strings.Cut(h.Get(n.TokenCounts), ",")
+	prompt, _, _ := strings.Cut(h.Get(n.TokenCounts), ",")
 	p.Tokens = atoiOr(prompt, tokens)
-	p.MaxOutput = atoiOr(output, 0)
 	return p
 }
 
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -82,8 +82,6 @@
 	Session uint64
 	// SharedTokens is the length of the prompt's part that the chat shares, Tokens that of the whole prompt. Zero for plain services.
 	SharedTokens, Tokens int
-	// Objective is the time within which the answer should begin; zero means none.
-	Objective time.Duration
 }
 
 // Choose returns the index of the upstream for a request, or -1 if none can take it. tie is uniform in [0, 1) and decides between equals.
