Close an idle connection only if nothing of a next request was read

Change: a caller's connection has a state of its own. A read that takes bytes ends its idleness, and a close that comes first drops what is read after it, so exactly one of the two wins. The drain closes its listeners and idle connections by the same means, since http.Server.Shutdown has the same fault. The log of an adopted configuration names its idle timeout.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -160,6 +160,7 @@
 	s.table = table
 	s.changed = true
 	event.Log(event.ConfigAdopted, "version", table.Version(), "routes", len(fact.Config.Routes), "teams", len(fact.Config.Teams),
+		"idle_ms", table.Limits().IdleTimeout.Milliseconds(),
 		"revision", revision, "source", source)
 }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -86,6 +87,8 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 	servers []*http.Server
+	// listeners are those of the servers.
+	listeners []net.Listener
 }
 
 // New returns a gateway that does not run yet.
@@ -148,7 +151,7 @@
 
 // Drain closes the listeners and waits for the requests in progress until ctx ends.
 func (g *Gateway) Drain(ctx context.Context) error {
-	return trace.Wrap(g.calls.drain(ctx, g.servers))
+	return trace.Wrap(g.calls.drain(ctx, g.listeners))
 }
 
 // Stop ends all workers.
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -1,19 +1,15 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"log"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 )
 
@@ -24,10 +20,6 @@
 	defaultHeaderBytes   = 64 << 10
 	// defaultIdleTimeout is how long a caller's connection without requests is kept until a configuration states it.
 	defaultIdleTimeout = 60 * time.Second
-	// idleSweep is the time between looks for idle connections.
-	idleSweep = 500 * time.Millisecond
-	// drainPoll is the time between looks whether all requests have ended.
-	drainPoll = 20 * time.Millisecond
 )
 
 // listen opens the listeners and serves them.
@@ -47,7 +39,7 @@
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		inner, err := net.Listen("tcp", l.address)
 		if err != nil {
 			event.Log(event.ListenerFailed, "address", l.address, "error", err)
 			return trace.Wrap(err)
@@ -60,8 +52,10 @@
 			// Faults of single connections are the callers' own and would fill the log.
 			ErrorLog: log.New(io.Discard, "", 0),
 		}
+		listener := callerListener{inner}
 		g.servers = append(g.servers, server)
-		g.work(func() { _ = server.Serve(listener) }) // ends when the server is closed
+		g.listeners = append(g.listeners, listener)
+		g.work(func() { _ = server.Serve(listener) }) // ends when the listener or the server is closed
 	}
 	g.work(g.sweepIdle)
 	return nil
@@ -89,64 +83,3 @@
 		return ""
 	}
 }
-
-// callers are the connections and requests of callers.
-type callers struct {
-	requests atomic.Int64
-
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-}
-
-func newCallers() *callers { return &callers{idle: make(map[net.Conn]time.Time)} }
-
-// track implements http.Server.ConnState. The server's own idle timeout cannot change while it runs.
-func (c *callers) track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateIdle {
-		c.idle[conn] = time.Now()
-		return
-	}
-	delete(c.idle, conn)
-}
-
-// sweepIdle closes connections that have been idle for longer than the configuration says.
-func (g *Gateway) sweepIdle() {
-	for g.ctx.Err() == nil {
-		sleep.For(g.ctx, idleSweep)
-		limit := defaultIdleTimeout
-		if v := g.view.Load(); v != nil && v.table.Limits().IdleTimeout > 0 {
-			limit = v.table.Limits().IdleTimeout
-		}
-		g.calls.closeIdle(limit)
-	}
-}
-
-func (c *callers) closeIdle(limit time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if time.Since(since) > limit {
-			delete(c.idle, conn)
-			_ = conn.Close() // the server notices and forgets the connection
-		}
-	}
-}
-
-// drain closes the listeners and idle connections and waits for the requests in progress.
-func (c *callers) drain(ctx context.Context, servers []*http.Server) error {
-	for _, s := range servers {
-		closing, cancel := context.WithCancel(ctx)
-		cancel()
-		// With an ended context, Shutdown closes what is idle and does not wait.
-		_ = s.Shutdown(closing)
-	}
-	for c.requests.Load() > 0 {
-		if err := ctx.Err(); err != nil {
-			return trace.Wrap(err, "%d requests in progress", c.requests.Load())
-		}
-		sleep.For(ctx, drainPoll)
-	}
-	return nil
-}
