Keep a cold start that a probe found when the list is published again

Cause: the time until which a returning upstream is cold was kept where each publication of the list overwrote it, several times a second; found by reading, where the directory's own way to set it had no caller. Change: the later of the two times holds. Figures: TestSetUpstreams_KeepsColdStart failed with 50 of 50 requests sent and passes.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -119,7 +119,11 @@
 		if e == nil || e.Started != u.Started || e.Address != u.Address {
 			e = b.newBackend(u, service)
 		}
+		coldUntil := e.ColdUntil
 		e.Upstream = u
+		if coldUntil.After(u.ColdUntil) {
+			e.ColdUntil = coldUntil // a probe found it later than its entry says
+		}
 		e.coldRate = service.ColdRate
 		next[u.ID] = e
 		b.services[u.Service] = append(b.services[u.Service], e)
--- a/process/balancer/balancer_test.go
+++ b/process/balancer/balancer_test.go
@@ -100,6 +100,24 @@
 	must.Between(t, 1, picked, 3)
 }
 
+// An upstream that came back cold must stay cold when the list is published again, which knows nothing of the return.
+func TestSetUpstreams_KeepsColdStart(t *testing.T) {
+	b := newModel(1000, "a")
+	b.Pick(at(0), Query{Service: "model"}).Done(at(0), health.Unreachable)
+	due := b.ProbesDue(at(300))
+	must.Len(t, 1, due)
+	must.True(t, b.Probed(at(300), due[0], true, 2*time.Second))
+	b.SetUpstreams(due, func(string) *routing.Service { return &routing.Service{Name: "model", ColdRate: 10} })
+	picked := 0
+	for i := range 50 {
+		if c := b.Pick(at(400+i), Query{Service: "model"}); c != nil {
+			picked++
+			c.Done(at(400+i), health.Answered)
+		}
+	}
+	must.Between(t, 1, picked, 2)
+}
+
 // Peers' requests must count towards the load bound; those of a peer that is not heard any more must not.
 func TestPick_CountsPeersRequests(t *testing.T) {
 	b := newModel(100_000, "a", "b", "c", "d")
