Log what the HTTP server reports

Cause: a handler that panics would have been swallowed: net/http's log was discarded. Change: its lines become event 107 within the bounded rate of request events.

--- a/process/event/event.go
+++ b/process/event/event.go
@@ -24,6 +24,7 @@
 	ShutdownExpired  ID = 104
 	SettingsReloaded ID = 105
 	SettingsRefused  ID = 106
+	ServerFault      ID = 107
 
 	ConfigAdopted     ID = 200
 	ConfigInvalid     ID = 202
@@ -102,6 +103,7 @@
 	{ListenerFailed, "listener failed", Error, "check the addresses in the settings"},
 	{ShutdownExpired, "shutdown deadline passed with requests in progress", Warning, "raise shutdown_timeout_ms"},
 	{SettingsReloaded, "changed settings in force", Info, ""},
+	{ServerFault, "the HTTP server reports a fault", Warning, "a panic names the line to report; anything else is about one connection"},
 	{SettingsRefused, "changed settings refused, the old ones stay", Error, "correct the settings file"},
 
 	{ConfigAdopted, "configuration version adopted", Info, ""},
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -5,6 +5,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -49,8 +50,7 @@
 			ReadHeaderTimeout: defaultHeaderTimeout,
 			MaxHeaderBytes:    defaultHeaderBytes,
 			ConnState:         g.calls.track,
-			// Faults of single connections are the callers' own and would fill the log.
-			ErrorLog: log.New(io.Discard, "", 0),
+			ErrorLog:          log.New(serverLog{}, "", 0),
 		}
 		listener := callerListener{inner}
 		g.servers = append(g.servers, server)
@@ -61,6 +61,15 @@
 	return nil
 }
 
+// serverLog writes what net/http reports, such as a handler that panicked, as events.
+type serverLog struct{}
+
+// Write implements io.Writer.
+func (serverLog) Write(text []byte) (int, error) {
+	event.Sampled(event.ServerFault, "fault", strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
 // serveReady tells the balancer whether the gateway takes callers.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := g.notReady(); reason != "" {
