Copy prompts from the upstream that holds them instead of reading them again

Engines can copy a cached prompt from each other at some 200 tokens a millisecond; nothing asked them to. Change: placement names, beside the upstream, the one from which to copy the prompt, and weighs a copy instead of a read. Leaving and evacuated upstreams take no requests but remain sources while they are listed. Tests: TestChoose_CopiesPromptFromHolder, TestChoose_CopiesOnlyWhenItPays, TestPick_CopiesPromptsFromLeavingUpstreams. What remains are decisions that two gateways make at the same moment and prompts after a loss of all gateways.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +65,14 @@
 	directory.Upstream
 	hash     uint64
 	local    bool
+	// leaving upstreams take no requests.
+	leaving bool
 	monitor  *health.Monitor
 	cache    *placement.Cache
 	cold     *rate.Limiter
 	coldRate float64
+	// fetchRate is the speed at which it copies prompts, in tokens per millisecond.
+	fetchRate float64
 	// inFlight are this entry's requests, pending their prompt tokens that were not read yet.
 	inFlight int
 	pending  int
@@ -104,13 +109,14 @@
 	}
 }
 
-// SetUpstreams replaces the upstreams that take requests. Those that stay keep their state, another start under the same ID begins anew.
-func (b *Balancer) SetUpstreams(upstreams []directory.Upstream, services func(name string) *routing.Service) {
+// SetUpstreams replaces the upstreams. Those that stay keep their state, another start under the same ID begins anew. Upstreams that are
+// leaving take no requests; others can copy prompts from them.
+func (b *Balancer) SetUpstreams(upstreams, leaving []directory.Upstream, services func(name string) *routing.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next := make(map[string]*backend, len(upstreams))
+	next := make(map[string]*backend, len(upstreams)+len(leaving))
 	clear(b.services)
-	for _, u := range upstreams {
+	for i, u := range slices.Concat(upstreams, leaving) {
 		service := services(u.Service)
 		if service == nil {
 			continue
@@ -124,7 +130,9 @@
 		if coldUntil.After(u.ColdUntil) {
 			e.ColdUntil = coldUntil // a probe found it later than its entry says
 		}
+		e.leaving = i >= len(upstreams)
 		e.coldRate = service.ColdRate
+		e.fetchRate = service.FetchTokensPerMS
 		next[u.ID] = e
 		b.services[u.Service] = append(b.services[u.Service], e)
 	}
@@ -179,6 +187,9 @@
 	// Load is what the upstream was believed to hold at the decision, Candidates the number of upstreams that could take the request.
 	Load       int
 	Candidates int
+	// FetchFrom is the address of an upstream from which this one should copy Fetched tokens of the prompt, "" if it should read all.
+	FetchFrom string
+	Fetched   int
 	// PassedOver is an upstream that holds more of the prompt and was not chosen, "" if there is none; PassedLoad is its load, PassedPending
 	// what it has yet to read, in tokens.
 	PassedOver                string
@@ -206,7 +217,8 @@
 		}
 		b.scratch = append(b.scratch, u)
 	}
-	at := placement.Choose(b.config.Placement, q.Placement, b.scratch, b.random.Float64())
+	q.Placement.FetchTokensPerMS = group[0].fetchRate
+	at, source := placement.Choose(b.config.Placement, q.Placement, b.scratch, b.random.Float64())
 	if at < 0 {
 		return nil
 	}
@@ -218,6 +230,11 @@
 		Upstream: e.Upstream, Cached: b.scratch[at].CachedTokens, Load: int(b.scratch[at].Load), Candidates: candidates,
 		balancer: b, backend: e, pending: max(0, q.Placement.Tokens-b.scratch[at].CachedTokens),
 	}
+	if source >= 0 {
+		c.FetchFrom = group[source].Address
+		c.Fetched = b.scratch[source].CachedTokens - c.Cached
+		c.pending = max(0, c.pending-c.Fetched)
+	}
 	c.notePassedOver(group, at)
 	e.inFlight++
 	e.pending += c.pending
@@ -250,7 +267,8 @@
 		CachedTokens:  e.cache.Holds(q.Parts),
 		Chats:         e.cache.Chats(),
 		FailureRate:   e.monitor.FailureRate(now),
-		Excluded:      e.monitor.Down(),
+		Excluded:      e.leaving || e.monitor.Down(),
+		Source:        !e.monitor.Down(),
 	}
 	for _, id := range q.Tried {
 		u.Excluded = u.Excluded || id == e.ID
@@ -393,7 +411,7 @@
 	defer b.mu.Unlock()
 	var due []directory.Upstream
 	for _, e := range b.backends {
-		if e.monitor.ProbeDue(now) {
+		if !e.leaving && e.monitor.ProbeDue(now) {
 			due = append(due, e.Upstream)
 		}
 	}
--- a/process/balancer/balancer_test.go
+++ b/process/balancer/balancer_test.go
@@ -23,7 +23,7 @@
 	for range entries {
 		b := New(DefaultConfig("here"))
 		b.SetEntries(entries)
-		b.SetUpstreams([]directory.Upstream{cold}, func(string) *routing.Service { return service })
+		b.SetUpstreams([]directory.Upstream{cold}, nil, func(string) *routing.Service { return service })
 		for ms := range 1000 * seconds {
 			if c := b.Pick(at(ms), Query{Service: "model"}); c != nil {
 				c.Done(at(ms), health.Answered)
@@ -47,7 +47,7 @@
 		config.Seed = upstreamHash(string(rune(i)))
 		b := New(config)
 		b.SetEntries(entries)
-		b.SetUpstreams([]directory.Upstream{cold}, func(string) *routing.Service { return service })
+		b.SetUpstreams([]directory.Upstream{cold}, nil, func(string) *routing.Service { return service })
 		for ms := range endMS {
 			if ms < idleMS && ms > 10 {
 				continue
@@ -107,7 +107,7 @@
 	due := b.ProbesDue(at(300))
 	must.Len(t, 1, due)
 	must.True(t, b.Probed(at(300), due[0], true, 2*time.Second))
-	b.SetUpstreams(due, func(string) *routing.Service { return &routing.Service{Name: "model", ColdRate: 10} })
+	b.SetUpstreams(due, nil, func(string) *routing.Service { return &routing.Service{Name: "model", ColdRate: 10} })
 	picked := 0
 	for i := range 50 {
 		if c := b.Pick(at(400+i), Query{Service: "model"}); c != nil {
@@ -145,6 +145,27 @@
 	b.Heard(at(0), Holder{"a", []placement.Part{{ID: 1, Tokens: 10}}})
 	must.Len(t, 1, b.Holders())
 	restarted := directory.Upstream{Entry: directory.Entry{ID: "a", Service: "model", DataCentre: "here", Slots: 64, Started: 9}}
-	b.SetUpstreams([]directory.Upstream{restarted}, func(string) *routing.Service { return &routing.Service{CacheTokens: 100} })
+	b.SetUpstreams([]directory.Upstream{restarted}, nil, func(string) *routing.Service { return &routing.Service{CacheTokens: 100} })
 	must.SliceEmpty(t, b.Holders())
 }
+
+// A chat whose upstream is leaving must go elsewhere and have its prompt copied from there while that is possible, not read again.
+func TestPick_CopiesPromptsFromLeavingUpstreams(t *testing.T) {
+	b := New(DefaultConfig("here"))
+	upstream := func(id string) directory.Upstream {
+		return directory.Upstream{Entry: directory.Entry{ID: id, Service: "model", Address: id + ":80", DataCentre: "here", Slots: 64}}
+	}
+	service := func(string) *routing.Service { return &routing.Service{CacheTokens: 100_000, FetchTokensPerMS: 200} }
+	parts := []placement.Part{{ID: 1, Tokens: 10_000}}
+	q := Query{Service: "model", Placement: placement.Request{Session: 1, SharedTokens: 10_000, Tokens: 10_100}, Parts: parts}
+	b.SetUpstreams([]directory.Upstream{upstream("a"), upstream("b")}, nil, service)
+	b.Heard(at(0), Holder{"a", parts})
+	b.SetUpstreams([]directory.Upstream{upstream("b")}, []directory.Upstream{upstream("a")}, service)
+	c := b.Pick(at(1), q)
+	must.EqOp(t, "b", c.ID)
+	must.EqOp(t, "a:80", c.FetchFrom)
+	must.EqOp(t, 10_000, c.Fetched)
+	c.Done(at(1), health.Answered)
+	b.SetUpstreams(nil, []directory.Upstream{upstream("a"), upstream("b")}, service)
+	must.Nil(t, b.Pick(at(2), q))
+}
--- a/process/balancer/news_test.go
+++ b/process/balancer/news_test.go
@@ -23,7 +23,7 @@
 		ups = append(ups, directory.Upstream{Entry: directory.Entry{ID: name, Service: "model", DataCentre: "here", Slots: 64}})
 	}
 	service := &routing.Service{Name: "model", Slots: 64, CacheTokens: cacheTokens, ColdRate: 10, ColdFor: 3 * time.Second}
-	b.SetUpstreams(ups, func(string) *routing.Service { return service })
+	b.SetUpstreams(ups, nil, func(string) *routing.Service { return service })
 	return b
 }
 
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -187,13 +187,18 @@
 }
 
 // Usable returns the upstreams that take requests, in ascending order of ID.
-func (d *Directory) Usable() []Upstream {
-	var usable []Upstream
+func (d *Directory) Usable() []Upstream { return d.in(Ready, Missing) }
+
+// Leaving returns the upstreams that take no new requests and are still listed, in ascending order of ID.
+func (d *Directory) Leaving() []Upstream { return d.in(Draining) }
+
+func (d *Directory) in(states ...State) []Upstream {
+	var found []Upstream
 	for _, m := range d.members {
-		if m.State == Ready || m.State == Missing {
-			usable = append(usable, m.Upstream)
+		if slices.Contains(states, m.State) {
+			found = append(found, m.Upstream)
 		}
 	}
-	slices.SortFunc(usable, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	return usable
+	slices.SortFunc(found, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return found
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -61,6 +61,7 @@
 	p := &c.progress
 	p.upstream, p.cached, p.load = choice.ID, choice.Cached, choice.Load
 	p.passed, p.passedLoad, p.passedPending = choice.PassedOver, choice.PassedLoad, choice.PassedPending
+	p.fetched = choice.Fetched
 	p.tried = append(p.tried, choice.ID)
 	p.sends++
 	c.g.metrics.attempts.Add(1)
@@ -164,6 +165,9 @@
 	header := c.header.Clone()
 	header.Set(c.g.headers.Upstream, a.choice.ID)
 	header.Set(c.g.headers.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	if a.choice.FetchFrom != "" {
+		header.Set(c.g.headers.FetchFrom, a.choice.FetchFrom)
+	}
 	if c.progress.answered {
 		header.Set(c.g.headers.LastEventID, c.progress.lastEvent)
 	}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jayridge/jayridge/process/bootclock"
@@ -211,11 +210,15 @@
 	}
 	s.changed = false
 	v := &view{table: s.table, revision: s.mirror.Revision()}
-	v.upstreams = slices.DeleteFunc(s.directory.Usable(), func(u directory.Upstream) bool {
-		_, evacuated := s.evacuated[u.DataCentre]
-		return evacuated
-	})
-	s.g.balancer.SetUpstreams(v.upstreams, s.table.Service)
+	leaving := s.directory.Leaving()
+	for _, u := range s.directory.Usable() {
+		if _, evacuated := s.evacuated[u.DataCentre]; evacuated {
+			leaving = append(leaving, u)
+		} else {
+			v.upstreams = append(v.upstreams, u)
+		}
+	}
+	s.g.balancer.SetUpstreams(v.upstreams, leaving, s.table.Service)
 	s.g.pools.retain(v.upstreams, s.table, int(s.g.entries.Load()))
 	s.g.view.Store(v)
 }
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -33,6 +33,8 @@
 	upstream     string
 	first        time.Duration
 	cached, load int
+	// fetched is the number of the prompt's tokens that the upstream copies from another.
+	fetched int
 	// passed is an upstream that holds more of the prompt and was not chosen, with its load and unread tokens.
 	passed                    string
 	passedLoad, passedPending int
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -99,7 +99,7 @@
 	}
 	if c.prompt.Tokens > 0 {
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
-			"cached", c.progress.cached)
+			"cached", c.progress.cached, "fetched", c.progress.fetched)
 	}
 	if p := &c.progress; p.passed != "" {
 		fields = append(fields, "passed_over", p.passed, "passed_load", p.passedLoad, "passed_pending", p.passedPending)
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -32,6 +32,8 @@
 	Model string
 	// TokenCounts are the prompt's tokens and the most output tokens, separated by a comma.
 	TokenCounts string
+	// FetchFrom is the address of the upstream from which a prompt's cached part is to be copied.
+	FetchFrom string
 	// Load is an upstream's load: running requests, waiting requests and slots, separated by commas.
 	Load string
 	// UpstreamID names the upstream that answers a health check.
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -28,6 +28,13 @@
 	PerChat time.Duration
 	// RankedFirst is the advantage of the upstream that rendezvous hashing ranks first, when a chat gets a home.
 	RankedFirst time.Duration
+	// FetchFactor is the weight of the time in which an upstream copies a part of a prompt from another one instead of reading it. Copies
+	// delay nobody's steps; they only take memory and the links between upstreams.
+	FetchFactor float64
+	// FetchSetup is the time before a copy begins.
+	FetchSetup time.Duration
+	// MinFetchTokens is the least number of tokens worth a copy; what is shorter is read.
+	MinFetchTokens int
 	// OtherDataCentre is the cost of leaving the entry's data centre.
 	OtherDataCentre time.Duration
 	// FailurePenalty is the cost of a request that fails for certain. It counts for what an upstream fails beyond the least failing
@@ -43,6 +50,9 @@
 	return Config{
 		ReadTokensPerMS:  60,
 		ReadAgainFactor:  6,
+		FetchFactor:      2,
+		FetchSetup:       3 * time.Millisecond, // stated by engines that copy
+		MinFetchTokens:   64,                   // read in 1 ms, less than the setup
 		PerRequest:       2 * time.Millisecond, // a running request delays each step a little
 		PerChat:          8 * time.Millisecond, // a short common part is worth a few chats more than elsewhere
 		RankedFirst:      4 * time.Millisecond,
@@ -72,6 +82,8 @@
 	Chats int
 	// FailureRate is the share of requests that fail there.
 	FailureRate float64
+	// Source says that other upstreams can copy from it what it holds, whether or not it takes requests.
+	Source bool
 	// Excluded upstreams cannot take the request: they are down, full, cold with nothing left of their rate, or were tried.
 	Excluded bool
 }
@@ -82,10 +94,51 @@
 	Session uint64
 	// SharedTokens is the length of the prompt's part that the chat shares, Tokens that of the whole prompt. Zero for plain services.
 	SharedTokens, Tokens int
+	// FetchTokensPerMS is the speed at which upstreams of the service copy prompts from each other, in tokens per millisecond; zero if they
+	// cannot.
+	FetchTokensPerMS float64
 }
 
-// Choose returns the index of the upstream for a request, or -1 if none can take it. tie is uniform in [0, 1) and decides between equals.
-func Choose(c Config, r Request, upstreams []Upstream, tie float64) int {
+// Choose returns the index of the upstream for a request, or -1 if none can take it, and the index of the one from which it should copy a
+// part of the prompt, or -1. tie is uniform in [0, 1) and decides between equals.
+func Choose(c Config, r Request, upstreams []Upstream, tie float64) (chosen, source int) {
+	source = fullestSource(r, upstreams)
+	available := 0
+	if source >= 0 {
+		available = upstreams[source].CachedTokens
+	}
+	chosen = c.cheapest(r, upstreams, available, tie)
+	if chosen < 0 || source < 0 || c.fetched(available, &upstreams[chosen]) == 0 {
+		return chosen, -1
+	}
+	return chosen, source
+}
+
+// fullestSource returns the index of the upstream that holds most of the prompt and can be copied from, or -1.
+func fullestSource(r Request, upstreams []Upstream) int {
+	if r.FetchTokensPerMS <= 0 {
+		return -1
+	}
+	source := -1
+	for i := range upstreams {
+		u := &upstreams[i]
+		if u.Source && u.CachedTokens > 0 && (source < 0 || u.CachedTokens > upstreams[source].CachedTokens) {
+			source = i
+		}
+	}
+	return source
+}
+
+// fetched is the number of tokens that an upstream copies if available ones can be had.
+func (c *Config) fetched(available int, u *Upstream) int {
+	if n := available - u.CachedTokens; n >= c.MinFetchTokens {
+		return n
+	}
+	return 0
+}
+
+// cheapest returns the index of the upstream with the least cost, or -1. available is the number of the prompt's tokens that can be copied.
+func (c *Config) cheapest(r Request, upstreams []Upstream, available int, tie float64) int {
 	limit := c.loadLimit(upstreams)
 	home := needsHome(r, upstreams)
 	first := -1
@@ -101,7 +154,7 @@
 		if u.Excluded || u.Load+1 > limit {
 			continue
 		}
-		cost := c.cost(r, u) + max(0, u.FailureRate-common)*milliseconds(c.FailurePenalty)
+		cost := c.cost(r, u, available) + max(0, u.FailureRate-common)*milliseconds(c.FailurePenalty)
 		if home {
 			cost += float64(u.Chats) * milliseconds(c.PerChat)
 		}
@@ -182,7 +235,7 @@
 }
 
 // cost is the expected time that the request costs at an upstream, in milliseconds.
-func (c *Config) cost(r Request, u *Upstream) float64 {
+func (c *Config) cost(r Request, u *Upstream, available int) float64 {
 	cost := 0.0
 	if !u.Local {
 		cost += milliseconds(c.OtherDataCentre)
@@ -190,7 +243,11 @@
 	if r.Tokens == 0 {
 		return cost + queueing(u)
 	}
-	read := float64(max(0, r.Tokens-u.CachedTokens))
+	fetched := c.fetched(available, u)
+	if fetched > 0 {
+		cost += c.FetchFactor * (float64(fetched)/r.FetchTokensPerMS + milliseconds(c.FetchSetup))
+	}
+	read := float64(max(0, r.Tokens-u.CachedTokens-fetched))
 	cost += (c.ReadAgainFactor*read + u.PendingTokens) / c.ReadTokensPerMS
 	return cost + u.Load*milliseconds(c.PerRequest)
 }
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -19,8 +19,8 @@
 	ups, counts := fleet(12), make([]int, 12)
 	for session := uint64(1); session <= 600; session++ {
 		r := Request{Session: session, SharedTokens: 700, Tokens: 800}
-		at := Choose(DefaultConfig(), r, ups, 0.1)
-		must.EqOp(t, at, Choose(DefaultConfig(), r, ups, 0.9))
+		at := choose(DefaultConfig(), r, ups, 0.1)
+		must.EqOp(t, at, choose(DefaultConfig(), r, ups, 0.9))
 		counts[at]++
 	}
 	for _, n := range counts {
@@ -34,9 +34,9 @@
 	r := Request{Session: 7, SharedTokens: 700, Tokens: 800}
 	ups[0].Chats, ups[0].CachedTokens = 3, 300
 	ups[1].Chats, ups[2].Chats = 1, 1
-	must.EqOp(t, 0, Choose(DefaultConfig(), r, ups, 0))
+	must.EqOp(t, 0, choose(DefaultConfig(), r, ups, 0))
 	ups[0].Chats = 9
-	must.NotEqOp(t, 0, Choose(DefaultConfig(), r, ups, 0))
+	must.NotEqOp(t, 0, choose(DefaultConfig(), r, ups, 0))
 }
 
 // A chat must return to the upstream that holds its prompt, whatever the tie breaker, and leave it when the wait there costs more than
@@ -45,12 +45,12 @@
 	ups := fleet(12)
 	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500}
 	ups[5].CachedTokens, ups[5].Chats = 10_000, 40
-	must.EqOp(t, 5, Choose(DefaultConfig(), r, ups, 0))
-	must.EqOp(t, 5, Choose(DefaultConfig(), r, ups, 0.9))
+	must.EqOp(t, 5, choose(DefaultConfig(), r, ups, 0))
+	must.EqOp(t, 5, choose(DefaultConfig(), r, ups, 0.9))
 	ups[5].PendingTokens = 25_000
-	must.EqOp(t, 5, Choose(DefaultConfig(), r, ups, 0))
+	must.EqOp(t, 5, choose(DefaultConfig(), r, ups, 0))
 	ups[5].PendingTokens = 75_000
-	must.NotEqOp(t, 5, Choose(DefaultConfig(), r, ups, 0))
+	must.NotEqOp(t, 5, choose(DefaultConfig(), r, ups, 0))
 }
 
 // No upstream may be loaded beyond the bound, even if it alone holds the prompt.
@@ -61,7 +61,7 @@
 	}
 	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500}
 	ups[2].Load, ups[2].CachedTokens = 16, 10_500
-	must.NotEqOp(t, 2, Choose(DefaultConfig(), r, ups, 0))
+	must.NotEqOp(t, 2, choose(DefaultConfig(), r, ups, 0))
 }
 
 // An upstream that fails half of its requests must be avoided while others are sound, and used when it is the only one.
@@ -69,18 +69,18 @@
 	ups := fleet(3)
 	ups[1].FailureRate = 0.5
 	for session := uint64(1); session < 50; session++ {
-		must.NotEqOp(t, 1, Choose(DefaultConfig(), Request{Session: session, SharedTokens: 100, Tokens: 200}, ups, 0.5))
+		must.NotEqOp(t, 1, choose(DefaultConfig(), Request{Session: session, SharedTokens: 100, Tokens: 200}, ups, 0.5))
 	}
 	ups[0].Excluded, ups[2].Excluded = true, true
-	must.EqOp(t, 1, Choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
+	must.EqOp(t, 1, choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
 	ups[1].Excluded = true
-	must.EqOp(t, -1, Choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
+	must.EqOp(t, -1, choose(DefaultConfig(), Request{Session: 1, Tokens: 10}, ups, 0.5))
 }
 
 // Requests to a plain service must go to the upstream with free slots rather than queue.
 func TestChoose_PlainServicePrefersFreeSlots(t *testing.T) {
 	ups := []Upstream{{Hash: 1, Slots: 6, Load: 6, Local: true}, {Hash: 2, Slots: 6, Load: 2}, {Hash: 3, Slots: 6, Load: 5}}
-	must.EqOp(t, 1, Choose(DefaultConfig(), Request{}, ups, 0))
+	must.EqOp(t, 1, choose(DefaultConfig(), Request{}, ups, 0))
 }
 
 // What no longer fits the upstream's memory must not count as held, nor a part whose beginning is gone.
@@ -107,5 +107,42 @@
 		ups[i].FailureRate = 0.4 + 0.01*float64(i)
 	}
 	ups[11].CachedTokens = 700
-	must.EqOp(t, 11, Choose(DefaultConfig(), Request{Session: 7, SharedTokens: 700, Tokens: 800}, ups, 0))
+	must.EqOp(t, 11, choose(DefaultConfig(), Request{Session: 7, SharedTokens: 700, Tokens: 800}, ups, 0))
+}
+
+// choose returns only the chosen upstream.
+func choose(c Config, r Request, upstreams []Upstream, tie float64) int {
+	at, _ := Choose(c, r, upstreams, tie)
+	return at
+}
+
+// A chat that leaves its upstream must have its prompt copied from there, not read again, also when that upstream takes no requests; what
+// cannot be copied from must not be named.
+func TestChoose_CopiesPromptFromHolder(t *testing.T) {
+	ups := fleet(4)
+	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500, FetchTokensPerMS: 200}
+	ups[2].CachedTokens, ups[2].Source, ups[2].Excluded = 10_000, true, true
+	at, source := Choose(DefaultConfig(), r, ups, 0)
+	must.NotEqOp(t, 2, at)
+	must.EqOp(t, 2, source)
+	ups[2].Source = false
+	_, source = Choose(DefaultConfig(), r, ups, 0)
+	must.EqOp(t, -1, source)
+	ups[2].Source, r.FetchTokensPerMS = true, 0
+	_, source = Choose(DefaultConfig(), r, ups, 0)
+	must.EqOp(t, -1, source)
+}
+
+// An upstream that is as loaded as the others must keep its chats: a copy costs memory twice and waits for the links.
+func TestChoose_CopiesOnlyWhenItPays(t *testing.T) {
+	ups := fleet(4)
+	r := Request{Session: 7, SharedTokens: 10_000, Tokens: 10_500, FetchTokensPerMS: 200}
+	ups[2].CachedTokens, ups[2].Source, ups[2].Load = 10_000, true, 2
+	at, source := Choose(DefaultConfig(), r, ups, 0)
+	must.EqOp(t, 2, at)
+	must.EqOp(t, -1, source)
+	ups[1].CachedTokens, ups[1].Source = 9_990, true
+	at, source = Choose(DefaultConfig(), r, ups, 0)
+	must.EqOp(t, 1, at)
+	must.EqOp(t, -1, source)
 }
--- a/version/routing/config.go
+++ b/version/routing/config.go
@@ -88,6 +88,9 @@
 	Slots int
 	// CacheTokens is the memory for prompts and answers of one model upstream, in tokens; zero if it is not a model.
 	CacheTokens int
+	// FetchTokensPerMS is the speed at which one model upstream copies cached prompts from another, in tokens per millisecond; zero if it
+	// cannot.
+	FetchTokensPerMS float64
 }
 
 // Team is a group of callers with common keys.
