Delay a claim write at random after a second conflict in a row

Cause: TestStoreHandOver took 600 to 634 ms in about a tenth of its runs. A trace shows a store that reads for 5 ms and writes for 5 ms beside one that writes every 10 ms: each of its writes came just after the other's, 60 times in a row, until the hand-over was allowed again. Ruled out: the pace between writes (halving it with each conflict changed nothing: attempts after a conflict do not wait for it). Change: from the second conflict in a row on, the next call waits a random part of the interval of a lone writer.

--- a/request/claim/log.go
+++ b/request/claim/log.go
@@ -62,6 +62,8 @@
 	// attempt had to wait for its turn. nextWrite still moves on by an interval, so the rate holds in the long run.
 	atOnce bool
 	pace   pace
+	// conflicts counts the writes in a row that conflicted.
+	conflicts int
 
 	// handed are the own batches that other stores were asked to append, lost those of which it is not known whether they have.
 	// No own batch with new records of the same calls exists beside them.
--- a/request/claim/peers_test.go
+++ b/request/claim/peers_test.go
@@ -144,3 +144,41 @@
 		must.Eq(t, fmt.Sprint(i), string(d.Response.Body))
 	}
 }
+
+// TestStoreConflictsDoNotRepeat guards against a store that loses every write to another one whose writes come at the same intervals as
+// its own attempts: one of them lost 60 writes in a row.
+func TestStoreConflictsDoNotRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const trip, period = 5 * time.Millisecond, 10 * time.Millisecond
+		kv := newFakeKV(trip)
+		s := openStore(t, kv, nil)
+		must.Eq(t, Granted, claimKind(t, s, KeyOf("team", "first")))
+		stop := make(chan struct{})
+		var rival sync.WaitGroup
+		rival.Go(func() {
+			time.Sleep(trip)
+			for {
+				kv.mu.Lock()
+				for key, item := range kv.keys {
+					kv.revision++
+					item.Revision = kv.revision
+					kv.keys[key] = item
+				}
+				kv.mu.Unlock()
+				select {
+				case <-stop:
+					return
+				case <-time.After(period):
+				}
+			}
+		})
+		start := time.Now()
+		for i := range 20 {
+			must.Eq(t, Granted, claimKind(t, s, KeyOf("team", fmt.Sprint(i))))
+		}
+		must.Less(t, 20*200*time.Millisecond, time.Since(start))
+		close(stop)
+		rival.Wait()
+		must.NoError(t, s.Close(t.Context()))
+	})
+}
--- a/request/claim/write.go
+++ b/request/claim/write.go
@@ -134,12 +134,14 @@
 	switch {
 	case ev.Err == nil:
 		l.succeed()
+		l.conflicts = 0
 		l.fresh, l.freshAt = ev.Op, l.now
 		l.apply(w.value, ev.Revision, true)
 		l.placeAll()
 	case errors.Is(ev.Err, services.ErrConflict):
 		// An earlier attempt of the same write may be what it conflicts with, so reading decides.
 		l.succeed()
+		l.conflicted()
 		w.passed = true
 	case !w.lost && (errors.Is(ev.Err, services.ErrUnavailable) || errors.Is(ev.Err, services.ErrTooLarge)):
 		l.discardWrite()
@@ -153,6 +155,15 @@
 	}
 }
 
+// conflicted delays the next call at random after a second conflict in a row. Without that a store whose attempts take as long as the
+// interval of another one's writes would lose each of them.
+func (l *Log) conflicted() {
+	l.conflicts++
+	if l.conflicts > 1 {
+		l.retryAt = l.now.Add(time.Duration(l.random.Int64N(int64(l.pace.base))))
+	}
+}
+
 // claims returns the number of claims in the write.
 func (w *pendingWrite) claims() int {
 	n := 0
