Dial new neighbours at once

Cause: after a loss of all gateways the links between them stood only 0.3 s after the start, since neighbours were dialled at the next period and again after 0.5 s if they were not up yet; until then no gateway knows what the others learned of prompts. Change: a new neighbour wakes the speaker; the pause between dials is 0.25 s.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -63,10 +63,10 @@
 // backend is one start of an upstream.
 type backend struct {
 	directory.Upstream
-	hash     uint64
-	local    bool
+	hash  uint64
+	local bool
 	// leaving upstreams take no requests.
-	leaving bool
+	leaving  bool
 	monitor  *health.Monitor
 	cache    *placement.Cache
 	cold     *rate.Limiter
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -14,7 +14,6 @@
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 )
 
@@ -23,7 +22,7 @@
 	// hangs.
 	silentAfter = 3 * time.Second
 	// redialPause is the time between attempts to reach a neighbour.
-	redialPause = 500 * time.Millisecond
+	redialPause = 250 * time.Millisecond
 	// countLeftFor is how long a member that is no longer registered counts among those that share limits. Outages of the store, in which
 	// registrations lapse, last about as long.
 	countLeftFor = 15 * time.Second
@@ -43,6 +42,8 @@
 	nextPull uint64
 	// start names this start of the process.
 	start string
+	// joined wakes the speaker when a neighbour is new, so that it is dialled at once.
+	joined chan struct{}
 	// leftAt is when a member's registration ended, while the member still counts.
 	leftAt map[string]time.Time
 }
@@ -62,6 +63,7 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{
 		g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull),
+		joined: make(chan struct{}, 1),
 		leftAt: make(map[string]time.Time), start: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	p.server = link.NewServer(peerConfig(), p.hello, p)
@@ -115,6 +117,10 @@
 		if l == nil {
 			l = &peerLink{}
 			p.links[name] = l
+			select {
+			case p.joined <- struct{}{}:
+			default: // already woken
+			}
 		}
 		l.address = members[name].PeerAddress
 	}
@@ -169,15 +175,18 @@
 
 // run speaks with the neighbours until the gateway stops.
 func (p *peers) run() {
-	var pulledAt time.Time
+	var pulledAt, sendAt time.Time
 	for p.g.ctx.Err() == nil {
 		p.maintain()
-		p.sendState()
+		if now := time.Now(); !now.Before(sendAt) {
+			sendAt = now.Add(p.period())
+			p.sendState()
+		}
 		if time.Since(pulledAt) >= pullPeriod && p.g.configAge() > pullAge {
 			pulledAt = time.Now()
 			p.pull()
 		}
-		sleep.For(p.g.ctx, p.period())
+		p.wait(time.Until(sendAt))
 	}
 	_ = p.server.Close() // returns no error
 	p.mu.Lock()
@@ -187,6 +196,17 @@
 	}
 }
 
+// wait returns after a time, when a neighbour is new, or when the gateway stops.
+func (p *peers) wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.joined:
+	case <-p.g.ctx.Done():
+	}
+}
+
 // maintain dials neighbours and replaces silent connections.
 func (p *peers) maintain() {
 	p.mu.Lock()
