Copy prompts also from upstreams whose entry was just removed

Cause: some upstreams leave without draining: their entry goes and they serve on for two seconds or more. Change: such an upstream counts as leaving, a source of prompts without new requests, for 1.5 s. Test: TestLeaving_WhileTheyServe.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -39,6 +39,8 @@
 	OutageAfter time.Duration
 	// ReturnWithin is the time after the store's return within which living upstreams are listed again.
 	ReturnWithin time.Duration
+	// ServesFor is the time for which an upstream whose entry was removed is taken to serve on: some leave without draining first.
+	ServesFor time.Duration
 	// RememberFor is how long the order of an unlisted upstream's entries is remembered, so that a delayed one is recognised.
 	RememberFor time.Duration
 }
@@ -48,6 +50,7 @@
 	return Config{
 		OutageAfter:  1500 * time.Millisecond, // shorter than three missed registrations, which make an entry lapse
 		ReturnWithin: 2 * time.Second,         // stated by the platform
+		ServesFor:    1500 * time.Millisecond, // the shortest time for which upstreams serve on is 2 s
 		RememberFor:  time.Minute,
 	}
 }
@@ -187,15 +190,21 @@
 }
 
 // Usable returns the upstreams that take requests, in ascending order of ID.
-func (d *Directory) Usable() []Upstream { return d.in(Ready, Missing) }
+func (d *Directory) Usable() []Upstream {
+	return d.filter(func(m *member) bool { return m.State == Ready || m.State == Missing })
+}
 
-// Leaving returns the upstreams that take no new requests and are still listed, in ascending order of ID.
-func (d *Directory) Leaving() []Upstream { return d.in(Draining) }
+// Leaving returns the upstreams that take no new requests and probably still run, in ascending order of ID.
+func (d *Directory) Leaving(now time.Time) []Upstream {
+	return d.filter(func(m *member) bool {
+		return m.State == Draining || m.State == Gone && now.Sub(m.since) < d.config.ServesFor
+	})
+}
 
-func (d *Directory) in(states ...State) []Upstream {
+func (d *Directory) filter(match func(*member) bool) []Upstream {
 	var found []Upstream
 	for _, m := range d.members {
-		if slices.Contains(states, m.State) {
+		if match(m) {
 			found = append(found, m.Upstream)
 		}
 	}
--- a/process/directory/directory_test.go
+++ b/process/directory/directory_test.go
@@ -74,3 +74,17 @@
 	must.True(t, change.Restarted)
 	must.EqOp(t, at(3040), d.Usable()[0].ColdUntil)
 }
+
+// Upstreams that are leaving must be known for as long as they probably serve, so that prompts can be copied from them, and no longer.
+func TestLeaving_WhileTheyServe(t *testing.T) {
+	d := New(start, DefaultConfig())
+	for _, id := range []string{"draining", "removed", "ready"} {
+		d.Listed(at(0), Entry{ID: id, Draining: id == "draining"})
+	}
+	d.Contact(at(9))
+	d.Unlisted(at(10), "removed")
+	must.Len(t, 2, d.Leaving(at(1000)))
+	left := d.Leaving(at(1510))
+	must.Len(t, 1, left)
+	must.EqOp(t, "draining", left[0].ID)
+}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -56,6 +56,8 @@
 	members map[string]member
 	// trimmed is when idle connections were last looked at.
 	trimmed time.Time
+	// leaving is the number of upstreams that were published as leaving.
+	leaving int
 	// changed says that the published view is out of date.
 	changed bool
 }
@@ -197,6 +199,9 @@
 		s.changed = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
 	}
+	if len(s.directory.Leaving(bootclock.Now())) != s.leaving {
+		s.changed = true
+	}
 	if now := time.Now(); now.Sub(s.trimmed) >= trimPeriod {
 		s.trimmed = now
 		s.g.pools.trim()
@@ -210,7 +215,8 @@
 	}
 	s.changed = false
 	v := &view{table: s.table, revision: s.mirror.Revision()}
-	leaving := s.directory.Leaving()
+	leaving := s.directory.Leaving(bootclock.Now())
+	s.leaving = len(leaving)
 	for _, u := range s.directory.Usable() {
 		if _, evacuated := s.evacuated[u.DataCentre]; evacuated {
 			leaving = append(leaving, u)
