Move services to other versions as the operators order it

Cause: gateways ignored orders for rollouts: upstreams of a new version got requests as soon as they were listed, a bad one without end, and the operators were told nothing. Weighed: a decision of the gateway's own; the entry's rollouts as they are. version/rollout and process/shift need only a host that posts, sends and gossips, so the gateway became one, and no second design stands beside the first. Change: an order starts a shift; its record and lease lie in the store, counts go to one gateway of each data centre and from there to the leader, stops pass from neighbour to neighbour. Chats keep their version by hash, a request that failed at the new version goes to the old one, and nothing goes to a version that is taken back. The leader writes the status under a condition. Settings are scaled to rollouts of some ten seconds: with a few requests a second only large differences (a quarter of the answers) can be told from chance.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -177,8 +177,13 @@
 	Parts      []placement.Part
 	// Tried are the upstreams that must not get the request again.
 	Tried []string
+	// Versions says which versions may run the request; nil means that all may.
+	Versions Versions
 }
 
+// Versions says whether upstreams of a version may run a request.
+type Versions func(version string) bool
+
 // Choice is an upstream with a place for one request. Done must be called once.
 type Choice struct {
 	directory.Upstream
@@ -273,7 +278,7 @@
 	for _, id := range q.Tried {
 		u.Excluded = u.Excluded || id == e.ID
 	}
-	if q.DataCentre != nil && !q.DataCentre(e.DataCentre) {
+	if q.DataCentre != nil && !q.DataCentre(e.DataCentre) || q.Versions != nil && !q.Versions(e.Version) {
 		u.Excluded = true
 	}
 	if b.isCold(now, e) && (e.cold.TokensAt(now) < 1 || !b.coldTurn(now, e)) {
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -64,12 +64,14 @@
 	ClaimConflict    ID = 501
 	ClaimUnavailable ID = 502
 
-	RolloutStarted  ID = 600
-	RolloutAdvanced ID = 601
-	RolloutStopped  ID = 602
-	RolloutDone     ID = 603
-	LeaseAcquired   ID = 604
-	LeaseLost       ID = 605
+	RolloutStarted      ID = 600
+	RolloutAdvanced     ID = 601
+	RolloutStopped      ID = 602
+	RolloutDone         ID = 603
+	RolloutOrdered      ID = 606
+	RolloutStatusFailed ID = 607
+	LeaseAcquired       ID = 604
+	LeaseLost           ID = 605
 
 	PlatformThrottled  ID = 700
 	PlatformFailed     ID = 701
@@ -148,6 +150,8 @@
 	{RolloutAdvanced, "rollout advanced", Info, ""},
 	{RolloutStopped, "rollout stopped and taken back", Error, "run jayridge moves for the reason"},
 	{RolloutDone, "rollout done", Info, ""},
+	{RolloutOrdered, "order for a rollout taken", Info, ""},
+	{RolloutStatusFailed, "status of a rollout could not be written", Warning, "check the platform's store; the leader tries again"},
 	{LeaseAcquired, "lease acquired", Info, ""},
 	{LeaseLost, "lease lost", Info, ""},
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -68,7 +68,7 @@
 
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
-	a := &attempt{call: c, choice: choice, ctx: ctx}
+	a := &attempt{call: c, choice: choice, ctx: ctx, started: time.Now()}
 	a.patience = time.AfterFunc(c.patience(choice), func() {
 		if time.Now().Before(c.deadline) {
 			cancel(errNoProgress)
@@ -79,6 +79,7 @@
 	defer a.patience.Stop()
 	code, accepted = a.do()
 	a.settle(code)
+	a.observe(code)
 	return code, accepted
 }
 
@@ -100,6 +101,9 @@
 	patience *time.Timer
 	// outcome is what the attempt says about the upstream.
 	outcome health.Outcome
+	started time.Time
+	// answered is the time to the head of the answer, zero if there was none.
+	answered time.Duration
 	// silent says that the attempt says nothing about the upstream.
 	silent bool
 }
@@ -185,6 +189,7 @@
 // begun records the answer's head.
 func (a *attempt) begun(answer *upstream.Answer) {
 	c := a.call
+	a.answered = time.Since(a.started)
 	total := -1
 	if load, ok := c.g.headers.ReadLoad(answer.Header); ok {
 		total = load.Running + load.Waiting
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -13,6 +13,8 @@
 const (
 	// maxQueuedBatches bounds the batches that wait for the control goroutine; the sources wait when it is full.
 	maxQueuedBatches = 16
+	// maxPosts bounds the functions that wait for the control goroutine; those that post try again when it is full.
+	maxPosts = 64
 	// controlTick is the time between looks at what only time changes. It is short against the seconds in which such beliefs expire.
 	controlTick = 250 * time.Millisecond
 	// trimPeriod is the time between looks for idle connections that are too old or closed. Each look costs a system call a connection.
@@ -58,6 +60,8 @@
 	trimmed time.Time
 	// leaving is the number of upstreams that were published as leaving.
 	leaving int
+	// ordered says that the orders of rollouts changed.
+	ordered bool
 	// changed says that the published view is out of date.
 	changed bool
 }
@@ -73,6 +77,7 @@
 	}
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
+	defer g.rollouts.stop()
 	for {
 		select {
 		case <-g.ctx.Done():
@@ -81,8 +86,12 @@
 			s.apply(r)
 		case q := <-g.questions:
 			q.reply(s.mirror.Since(q.revision))
+		case f := <-g.posts:
+			f()
 		case <-ticker.C:
 			s.tick()
+		case <-g.rollouts.ticks:
+			g.rollouts.tick(time.Now(), s.members)
 		}
 		s.publish()
 	}
@@ -100,6 +109,11 @@
 	for _, item := range items {
 		joined = s.takeMember(item) || joined
 		s.take(now, item, r.source)
+		s.g.rollouts.record(time.Now(), item)
+	}
+	if s.ordered {
+		s.ordered = false
+		s.g.rollouts.set(time.Now(), s.otherVersion)
 	}
 	if joined {
 		s.g.peers.setMembers(s.members)
@@ -123,7 +137,39 @@
 		s.takeUpstream(now, fact, err, item.Revision, source)
 	case FactEvacuation:
 		s.takeEvacuation(fact, item.Revision, source)
+	case FactRollout:
+		s.takeRollout(fact, err, item.Revision, source)
+	case FactRolloutStatus:
+		if err == nil {
+			s.g.rollouts.status(fact, item.Revision)
+		}
+	}
+}
+
+// takeRollout takes an order. One that cannot be read leaves the one before in force.
+func (s *state) takeRollout(fact Fact, err error, revision uint64, source string) {
+	if err != nil {
+		return
+	}
+	s.ordered = true
+	s.g.rollouts.order(time.Now(), fact, revision)
+	event.Log(event.RolloutOrdered, "service", fact.Name, "target", fact.Rollout.Target, "within_ms", fact.Rollout.Within.Milliseconds(),
+		"withdrawn", fact.Deleted, "revision", revision, "source", source)
+}
+
+// otherVersion is the version that most usable upstreams of a service run besides a given one.
+func (s *state) otherVersion(service, besides string) string {
+	counts := make(map[string]int)
+	most := "none"
+	for _, u := range s.directory.Usable() {
+		if u.Service != service || u.Version == besides {
+			continue
+		}
+		if counts[u.Version]++; counts[u.Version] > counts[most] {
+			most = u.Version
+		}
 	}
+	return most
 }
 
 // takeMember takes a gateway's registration and says whether it changed.
--- a/process/gateway/fake_test.go
+++ b/process/gateway/fake_test.go
@@ -156,10 +156,21 @@
 		err = decodeUnlessDeleted(i, &f.Upstream)
 	case "evacuate":
 		f.Kind, f.Name = FactEvacuation, name
+	case "order":
+		f.Kind, f.Name = FactRollout, name
+		err = decodeUnlessDeleted(i, &f.Rollout)
+	case "status":
+		f.Kind, f.Name = FactRolloutStatus, name
+		err = decodeUnlessDeleted(i, &f.Status)
 	}
 	return f, err
 }
 
+func (fakeDecoder) EncodeStatus(service string, status RolloutStatus) (string, []byte, error) {
+	value, err := json.Marshal(status)
+	return "status/" + service, value, err
+}
+
 func decodeUnlessDeleted(i mirror.Item, target any) error {
 	if i.Deleted {
 		return nil
@@ -282,6 +293,7 @@
 // fakeUpstream answers each request on its connections with what the test says.
 type fakeUpstream struct {
 	id       string
+	version  string
 	listener net.Listener
 	// serve handles a request; false closes the connection.
 	serve func(conn net.Conn, r *http.Request, body string) bool
@@ -338,7 +350,9 @@
 }
 
 func (u *fakeUpstream) entry() directory.Entry {
-	return directory.Entry{ID: u.id, Service: "plain", Address: u.listener.Addr().String(), DataCentre: "here", Slots: 4}
+	return directory.Entry{
+		ID: u.id, Service: "plain", Address: u.listener.Addr().String(), DataCentre: "here", Slots: 4, Version: u.version,
+	}
 }
 
 func (u *fakeUpstream) got() []*http.Request {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -68,6 +68,7 @@
 	calls    *callers
 	metrics  *metrics
 	peers    *peers
+	rollouts *rollouts
 
 	// view is the latest published state, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -81,7 +82,9 @@
 	revision  atomic.Uint64
 	batches   chan received
 	questions chan question
-	leaving   atomic.Bool
+	// posts are functions for the control goroutine.
+	posts   chan func()
+	leaving atomic.Bool
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -112,9 +115,11 @@
 		metrics:   newMetrics(),
 		batches:   make(chan received, maxQueuedBatches),
 		questions: make(chan question, maxQueuedBatches),
+		posts:     make(chan func(), maxPosts),
 	}
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
+	g.rollouts = newRollouts(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
 }
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -28,6 +28,8 @@
 	dials         atomic.Int64
 	probes        atomic.Int64
 	storeFailures atomic.Int64
+	// outcomesDropped are outcomes that a rollout was not told because its queue was full.
+	outcomesDropped atomic.Int64
 
 	mu sync.Mutex
 	// latency is the time to the whole answer of requests without streams, first that to the first event, both in microseconds.
@@ -59,6 +61,7 @@
 	line("jayridge_upstream_connections_total", m.dials.Load())
 	line("jayridge_probes_total", m.probes.Load())
 	line("jayridge_store_failures_total", m.storeFailures.Load())
+	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 const (
@@ -37,7 +38,9 @@
 	members map[string]member
 	// links are the neighbours by name.
 	links map[string]*peerLink
-	pulls map[uint64]pull
+	// direct are connections to other gateways, by name.
+	direct map[string]*link.Conn
+	pulls  map[uint64]pull
 	// nextPull numbers the questions.
 	nextPull uint64
 	// start names this start of the process.
@@ -63,7 +66,7 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{
 		g: g, members: make(map[string]member), links: make(map[string]*peerLink), pulls: make(map[uint64]pull),
-		joined: make(chan struct{}, 1),
+		joined: make(chan struct{}, 1), direct: make(map[string]*link.Conn),
 		leftAt: make(map[string]time.Time), start: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	p.server = link.NewServer(peerConfig(), p.hello, p)
@@ -194,6 +197,9 @@
 	for name, l := range p.links {
 		p.drop(name, l)
 	}
+	for _, c := range p.direct {
+		_ = c.Close() // an orderly close has no error
+	}
 }
 
 // wait returns after a time, when a neighbour is new, or when the gateway stops.
@@ -306,7 +312,35 @@
 		p.answer(c, m)
 	case *wire.StorePush:
 		p.takePush(name, m)
+	case *wire.Evidence:
+		p.g.postWait(func() { p.g.rollouts.driver.Evidence(time.Now(), m) })
+	case *wire.Gossip:
+		p.g.postWait(func() { p.g.rollouts.driver.HandleGossip(time.Now(), m) })
+	}
+}
+
+// reach returns a connection to another gateway. One that is no neighbour is dialled; the connection is kept until it breaks.
+func (p *peers) reach(ctx context.Context, to services.Instance) (*link.Conn, error) {
+	p.mu.Lock()
+	conn := p.direct[to.ID]
+	if l := p.links[to.ID]; l != nil && l.conn != nil {
+		conn = l.conn
+	}
+	p.mu.Unlock()
+	if conn != nil && conn.Err() == nil {
+		return conn, nil
+	}
+	conn, err := link.Dial(ctx, to.Address, peerConfig(), p.hello, p)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.direct[to.ID]; old != nil {
+		_ = old.Close() // an orderly close has no error
 	}
+	p.direct[to.ID] = conn
+	return conn, nil
 }
 
 func (p *peers) conns() []*link.Conn {
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -100,7 +100,7 @@
 
 // pick chooses an upstream and takes a place there.
 func (c *call) pick() *balancer.Choice {
-	return c.g.balancer.Pick(bootclock.Now(), balancer.Query{
+	q := balancer.Query{
 		Service:    c.service,
 		DataCentre: c.mayRunIn,
 		Placement: placement.Request{
@@ -110,7 +110,14 @@
 		},
 		Parts: c.prompt.Shared(),
 		Tried: c.progress.tried,
-	})
+	}
+	for _, versions := range c.versions() {
+		q.Versions = versions
+		if choice := c.g.balancer.Pick(bootclock.Now(), q); choice != nil {
+			return choice
+		}
+	}
+	return nil
 }
 
 // pass writes an upstream's answer to the caller.
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -146,9 +146,18 @@
 
 // SetRules starts the shifts of new rules and ends those that are gone.
 func (d *Driver) SetRules(now time.Time, set *rules.Set) {
+	var shifts []rollout.Shift
+	for _, s := range set.Shifts() {
+		shifts = append(shifts, rollout.Shift{ID: s.ID, Service: s.Service, From: s.From, To: s.To, By: s.By, Cap: s.Cap, Guards: s.Guards})
+	}
+	d.SetShifts(now, shifts)
+}
+
+// SetShifts starts the shifts that are new by their ID and ends those that are gone.
+func (d *Driver) SetShifts(now time.Time, shifts []rollout.Shift) {
 	keep := map[string]bool{}
 	d.order = d.order[:0]
-	for _, s := range set.Shifts() {
+	for _, s := range shifts {
 		keep[s.ID] = true
 		d.order = append(d.order, s.ID)
 		if d.shifts[s.ID] == nil {
@@ -164,8 +173,7 @@
 	d.publish(now)
 }
 
-func (d *Driver) start(now time.Time, s rules.Shift) *running {
-	shift := rollout.Shift{ID: s.ID, Service: s.Service, From: s.From, To: s.To, By: s.By, Cap: s.Cap, Guards: s.Guards}
+func (d *Driver) start(now time.Time, shift rollout.Shift) *running {
 	return &running{
 		shift:      shift,
 		machine:    rollout.NewMachine(d.opts.Config, shift, now),
