Stop sending requests that crash the upstreams that run them

Cause: a request that crashes each upstream was sent on for as long as it came again, at any gateway. The sidecar's quarantine needs to see all work of an upstream, which a gateway does not. Change: process/quarantine gets Crashes: a request whose answer broke off within a second of its upstream being found gone has crashed it; the third such crash in a row, each sent after the one before, has it rejected for a minute as not run. Gateways tell each other crashes with their loads. An upstream whose answer broke off is checked by a new connection, so that a crash is known at once; the connection is kept. Ruled out: counting crashes that lie 200 ms apart (a request that the gateway itself repeats crashes two upstreams within milliseconds); asking for the health of each upstream whose answer broke off (a probe costs twenty times a connection). Also: no worker starts once the gateway has stopped, which sync.WaitGroup does not allow; the text of connection-lost no longer names a sidecar.

--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,11 +48,13 @@
 type Pool struct {
 	address string
 	config  Config
-	mu      sync.Mutex
-	idle    []*Conn // the most recently used last
-	open    int
-	limit   int
-	closed  bool
+	// checking says that a Check runs.
+	checking atomic.Bool
+	mu       sync.Mutex
+	idle     []*Conn // the most recently used last
+	open     int
+	limit    int
+	closed   bool
 }
 
 // NewPool returns a pool for a TCP address, without a limit on connections.
@@ -146,6 +149,21 @@
 	}, nil
 }
 
+// Check finds out whether the upstream can be reached. The connection that it opens is kept for the next request. While a check runs,
+// others do nothing.
+func (p *Pool) Check(ctx context.Context) error {
+	if !p.checking.CompareAndSwap(false, true) {
+		return nil
+	}
+	defer p.checking.Store(false)
+	c, err := p.Dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.keep()
+	return nil
+}
+
 // setUserTimeout makes a send to a peer that is gone without a reset fail.
 func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failure error
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -387,6 +387,17 @@
 	Holders []PromptHolder `msgpack:"h,omitempty"`
 	// Partial says that Loads is left out.
 	Partial bool `msgpack:"p,omitempty"`
+	// Crashes are requests that were in flight at upstreams that crashed, as the sender saw or heard since the last message.
+	Crashes []RequestCrash `msgpack:"c,omitempty"`
+}
+
+// RequestCrash says that a request was in flight at an upstream that crashed.
+type RequestCrash struct {
+	Fingerprint uint64 `msgpack:"f"`
+	// Upstream is a hash of the upstream's name and start.
+	Upstream uint64 `msgpack:"u"`
+	// StartedMS is how long ago the request was sent there, in milliseconds.
+	StartedMS uint32 `msgpack:"s"`
 }
 
 // UpstreamLoad is what one gateway knows of the load on an upstream. It is an array on the wire, since it is sent most often.
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -401,6 +401,14 @@
 	return c.backend.monitor.Record(now, o)
 }
 
+// Unreachable records that an upstream could not be reached, apart from any request. It says whether the upstream went down by it.
+func (b *Balancer) Unreachable(now time.Time, u *directory.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.backends[u.ID]
+	return e != nil && e.Started == u.Started && e.monitor.Record(now, health.Unreachable)
+}
+
 // Release gives the place back without an outcome, for instance because the caller left.
 func (c *Choice) Release() {
 	b := c.balancer
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -59,6 +59,7 @@
 	RequestRefused     ID = 410
 	CallerLeft         ID = 411
 	AttemptFailed      ID = 412
+	RequestSuspected   ID = 413
 
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
@@ -141,6 +142,7 @@
 	{RequestRefused, "request refused, not run", Info, "see the result and docs/OPERATIONS.md"},
 	{CallerLeft, "caller left before the answer", Info, ""},
 	{AttemptFailed, "attempt at an upstream failed", Info, ""},
+	{RequestSuspected, "request was in flight at an upstream that crashed", Info, ""},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
 	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -57,6 +57,8 @@
 	prompt   forward.Prompt
 	header   http.Header
 	progress progress
+	// rejectedFor is for how much longer requests like this one are rejected.
+	rejectedFor time.Duration
 }
 
 // admit reads and checks a request. It returns result.OK if the request may be sent.
@@ -78,6 +80,9 @@
 	if code := c.readBody(); code != result.OK {
 		return code
 	}
+	if c.rejectedFor = c.g.crashes.rejects(bootclock.Now(), c); c.rejectedFor > 0 {
+		return result.Quarantined
+	}
 	c.service = c.route.Pick(point(c.id))
 	c.prompt = c.g.headers.Prompt(h)
 	c.header = c.g.headers.ToUpstream(h, c.team)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
-	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
@@ -114,10 +113,19 @@
 		a.choice.Release()
 		return
 	}
-	if a.choice.Done(bootclock.Now(), a.outcome) {
-		a.call.g.pools.get(a.choice.Address).DropIdle()
-		event.Log(event.UpstreamDown, "upstream", a.choice.ID, "address", a.choice.Address, "outcome", a.outcome.String(),
-			"result", code.String(), "request", a.call.id)
+	now := bootclock.Now()
+	down := a.choice.Done(now, a.outcome)
+	switch a.outcome {
+	case health.Broken:
+		a.call.g.crashes.broke(now, a)
+		if !down {
+			a.call.g.check(a.choice.Upstream)
+		}
+	case health.Answered:
+		a.call.g.crashes.answered(a.call)
+	}
+	if down {
+		a.call.g.wentDown(now, &a.choice.Upstream, "outcome", a.outcome.String(), "result", code.String(), "request", a.call.id)
 	}
 }
 
--- /dev/null
+++ b/process/gateway/crashes_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/process/quarantine"
+)
+
+// A request that crashes the upstreams that run it must stop reaching them after the third crash, also when it comes again at another
+// gateway, and its callers must be told the truth: it has not run.
+func TestServe_RequestThatCrashesUpstreams(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for i := range 8 {
+		u := newUpstream(t, fmt.Sprint("u", i), nil)
+		u.serve = func(conn net.Conn, r *http.Request, body string) bool {
+			if strings.HasPrefix(r.URL.Path, "/book/crash") {
+				u.crash()
+				return false
+			}
+			return ok(conn, r, body)
+		}
+		upstreams = append(upstreams, u)
+	}
+	f := newFixture(t, upstreams...)
+	other := f.start("two")
+	f.waitReady(other)
+	f.eventually("gateways are connected", func() bool { return len(other.peers.conns()) > 0 && len(f.gateway.peers.conns()) > 0 })
+	crashed := func() int {
+		n := 0
+		for _, u := range upstreams {
+			for _, r := range u.got() {
+				if strings.HasPrefix(r.URL.Path, "/book/crash") {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for i, g := range []*Gateway{f.gateway, other, f.gateway} {
+		must.EqOp(t, http.StatusBadGateway, f.send(g, http.MethodPost, "/book/crash", nil).status)
+		f.eventually("both gateways know of the crash", func() bool {
+			f.send(g, http.MethodGet, fmt.Sprint("/look/", i), nil) // finds the upstream gone
+			return count(f.gateway) == i+1 && count(other) == i+1
+		})
+	}
+	for _, g := range []*Gateway{f.gateway, other} {
+		got := f.send(g, http.MethodPost, "/book/crash", nil)
+		must.EqOp(t, http.StatusServiceUnavailable, got.status)
+		must.StrContains(t, got.body, "quarantined")
+	}
+	must.EqOp(t, 3, crashed())
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/other", nil).status)
+}
+
+// count is the number of crashes that a gateway knows of the test's request.
+func count(g *Gateway) int {
+	g.crashes.mu.Lock()
+	defer g.crashes.mu.Unlock()
+	return g.crashes.known.Count(quarantine.FingerprintOf("drivers", "/book/crash", []byte("hello")))
+}
--- a/process/gateway/fake_test.go
+++ b/process/gateway/fake_test.go
@@ -300,6 +300,17 @@
 
 	mu       sync.Mutex
 	requests []*http.Request
+	conns    []net.Conn
+}
+
+// crash ends all connections and refuses new ones.
+func (u *fakeUpstream) crash() {
+	_ = u.listener.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		_ = c.Close()
+	}
 }
 
 func newUpstream(t *testing.T, id string, serve func(conn net.Conn, r *http.Request, body string) bool) *fakeUpstream {
@@ -326,6 +337,9 @@
 
 func (u *fakeUpstream) handle(conn net.Conn) {
 	defer conn.Close() //nolint:errcheck // the peer sees the end either way
+	u.mu.Lock()
+	u.conns = append(u.conns, conn)
+	u.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -38,6 +38,9 @@
 	if !m.Partial {
 		p.g.balancer.PeerLoad(now, name, loadsOf(m))
 	}
+	if len(m.Crashes) > 0 {
+		p.g.crashes.heard(now, m.Crashes)
+	}
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
@@ -67,6 +70,7 @@
 		})
 	}
 	m.Holders = promptHolders(p.g.balancer.News())
+	m.Crashes = p.g.crashes.takeNews(bootclock.Now())
 	for _, c := range p.conns() {
 		_ = c.Send(m) // a neighbour that is gone or does not read shows in its silence
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -69,6 +69,7 @@
 	metrics  *metrics
 	peers    *peers
 	rollouts *rollouts
+	crashes  *crashes
 
 	// view is the latest published state, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -89,6 +90,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+	// workMu guards stopped, after which no workers start.
+	workMu  sync.Mutex
+	stopped bool
 	servers []*http.Server
 	// listeners are those of the servers.
 	listeners []net.Listener
@@ -112,6 +116,7 @@
 		pools:     newPools(),
 		budgets:   newBudgets(o.Settings.Fleet),
 		calls:     newCallers(),
+		crashes:   newCrashes(),
 		metrics:   newMetrics(),
 		batches:   make(chan received, maxQueuedBatches),
 		questions: make(chan question, maxQueuedBatches),
@@ -140,7 +145,13 @@
 	return nil
 }
 
+// work runs f on a goroutine that Stop waits for. Once the gateway has stopped it does nothing.
 func (g *Gateway) work(f func()) {
+	g.workMu.Lock()
+	defer g.workMu.Unlock()
+	if g.stopped {
+		return
+	}
 	g.workers.Add(1)
 	go func() {
 		defer g.workers.Done()
@@ -165,6 +176,9 @@
 	for _, s := range g.servers {
 		_ = s.Close() // what is still open at the end is cut off
 	}
+	g.workMu.Lock()
+	g.stopped = true
+	g.workMu.Unlock()
 	g.workers.Wait()
 	event.Log(event.ProcessStopped)
 }
--- a/process/gateway/probe.go
+++ b/process/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/request/forward"
 )
 
@@ -95,3 +97,26 @@
 	}
 	return &reply{status: answer.Status, header: answer.Header, body: body}, nil
 }
+
+// check finds out whether an upstream whose answer broke off is still there. If it crashed, requests go elsewhere at once instead of
+// finding out one by one.
+func (g *Gateway) check(u directory.Upstream) {
+	g.work(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+		defer cancel()
+		err := g.pools.get(u.Address).Check(ctx)
+		if err == nil || errors.Is(err, upstream.ErrTooManyConnections) || g.ctx.Err() != nil {
+			return
+		}
+		if now := bootclock.Now(); g.balancer.Unreachable(now, &u) {
+			g.wentDown(now, &u, "outcome", health.Unreachable.String(), "error", err)
+		}
+	})
+}
+
+// wentDown does what follows when an upstream is found down. why are further fields for the log.
+func (g *Gateway) wentDown(now time.Time, u *directory.Upstream, why ...any) {
+	g.crashes.gone(now, u)
+	g.pools.get(u.Address).DropIdle()
+	event.Log(event.UpstreamDown, append([]any{"upstream", u.ID, "address", u.Address}, why...)...)
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -61,6 +61,7 @@
 		if code == result.NoUpstream || code == result.Full || code == result.OverBound {
 			after = comeAgainLoaded
 		}
+		after = max(after, c.rejectedFor)
 		// Spread over as long again, so that callers that were refused together do not return together.
 		after += time.Duration(point(c.id) * float64(after))
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- /dev/null
+++ b/process/quarantine/crashes_test.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func crashAt(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+// A request that crashes each upstream that runs it must be rejected after the third, at an entry that saw only some of the crashes too,
+// and be let through again in the end.
+func TestCrashes_RejectsAfterThree(t *testing.T) {
+	a, b := NewCrashes(DefaultCrashConfig()), NewCrashes(DefaultCrashConfig())
+	for i, c := range []*Crashes{a, b, a} {
+		now := crashAt(1000 * i)
+		must.EqOp(t, 0, c.Rejects(now, 7))
+		must.SliceEmpty(t, c.Broke(now.Add(60*time.Millisecond), Crash{7, uint64(i), now}))
+		crashes := c.Gone(now.Add(100*time.Millisecond), uint64(i))
+		must.Len(t, 1, crashes)
+		for _, other := range []*Crashes{a, b} {
+			if other != c {
+				must.True(t, other.Heard(now.Add(150*time.Millisecond), crashes[0]))
+				must.False(t, other.Heard(now.Add(160*time.Millisecond), crashes[0]))
+			}
+		}
+	}
+	must.Positive(t, a.Rejects(crashAt(2200), 7))
+	must.Positive(t, b.Rejects(crashAt(2200), 7))
+	must.EqOp(t, 0, b.Rejects(crashAt(2200+60_000), 7))
+}
+
+// Requests that many callers send alike must not be rejected because several upstreams failed at the same moment, nor one that was
+// answered in between.
+func TestCrashes_SparesBystanders(t *testing.T) {
+	c := NewCrashes(DefaultCrashConfig())
+	for i := range uint64(5) {
+		c.Broke(crashAt(40+int(i)), Crash{7, i, crashAt(int(7 * i))})
+		c.Gone(crashAt(50+int(i)), i)
+	}
+	must.EqOp(t, 0, c.Rejects(crashAt(100), 7))
+	c.Answered(7)
+	for i := range uint64(2) {
+		c.Broke(crashAt(int(1000*i+1000)), Crash{7, 10 + i, crashAt(int(1000*i + 900))})
+		c.Gone(crashAt(int(1000*i+1010)), 10+i)
+	}
+	must.EqOp(t, 0, c.Rejects(crashAt(2500), 7))
+}
+
+// An answer that breaks off says nothing of the request as long as its upstream lives, and one that breaks off just after the upstream
+// was found gone counts.
+func TestCrashes_OnlyWithTheUpstreamGone(t *testing.T) {
+	c := NewCrashes(DefaultCrashConfig())
+	for i := range uint64(5) {
+		must.SliceEmpty(t, c.Broke(crashAt(int(i)*2000), Crash{7, i, crashAt(int(i)*2000 - 50)}))
+		must.SliceEmpty(t, c.Gone(crashAt(int(i)*2000+1500), i))
+	}
+	must.EqOp(t, 0, c.Len())
+	c.Gone(crashAt(20_000), 9)
+	must.Len(t, 1, c.Broke(crashAt(20_100), Crash{7, 9, crashAt(19_900)}))
+}
--- a/request/result/result.go
+++ b/request/result/result.go
@@ -130,7 +130,7 @@
 
 	{UpstreamBroken, "upstream-broken", Unknown, 502, false, "the upstream failed while it ran the request"},
 	{DeadlineInRun, "deadline-in-run", Unknown, 504, false, "the deadline passed after the request was handed over"},
-	{ConnectionLost, "connection-lost", Unknown, 502, false, "the connection to the sidecar broke after the request was sent"},
+	{ConnectionLost, "connection-lost", Unknown, 502, false, "the connection broke after the request was sent"},
 	{AlreadyClaimed, "already-claimed", Unknown, 409, false, "the idempotency key was claimed earlier and its result is not known"},
 	{Canceled, "canceled", Unknown, 499, false, "the caller canceled after the request was handed over"},
 	{BadAnswer, "bad-answer", Unknown, 502, false, "the answer's count or checksum does not match"},
