Let the store hold a watch without changes for 1.4 s

Since such a watch now counts as current at its end, a longer one makes no copy older than before. Change: 1.4 s in place of 1 s, below the ages from which a copy counts as old.

--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -13,8 +13,9 @@
 
 const (
 	// watchWait is how long the store may hold a watch without changes. Each answer confirms that the copy is current, which keys need
-	// several times within the time in which a revoked one may still be served.
-	watchWait = time.Second
+	// several times within the time in which a revoked one may still be served. It lies below denyAge and pullAge, so that a copy whose
+	// watch is waiting does not count as old.
+	watchWait = 1400 * time.Millisecond
 	// watchPause is the least time between two answers of the store in a small fleet. Upstreams renew their entries all the time; a pause
 	// gathers the changes of many into one call.
 	watchPause = 300 * time.Millisecond
