Let a gateway that restarts during an outage learn from any neighbour

Of two neighbours the one with the smaller name dials; this gateway has the smallest of all and knows of nobody without the store. In addition, the address of a neighbour whose registration had not been read yet was not kept. Change: the other side dials as well once a connection has been missing for half a second, and the address of the handshake is kept.

--- a/process/gateway/fake_test.go
+++ b/process/gateway/fake_test.go
@@ -237,15 +237,25 @@
 func (f *fixture) start(name string) *Gateway { return f.startWith(name, f.store) }
 
 func (f *fixture) startWith(name string, store Store) *Gateway {
+	g := f.run(f.settings(name), store)
+	f.t.Cleanup(func() { g.Stop(context.Background()) })
+	return g
+}
+
+func (f *fixture) settings(name string) *settings.Gateway {
 	s := settings.GatewayDefaults()
 	s.Instance, s.DataCentre = name, "here"
 	s.DataCentres = []settings.DataCentre{{Name: "here"}}
 	s.CallersAddress, s.ReadyAddress, s.PeerAddress = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
 	s.Fleet.RevokeMS = 3000
-	g, err := New(Options{Settings: &s, Store: store, Decoder: fakeDecoder{}, Headers: testHeaders, Prompts: fakePrompts{}})
+	return &s
+}
+
+// run runs a gateway that the test stops.
+func (f *fixture) run(s *settings.Gateway, store Store) *Gateway {
+	g, err := New(Options{Settings: s, Store: store, Decoder: fakeDecoder{}, Headers: testHeaders, Prompts: fakePrompts{}})
 	must.NoError(f.t, err)
 	must.NoError(f.t, g.Start())
-	f.t.Cleanup(func() { g.Stop(context.Background()) })
 	return g
 }
 
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -340,3 +340,21 @@
 	f.gateway.Reload(&changed)
 	must.True(t, f.gateway.keysCurrent())
 }
+
+// A gateway that restarts while the store is down knows of no other gateway. Those that knew of it must bring it their copy of the store,
+// whichever name is smaller; it took until the store's return when all others waited to be dialled.
+func TestPeers_RestartDuringOutage(t *testing.T) {
+	a := newUpstream(t, "a", ok)
+	f := newFixture(t, a)
+	s := f.settings("first") // sorts before "one"
+	s.Fleet.RevokeMS = 30_000
+	g := f.run(s, f.store)
+	f.waitReady(g)
+	f.eventually("connected", func() bool { return len(g.peers.conns()) > 0 && len(f.gateway.peers.conns()) > 0 })
+	g.Stop(context.Background())
+	f.store.setDown(true)
+	g = f.run(s, f.store)
+	defer g.Stop(context.Background())
+	f.waitReady(g)
+	must.EqOp(t, http.StatusOK, f.send(g, http.MethodPost, "/book/1", nil).status)
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -24,6 +24,9 @@
 	silentAfter = 3 * time.Second
 	// redialPause is the time between attempts to reach a neighbour.
 	redialPause = 250 * time.Millisecond
+	// dialAnywayAfter is the time without a connection after which the neighbour with the larger name dials too. The other one may have
+	// restarted while the store was down, and then knows of no neighbours.
+	dialAnywayAfter = 500 * time.Millisecond
 	// countLeftFor is how long a member that is no longer registered counts among those that share limits. Outages of the store, in which
 	// registrations lapse, last about as long.
 	countLeftFor = 15 * time.Second
@@ -51,12 +54,14 @@
 	leftAt map[string]time.Time
 }
 
-// peerLink is the connection with one neighbour. Of two neighbours the one whose name is smaller dials.
+// peerLink is the connection with one neighbour. Of two neighbours the one whose name is smaller dials first.
 type peerLink struct {
 	conn    *link.Conn
 	address string
 	dialing bool
 	retryAt time.Time
+	// lostAt is when the connection ended, or the time of the link's creation.
+	lostAt time.Time
 	// heardAt is the time of the latest message.
 	heardAt time.Time
 	// start names the start of the neighbour's process that was last connected.
@@ -118,7 +123,7 @@
 	for _, name := range near {
 		l := p.links[name]
 		if l == nil {
-			l = &peerLink{}
+			l = &peerLink{lostAt: time.Now()}
 			p.links[name] = l
 			select {
 			case p.joined <- struct{}{}:
@@ -170,7 +175,7 @@
 func (p *peers) drop(name string, l *peerLink) {
 	if l.conn != nil {
 		_ = l.conn.Close() // an orderly close has no error
-		l.conn = nil
+		l.conn, l.lostAt = nil, time.Now()
 		event.Log(event.PeerLost, "peer", name, "heard_ms_ago", time.Since(l.heardAt).Milliseconds())
 	}
 	p.g.balancer.ForgetPeer(name)
@@ -222,7 +227,8 @@
 		if l.conn != nil && now.Sub(l.heardAt) > silentAfter {
 			p.drop(name, l)
 		}
-		if l.conn == nil && !l.dialing && p.g.settings.Instance < name && now.After(l.retryAt) && l.address != "" {
+		mine := p.g.settings.Instance < name || now.Sub(l.lostAt) > dialAnywayAfter
+		if l.conn == nil && !l.dialing && mine && now.After(l.retryAt) && l.address != "" {
 			l.dialing = true
 			l.retryAt = now.Add(redialPause)
 			address := l.address
@@ -270,6 +276,7 @@
 		_ = l.conn.Close()
 	}
 	l.conn = conn
+	l.address = conn.Remote().Address
 	l.heardAt = time.Now()
 	// A neighbour that only lost its connection knows already.
 	if start := conn.Remote().Version; start != l.start {
@@ -291,7 +298,7 @@
 	defer p.mu.Unlock()
 	name := c.Remote().Instance
 	if l := p.links[name]; l != nil && l.conn == c {
-		l.conn = nil
+		l.conn, l.lostAt = nil, time.Now()
 		p.g.balancer.ForgetPeer(name)
 		event.Log(event.PeerLost, "peer", name)
 	}
