Add jayridge explain: one request's story from the logs of all processes

Cause: an engineer on call had to search the logs of each gateway for a request's lines and for what the gateway believed of its upstream then.

--- a/cmd/jayridge/main.go
+++ b/cmd/jayridge/main.go
@@ -27,7 +27,7 @@
 			"Start with: make demo",
 		Commands: []*cli.Command{
 			entryCommand(), sidecarCommand(), gatewayCommand(), checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(),
-			movesCommand(), auditCommand(), orderCommand(), callCommand(), loadCommand(), standinCommand(),
+			movesCommand(), auditCommand(), explainCommand(), orderCommand(), callCommand(), loadCommand(), standinCommand(),
 		},
 		// Errors are printed by main with the numbered exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
