Take an answer of the store for a contact, whatever the age of its content

Change: contact is when the store answered; an outage begins after 2.2 s without an answer (an entry lapses after 2.4 s at the earliest), and a pause with the watch after it takes at most 1.9 s. TestApply_RemovalInLongWatch fails without the change; TestWatchWait_NoOutageBetweenAnswers ties the constants together.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -48,7 +48,7 @@
 // DefaultConfig returns the settings for upstreams that register every second or two.
 func DefaultConfig() Config {
 	return Config{
-		OutageAfter:  1500 * time.Millisecond, // shorter than three missed registrations, which make an entry lapse
+		OutageAfter:  2200 * time.Millisecond, // three registrations of 1.2 s must be missed, of which one may have been due
 		ReturnWithin: 2 * time.Second,         // stated by the platform
 		ServesFor:    1500 * time.Millisecond, // the shortest time for which upstreams serve on is 2 s
 		RememberFor:  time.Minute,
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -21,12 +21,15 @@
 	trimPeriod = 2 * time.Second
 )
 
+// sourceStore is the source of what the store itself answered.
+const sourceStore = "store"
+
 // received is a batch from a source.
 type received struct {
 	batch mirror.Batch
 	// after is the revision that the batch continues from.
 	after uint64
-	// source is "store" or a peer's name.
+	// source is sourceStore or a peer's name.
 	source string
 	// applied, if set, is closed once the batch was applied.
 	applied chan<- struct{}
@@ -101,7 +104,11 @@
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
-		s.directory.Contact(asOf)
+		contact := asOf
+		if r.source == sourceStore {
+			contact = now // an answer shows that the store is well, even if its content may be older
+		}
+		s.directory.Contact(contact)
 		s.g.confirmed.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -16,6 +16,9 @@
 	// several times within the time in which a revoked one may still be served. It lies below denyAge and pullAge, so that a copy whose
 	// watch is waiting does not count as old.
 	watchWait = 1400 * time.Millisecond
+	// maxContactGap bounds the time between two answers of a store that is well, below the one from which upstreams count as missing rather
+	// than gone (directory.Config.OutageAfter); the difference is left for a store that is slow.
+	maxContactGap = 1900 * time.Millisecond
 	// watchPause is the least time between two answers of the store in a small fleet. Upstreams renew their entries all the time; a pause
 	// gathers the changes of many into one call.
 	watchPause = 300 * time.Millisecond
@@ -57,6 +60,9 @@
 	return min(pause, maxWatchPause, max(watchPause, settings.Duration(maxPauseShare*configMS)))
 }
 
+// watchWaitOf is how long the store may hold a watch that follows a pause.
+func watchWaitOf(pause time.Duration) time.Duration { return min(watchWait, maxContactGap-pause) }
+
 type watcher struct {
 	g        *Gateway
 	revision uint64
@@ -68,12 +74,13 @@
 // step makes one call and hands its result to the control goroutine.
 func (w *watcher) step() error {
 	sent := bootclock.Now()
+	wait := watchWaitOf(watchPauseOf(int(w.g.entries.Load()), w.g.fleet.Load().ConfigMS))
 	var batch mirror.Batch
 	var err error
 	if w.revision == 0 {
 		batch, err = w.g.store.Snapshot(w.g.ctx, allKeys)
 	} else {
-		batch, err = w.g.store.Changes(w.g.ctx, allKeys, w.revision, watchWait)
+		batch, err = w.g.store.Changes(w.g.ctx, allKeys, w.revision, wait)
 	}
 	if errors.Is(err, mirror.ErrHistoryLost) {
 		event.Log(event.HistoryLost, "revision", w.revision)
@@ -83,14 +90,14 @@
 	if err != nil {
 		return err
 	}
-	batch.AsOf = currentAt(sent, bootclock.Now(), batch)
+	batch.AsOf = currentAt(sent, bootclock.Now(), wait, batch)
 	return w.hand(batch)
 }
 
 // currentAt is the latest time at which an answer of the store was certainly current. It was made after the call was sent. A watch without
 // changes was answered only after the store had waited for them.
-func currentAt(sent, received time.Time, b mirror.Batch) time.Time {
-	if waited := sent.Add(watchWait); !b.Whole && len(b.Items) == 0 && !received.Before(waited) {
+func currentAt(sent, received time.Time, wait time.Duration, b mirror.Batch) time.Time {
+	if waited := sent.Add(wait); !b.Whole && len(b.Items) == 0 && !received.Before(waited) {
 		return waited
 	}
 	return sent
@@ -100,7 +107,7 @@
 func (w *watcher) hand(batch mirror.Batch) error {
 	applied := make(chan struct{})
 	select {
-	case w.g.batches <- received{batch: batch, after: w.revision, source: "store", applied: applied}:
+	case w.g.batches <- received{batch: batch, after: w.revision, source: sourceStore, applied: applied}:
 	case <-w.g.ctx.Done():
 		return w.g.ctx.Err()
 	}
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/mirror"
 )
 
@@ -25,9 +28,41 @@
 	sent := time.Unix(1000, 0)
 	item := []mirror.Item{{Key: "a", Revision: 1}}
 	late := sent.Add(3 * time.Second)
-	must.EqOp(t, sent.Add(watchWait), currentAt(sent, sent.Add(watchWait), mirror.Batch{}))
-	must.EqOp(t, sent.Add(watchWait), currentAt(sent, late, mirror.Batch{}))
-	must.EqOp(t, sent, currentAt(sent, sent.Add(watchWait-1), mirror.Batch{}))
-	must.EqOp(t, sent, currentAt(sent, late, mirror.Batch{Items: item}))
-	must.EqOp(t, sent, currentAt(sent, late, mirror.Batch{Whole: true}))
+	must.EqOp(t, sent.Add(watchWait), currentAt(sent, sent.Add(watchWait), watchWait, mirror.Batch{}))
+	must.EqOp(t, sent.Add(watchWait), currentAt(sent, late, watchWait, mirror.Batch{}))
+	must.EqOp(t, sent, currentAt(sent, sent.Add(watchWait-1), watchWait, mirror.Batch{}))
+	must.EqOp(t, sent, currentAt(sent, late, watchWait, mirror.Batch{Items: item}))
+	must.EqOp(t, sent, currentAt(sent, late, watchWait, mirror.Batch{Whole: true}))
+}
+
+// The regular time between answers of the store must never look like an outage: an upstream that left would count as missing and get
+// requests for two more seconds, as three hunted days showed.
+func TestWatchWait_NoOutageBetweenAnswers(t *testing.T) {
+	for _, gateways := range []int{1, 5, 31, 790} {
+		pause := watchPauseOf(gateways, 13_000)
+		must.Positive(t, watchWaitOf(pause))
+		must.Less(t, directory.DefaultConfig().OutageAfter, pause+watchWaitOf(pause))
+	}
+}
+
+// An upstream whose removal arrives at the end of a long watch has left; the store was in contact all the while.
+func TestApply_RemovalInLongWatch(t *testing.T) {
+	f := newFixture(t)
+	now := bootclock.Now()
+	s := &state{
+		g: f.gateway, mirror: mirror.New(), directory: directory.New(now.Add(-time.Second), directory.DefaultConfig()),
+		evacuated: make(map[string]struct{}), members: make(map[string]member),
+	}
+	u := newUpstream(t, "a", ok)
+	text, err := json.Marshal(u.entry())
+	must.NoError(t, err)
+	old := now.Add(-2300 * time.Millisecond)
+	s.apply(received{source: sourceStore, batch: mirror.Batch{
+		Whole: true, Revision: 1, AsOf: old, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
+	}})
+	must.Len(t, 1, s.directory.Usable())
+	s.apply(received{source: sourceStore, after: 1, batch: mirror.Batch{
+		Revision: 2, AsOf: old, Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
+	}})
+	must.SliceEmpty(t, s.directory.Usable())
 }
