--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/jayridge
 
-.PHONY: build demo test upgrade-test bench fuzz fmt
+.PHONY: build demo test upgrade-test bench fuzz soak fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/jayridge
@@ -21,5 +21,8 @@
 fuzz:
 	bash scripts/fuzz.sh
 
+soak:
+	bash scripts/soak.sh $(SEEDS) $(SECONDS)
+
 fmt:
 	gofmt -w $$(git ls-files '*.go')
