Serve a service whose upstreams all run a rollout's target before the rollout begins

Cause: found by reading: before its first step a rollout lets requests go to other versions only; where none is listed, all were refused. Change: then the target serves. A version that was taken back still gets nothing.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -445,6 +445,13 @@
 	return true
 }
 
+// Runs says whether an upstream of the service that takes requests has one of the versions, whatever its condition.
+func (b *Balancer) Runs(service string, versions Versions) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(e *backend) bool { return !e.leaving && versions(e.Version) })
+}
+
 // Down returns the number of upstreams of a service that are down, and of all.
 func (b *Balancer) Down(service string) (down, all int) {
 	b.mu.Lock()
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -312,7 +312,9 @@
 		chat = xxhash.Sum64String(c.id)
 	}
 	switch failed := len(c.progress.attempts) > 0; {
-	case plan.Share == 0:
+	case plan.Stopped:
+		return []balancer.Versions{older}
+	case plan.Share == 0 && c.g.balancer.Runs(c.service, older):
 		return []balancer.Versions{older}
 	case candidate.Cohort(chat, plan.Salt, plan.Share) && (!failed || plan.Share == 1):
 		return []balancer.Versions{newer, older}
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -108,3 +108,13 @@
 		return len(r.newer.got()) > 0
 	})
 }
+
+// A service whose upstreams all run the target already must be served while its rollout has not begun.
+func TestRollout_NoOtherVersion(t *testing.T) {
+	u := newUpstream(t, "a", ok)
+	u.version = "v2"
+	f := newFixture(t, u)
+	f.store.put("order/plain", RolloutOrder{Target: "v2", Within: time.Hour})
+	f.eventually("order taken", func() bool { return f.gateway.rollouts.driver.Plan("plain") != nil })
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+}
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -60,6 +60,8 @@
 	From, To string
 	Share    float64
 	Step     uint8
+	// Stopped says that the new version was taken back for good.
+	Stopped bool
 	// Salt makes the cohorts of different rollouts independent.
 	Salt uint64
 }
@@ -327,6 +329,7 @@
 		s := r.shift
 		next.plans[s.Service] = &Plan{
 			ID: id, From: s.From, To: s.To, Share: r.machine.Share(), Step: r.machine.Step(), Salt: xxhash.Sum64String(id),
+			Stopped: r.machine.State() == rollout.RolledBack,
 		}
 		leads := false
 		if r.keeper != nil {
