Log when a gap without contact to the store counts as an outage

Change: event 704 with the length of the gap and the sources of the contacts before and after it. Decisions are unchanged.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -100,12 +100,15 @@
 	return &Directory{config: config, upstreams: make(map[string]*trackedUpstream), contactAt: now}
 }
 
-// RecordContact records that the list was current at time now.
-func (d *Directory) RecordContact(now time.Time) {
-	if now.Sub(d.contactAt) > d.config.OutageAfter {
-		d.outageEndedAt = now
-	}
+// RecordContact records that the list was current at time now. If that ends an outage, it returns the time without contact, else zero.
+func (d *Directory) RecordContact(now time.Time) time.Duration {
+	gap := now.Sub(d.contactAt)
 	d.contactAt = now
+	if gap <= d.config.OutageAfter {
+		return 0
+	}
+	d.outageEndedAt = now
+	return gap
 }
 
 // Change is a change of an upstream's state, for the log.
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -78,6 +78,7 @@
 	PlatformFailed     ID = 701
 	PlatformRecovered  ID = 702
 	RegistrationFailed ID = 703
+	ListOutageEnded    ID = 704
 )
 
 // Level is the severity of a log event.
@@ -160,6 +161,7 @@
 	{PlatformFailed, "platform unavailable", Error, "check the platform's key-value service"},
 	{PlatformRecovered, "platform available again", Info, ""},
 	{RegistrationFailed, "registration in the platform's store failed", Info, ""},
+	{ListOutageEnded, "list of upstreams confirmed again after a gap in which entries may have expired", Info, ""},
 }
 
 var byID = func() map[ID]Description {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -59,6 +59,8 @@
 	evacuated map[string]struct{}
 	// members are the registered gateways.
 	members map[string]member
+	// contactSource is the source of the latest contact that the directory recorded.
+	contactSource string
 	// trimmedAt is the time of the latest trim of idle connections.
 	trimmedAt time.Time
 	// leavingCount is the number of leaving upstreams at the latest publish.
@@ -109,7 +111,11 @@
 		if r.source == sourceStore {
 			contact = now // a response shows that the store is available, even if its content may be older
 		}
-		s.directory.RecordContact(contact)
+		if gap := s.directory.RecordContact(contact); gap > 0 {
+			event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", r.source, "contact_before_from", s.contactSource,
+				"age_ms", now.Sub(contact).Milliseconds())
+		}
+		s.contactSource = r.source
 		s.g.configConfirmedAt.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
