Reproduce the false outage of the store, listed as known red

Callers: requests go to an upstream for up to 2.25 s after its entry was removed. TestRecordContact_OlderAfterNewer: missing, expected gone. TestApply_RemovalAfterNeighboursOlderCopy: 1 usable upstream, expected 0.

--- a/process/directory/directory_test.go
+++ b/process/directory/directory_test.go
@@ -30,6 +30,17 @@
 	must.SliceEmpty(t, usableIDs(d))
 }
 
+// A contact that a neighbour reports late must not make the next contact look like the end of an outage.
+func TestRecordContact_OlderAfterNewer(t *testing.T) {
+	d := New(start, DefaultConfig())
+	d.ApplyEntry(at(0), Entry{ID: "a"})
+	d.RecordContact(at(2000))
+	d.RecordContact(at(700))
+	d.RecordContact(at(3000))
+	change, _ := d.RemoveEntry(at(3000), "a")
+	must.EqOp(t, Gone, change.To)
+}
+
 // Upstreams whose entries expire during an outage of the store must stay usable. One that is still missing two seconds after the end of the
 // outage must be marked as gone.
 func TestRemoveEntry_ExpiredDuringOutage(t *testing.T) {
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -48,22 +48,41 @@
 
 // An upstream whose removal arrives at the end of a long watch must be gone immediately, not missing: the store was available all the time.
 func TestApply_RemovalInLongWatch(t *testing.T) {
+	s, old := stateWithUpstream(t)
+	must.Len(t, 1, s.directory.Usable())
+	s.apply(removal(sourceStore, old))
+	must.SliceEmpty(t, s.directory.Usable())
+}
+
+// A neighbour's push that confirms the copy as of an earlier time than the store's last response must not delay a removal.
+func TestApply_RemovalAfterNeighboursOlderCopy(t *testing.T) {
+	s, old := stateWithUpstream(t)
+	s.apply(sourcedBatch{source: "neighbour", after: 1, batch: mirror.Batch{Revision: 1, AsOf: old}})
+	s.apply(removal(sourceStore, old))
+	must.SliceEmpty(t, s.directory.Usable())
+}
+
+// stateWithUpstream returns a control state to which the store has just listed one upstream, as of the returned time. That is longer ago
+// than OutageAfter, as after a long watch.
+func stateWithUpstream(t *testing.T) (*state, time.Time) {
 	f := newFixture(t)
 	now := bootclock.Now()
 	s := &state{
 		g: f.gateway, mirror: mirror.New(), directory: directory.New(now.Add(-time.Second), directory.DefaultConfig()),
 		evacuated: make(map[string]struct{}), members: make(map[string]member),
 	}
-	u := newUpstream(t, "a", succeed)
-	text, err := json.Marshal(u.entry())
+	text, err := json.Marshal(newUpstream(t, "a", succeed).entry())
 	must.NoError(t, err)
 	old := now.Add(-2300 * time.Millisecond)
 	s.apply(sourcedBatch{source: sourceStore, batch: mirror.Batch{
 		Full: true, Revision: 1, AsOf: old, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
 	}})
-	must.Len(t, 1, s.directory.Usable())
-	s.apply(sourcedBatch{source: sourceStore, after: 1, batch: mirror.Batch{
-		Revision: 2, AsOf: old, Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
-	}})
-	must.SliceEmpty(t, s.directory.Usable())
+	return s, old
+}
+
+// removal returns a batch that removes the upstream of stateWithUpstream.
+func removal(source string, asOf time.Time) sourcedBatch {
+	return sourcedBatch{source: source, after: 1, batch: mirror.Batch{
+		Revision: 2, AsOf: asOf, Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
+	}}
 }
