directory: never move the time of the latest contact back

Cause: RecordContact overwrote the time of the latest contact with any other. When a copy is older than 1.6 s, neighbours push the time as of which theirs is current, up to 2.8 s ago while the store answers at its usual pace. The store's next answer then seemed to end an outage, and for 2 s removed upstreams counted as missing, which stay in use. Class: a maximum that is kept for several sources is overwritten by the latest arrival. Ruled out: a real gap between answers and the first contact after the start; event 704 always names a neighbour as the contact before. Change: an older contact changes nothing.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -100,14 +100,18 @@
 	return &Directory{config: config, upstreams: make(map[string]*trackedUpstream), contactAt: now}
 }
 
-// RecordContact records that the list was current at time now. If that ends an outage, it returns the time without contact, else zero.
-func (d *Directory) RecordContact(now time.Time) time.Duration {
-	gap := now.Sub(d.contactAt)
-	d.contactAt = now
+// RecordContact records that the store was available at the given time. Contacts come from several sources and may arrive out of order; one
+// that is older than the latest changes nothing. If the contact ends an outage, RecordContact returns the time without contact, else zero.
+func (d *Directory) RecordContact(at time.Time) time.Duration {
+	gap := at.Sub(d.contactAt)
+	if gap <= 0 {
+		return 0
+	}
+	d.contactAt = at
 	if gap <= d.config.OutageAfter {
 		return 0
 	}
-	d.outageEndedAt = now
+	d.outageEndedAt = at
 	return gap
 }
 
