gateway: judge the store's outages by its answers also when neighbours relay them

Callers: on a gateway that the store turns away while it serves the others, an upstream whose entry is removed can stay in use for two more seconds. A neighbour's push carried only the time as of which its copy is confirmed; in normal operation two such times are up to 2.8 s apart (a watch with changes counts from when it was sent), more than the 2.2 s from which the store counts as unavailable. Change: StorePush also carries the time since the store last answered, the mirror keeps the latest of each kind of time, and outages are judged by answers only. Earlier builds ignore the field, and its absence means the age of the copy, as before. Test: TestApply_RemovalHeardFromNeighbours; with the age of the copy in place of the contact: 1 usable upstream, expected 0.

--- a/connection/wire/fleet_test.go
+++ b/connection/wire/fleet_test.go
@@ -18,7 +18,7 @@
 		&FleetState{Loads: loads},
 		&FleetState{Partial: true, Holders: []PromptHolder{{Upstream: "i-1", Parts: []PromptPart{{ID: 1 << 60, Tokens: 700}}}}},
 		&StorePull{ID: 4, Revision: 9},
-		&StorePush{ID: 4, After: 9, Revision: 12, Full: true, AgeMS: 30, Items: []StoreItem{{Key: "k", Value: []byte("v"), Revision: 11}, {Key: "l", Revision: 12, Deleted: true}}},
+		&StorePush{ID: 4, After: 9, Revision: 12, Full: true, AgeMS: 30, ContactAgeMS: 10, Items: []StoreItem{{Key: "k", Value: []byte("v"), Revision: 11}, {Key: "l", Revision: 12, Deleted: true}}},
 	} {
 		frame, err := Encode(ControlStream, m)
 		must.NoError(t, err)
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -448,6 +448,8 @@
 	// AgeMS is the time since the copy was last known to be current, in milliseconds.
 	AgeMS uint32      `msgpack:"g"`
 	Items []StoreItem `msgpack:"t,omitempty"`
+	// ContactAgeMS is the time since the store last responded to the sender or to a peer that told it, in milliseconds. Zero means unknown.
+	ContactAgeMS uint32 `msgpack:"c,omitempty"`
 }
 
 // StoreItem is the latest change of a key in the platform's store.
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -107,10 +107,7 @@
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
-		contact := asOf
-		if r.source == sourceStore {
-			contact = now // a response shows that the store is available, even if its content may be older
-		}
+		contact := s.mirror.ContactAt()
 		if gap := s.directory.RecordContact(contact); gap > 0 {
 			event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", r.source, "contact_before_from", s.contactSource,
 				"age_ms", now.Sub(contact).Milliseconds())
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -55,7 +55,9 @@
 		return
 	}
 	push := &wire.StorePush{ID: m.ID, After: m.Revision, Revision: batch.Revision, Full: batch.Full}
-	push.AgeMS = uint32(max(0, bootclock.Now().Sub(batch.AsOf).Milliseconds()) + 1) // rounded up
+	now := bootclock.Now()
+	push.AgeMS = ageMS(now, batch.AsOf)
+	push.ContactAgeMS = ageMS(now, batch.ContactAt)
 	size := 0
 	for _, i := range batch.Items {
 		push.Items = append(push.Items, wire.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
@@ -68,6 +70,9 @@
 	_ = c.Send(push) // if it is lost, the neighbour repeats its pull
 }
 
+// ageMS returns the time since at in milliseconds, rounded up; it is never zero.
+func ageMS(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds()) + 1) }
+
 // applyPush passes a neighbour's push to the control goroutine. Its content was certainly current at the time at which the pull was sent,
 // minus the AgeMS of the push.
 func (p *peers) applyPush(name string, m *wire.StorePush) {
@@ -79,6 +84,9 @@
 		return
 	}
 	batch := mirror.Batch{Revision: m.Revision, Full: m.Full, AsOf: q.sent.Add(-time.Duration(m.AgeMS) * time.Millisecond)}
+	if m.ContactAgeMS > 0 {
+		batch.ContactAt = q.sent.Add(-time.Duration(m.ContactAgeMS) * time.Millisecond)
+	}
 	for _, i := range m.Items {
 		batch.Items = append(batch.Items, mirror.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -93,7 +93,8 @@
 	if err != nil {
 		return err
 	}
-	batch.AsOf = currentAt(sent, bootclock.Now(), wait, batch)
+	batch.ContactAt = bootclock.Now()
+	batch.AsOf = currentAt(sent, batch.ContactAt, wait, batch)
 	return w.deliver(batch)
 }
 
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -62,6 +62,17 @@
 	must.SliceEmpty(t, s.directory.Usable())
 }
 
+// A gateway that the store turns away must remove an upstream as soon as its neighbours, which the store serves, tell it to. Their copies may
+// be confirmed as of times that are further apart than OutageAfter.
+func TestApply_RemovalHeardFromNeighbours(t *testing.T) {
+	s, old := stateWithUpstream(t)
+	b := removal("neighbour", old.Add(4600*time.Millisecond))
+	b.batch.ContactAt = b.batch.AsOf
+	s.apply(sourcedBatch{source: "neighbour", after: 1, batch: mirror.Batch{Revision: 1, AsOf: old, ContactAt: old.Add(3500 * time.Millisecond)}})
+	s.apply(b)
+	must.SliceEmpty(t, s.directory.Usable())
+}
+
 // stateWithUpstream returns a control state to which the store has just listed one upstream, as of the returned time. That is longer ago
 // than OutageAfter, as after a long watch.
 func stateWithUpstream(t *testing.T) (*state, time.Time) {
@@ -75,7 +86,7 @@
 	must.NoError(t, err)
 	old := now.Add(-2300 * time.Millisecond)
 	s.apply(sourcedBatch{source: sourceStore, batch: mirror.Batch{
-		Full: true, Revision: 1, AsOf: old, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
+		Full: true, Revision: 1, AsOf: old, ContactAt: now, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
 	}})
 	return s, old
 }
@@ -83,6 +94,6 @@
 // removal returns a batch that removes the upstream of stateWithUpstream.
 func removal(source string, asOf time.Time) sourcedBatch {
 	return sourcedBatch{source: source, after: 1, batch: mirror.Batch{
-		Revision: 2, AsOf: asOf, Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
+		Revision: 2, AsOf: asOf, ContactAt: bootclock.Now(), Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
 	}}
 }
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -30,6 +30,9 @@
 	Full bool
 	// AsOf is the latest time, by the receiver's clock, at which the batch is known to have matched the store.
 	AsOf time.Time
+	// ContactAt is the latest time, by the receiver's clock, at which the store is known to have responded to any gateway. The response need
+	// not confirm the content, so it may be later than AsOf.
+	ContactAt time.Time
 }
 
 // ErrCompacted means that the store has discarded the changes after the requested revision. The copy must be updated with a full batch.
@@ -46,6 +49,7 @@
 	// historyStart is the lowest base revision, other than zero, for which Since lists the changes; below it, Since returns all items.
 	historyStart uint64
 	asOf         time.Time
+	contactAt    time.Time
 }
 
 // New returns an empty copy at revision zero.
@@ -57,6 +61,9 @@
 // AsOf returns the latest time at which the copy was known to be current; zero before the first full batch.
 func (m *Mirror) AsOf() time.Time { return m.asOf }
 
+// ContactAt returns the latest time at which the store is known to have responded; zero before the first full batch.
+func (m *Mirror) ContactAt() time.Time { return m.contactAt }
+
 // Apply applies a batch and returns the items that changed, in ascending order of revision. after is the base revision of a batch that is
 // not full; such a batch is ignored if the copy's revision is lower than after or the copy is still empty, since changes would be missing.
 func (m *Mirror) Apply(after uint64, b Batch) []Item {
@@ -81,6 +88,11 @@
 			m.asOf = b.AsOf
 		}
 	}
+	for _, at := range []time.Time{b.AsOf, b.ContactAt} {
+		if at.After(m.contactAt) {
+			m.contactAt = at
+		}
+	}
 	m.pruneTombstones()
 	slices.SortFunc(changed, func(a, b Item) int { return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key)) })
 	return changed
@@ -140,7 +152,7 @@
 // Since returns a batch that brings a copy at the given revision to this copy's revision: the changes after that revision, or all items
 // if the changes are no longer available.
 func (m *Mirror) Since(revision uint64) Batch {
-	b := Batch{Revision: m.revision, AsOf: m.asOf, Full: revision < m.historyStart || revision == 0}
+	b := Batch{Revision: m.revision, AsOf: m.asOf, ContactAt: m.contactAt, Full: revision < m.historyStart || revision == 0}
 	for _, item := range m.items {
 		if b.Full && !item.Deleted || !b.Full && item.Revision > revision {
 			b.Items = append(b.Items, item)
