gateway: report the pace of streams to rollouts before they end

A slow version's streams went on slowly after a first event in time. Cause: a gateway reported the time to the response headers only, and only once the request had ended, so that the slowest streams were missing when a step was decided; a caller that had left in the meantime was not reported at all. The outcome was also counted for the step in force at its end, not that of its choice. Change: the time to the first event and the mean interval of the first eight are reported as soon as they are known, for the plan by which the upstream was chosen. A later failure is reported besides. A caller that leaves counts with the time that it waited.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/health"
+	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
 )
@@ -54,7 +55,8 @@
 	if time.Until(c.deadline) < time.Millisecond {
 		return result.DeadlineBeforeRun, false
 	}
-	choice := c.pickUpstream()
+	plan := c.g.rollouts.driver.Plan(c.service)
+	choice := c.pickUpstream(plan)
 	if choice == nil {
 		return result.NoUpstream, false
 	}
@@ -68,7 +70,7 @@
 
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
-	a := &attempt{call: c, choice: choice, ctx: ctx, started: time.Now()}
+	a := &attempt{call: c, choice: choice, plan: plan, ctx: ctx, started: time.Now()}
 	a.timeoutTimer = time.AfterFunc(c.responseTimeout(choice), func() {
 		if time.Now().Before(c.deadline) {
 			cancel(errResponseTimeout)
@@ -96,7 +98,9 @@
 type attempt struct {
 	call   *call
 	choice *balancer.Choice
-	ctx    context.Context
+	// plan is the plan of the rollout by which the upstream was chosen, nil if there is none.
+	plan *shift.Plan
+	ctx  context.Context
 	// timeoutTimer cancels the attempt unless it is stopped or reset. It never runs past the deadline.
 	timeoutTimer *time.Timer
 	// outcome is the outcome of the attempt for the health check of the upstream.
@@ -104,6 +108,9 @@
 	started time.Time
 	// headLatency is the time until the response headers arrived, zero if there was no response.
 	headLatency time.Duration
+	pace        streamPace
+	// paceReported means that the rollout of the service has got an observation of the stream's speed.
+	paceReported bool
 	// inconclusive means that the attempt shows nothing about the health of the upstream, and outcome is not set.
 	inconclusive bool
 }
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -8,6 +8,7 @@
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/placement"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/request/retry"
@@ -112,7 +113,7 @@
 }
 
 // pickUpstream chooses an upstream and reserves capacity there. It returns nil if there is none.
-func (c *call) pickUpstream() *balancer.Choice {
+func (c *call) pickUpstream(plan *shift.Plan) *balancer.Choice {
 	q := balancer.Query{
 		Service:    c.service,
 		DataCentre: c.allowedIn,
@@ -124,7 +125,7 @@
 		Parts: c.prompt.SharedParts(),
 		Tried: c.progress.tried,
 	}
-	for _, versions := range c.versions() {
+	for _, versions := range c.versions(plan) {
 		q.Versions = versions
 		if choice := c.g.balancer.Pick(bootclock.Now(), q); choice != nil {
 			return choice
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -7,17 +7,12 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jayridge/jayridge/connection/wire"
-	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/lease"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/shift"
-	"github.com/jayridge/jayridge/request/candidate"
-	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -168,7 +163,8 @@
 			deadline = r.deadlineOf(known, o)
 		}
 		shifts = append(shifts, rollout.Shift{
-			ID: o.id, Service: service, From: fromVersion(service, o.Target), To: o.Target, Deadline: deadline, MaxCanaryShare: rolloutCap,
+			ID: o.id, Service: service, From: fromVersion(service, o.Target), To: o.Target, Deadline: deadline,
+			MaxCanaryShare: rolloutCap,
 		})
 	}
 	r.stopTicker()
@@ -302,50 +298,3 @@
 	case <-g.ctx.Done():
 	}
 }
-
-// versions returns the sets of upstream versions that may run the call's next attempt, in order of preference. A nil set means all
-// versions.
-func (c *call) versions() []balancer.Versions {
-	plan := c.g.rollouts.driver.Plan(c.service)
-	if plan == nil {
-		return []balancer.Versions{nil}
-	}
-	newer := func(version string) bool { return version == plan.To }
-	older := func(version string) bool { return version != plan.To }
-	chat := c.prompt.Session()
-	if chat == 0 {
-		chat = xxhash.Sum64String(c.id)
-	}
-	switch failed := len(c.progress.attempts) > 0; {
-	case plan.Stopped:
-		return []balancer.Versions{older}
-	case plan.Share == 0 && c.g.balancer.HasVersion(c.service, older):
-		return []balancer.Versions{older}
-	case candidate.InCohort(chat, plan.Salt, plan.Share) && (!failed || plan.Share == 1):
-		return []balancer.Versions{newer, older}
-	default:
-		return []balancer.Versions{older, newer}
-	}
-}
-
-// reportToRollout reports the outcome of an attempt to the rollout of the service, if there is one. Refused and canceled requests are not
-// reported, since they show nothing about the version.
-func (a *attempt) reportToRollout(code result.Code) {
-	c := a.call
-	plan := c.g.rollouts.driver.Plan(c.service)
-	if plan == nil || a.inconclusive || code.Outcome() == result.NotRun || code == result.Canceled {
-		return
-	}
-	o := rollout.Observation{
-		Side: rollout.Old, Route: c.route.Name, DataCentre: a.choice.DataCentre, Failed: code != result.OK, Latency: a.headLatency, Step: plan.Step,
-	}
-	if a.headLatency == 0 {
-		o.Latency = time.Since(a.started)
-	}
-	if a.choice.Version == plan.To {
-		o.Side = rollout.New
-	}
-	if !c.g.rollouts.driver.Observe(shift.Outcome{Plan: plan, Observation: o}) {
-		c.g.metrics.outcomesDropped.Add(1)
-	}
-}
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
 )
 
 // rolloutFixture is two gateways in front of upstreams of an old and a new version, with callers that send until the test ends.
@@ -17,12 +20,15 @@
 	*fixture
 	other        *Gateway
 	older, newer *fakeUpstream
-	failed       atomic.Int64
-	sent         atomic.Int64
+	// path is the path prefix of the requests, callers the number of callers that send them at the same time.
+	path    string
+	callers int
+	failed  atomic.Int64
+	sent    atomic.Int64
 }
 
-func newRolloutFixture(t *testing.T, newer func(net.Conn, *http.Request, string) bool) *rolloutFixture {
-	r := &rolloutFixture{older: newUpstream(t, "a", succeed), newer: newUpstream(t, "b", newer)}
+func newRolloutFixture(t *testing.T, older, newer func(net.Conn, *http.Request, string) bool) *rolloutFixture {
+	r := &rolloutFixture{older: newUpstream(t, "a", older), newer: newUpstream(t, "b", newer), path: "/look/", callers: 1}
 	r.older.version, r.newer.version = "v1", "v2"
 	r.fixture = newFixture(t, r.older)
 	r.other = r.start("two")
@@ -44,20 +50,30 @@
 		return true
 	})
 	r.store.put("upstream/b", r.newer.entry())
-	for deadline := time.Now().Add(within + 5*time.Second); time.Now().Before(deadline); {
-		for i, g := range gateways {
-			n := r.sent.Add(1)
-			path := fmt.Sprintf("/look/%d", n)
-			if r.send(g, http.MethodGet, path, func(q *http.Request) { q.Header.Set("Test-Id", fmt.Sprint("r", i, "-", n)) }).status != http.StatusOK {
-				r.failed.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), within+5*time.Second)
+	defer cancel()
+	var callers errgroup.Group
+	for range r.callers {
+		callers.Go(func() error {
+			for ctx.Err() == nil {
+				for i, g := range gateways {
+					n := r.sent.Add(1)
+					path := fmt.Sprint(r.path, n)
+					if r.send(g, http.MethodGet, path, func(q *http.Request) { q.Header.Set("Test-Id", fmt.Sprint("r", i, "-", n)) }).status != http.StatusOK {
+						r.failed.Add(1)
+					}
+				}
+				if s, found := r.status(); found && s.State != RolloutRunning {
+					cancel()
+				}
+				time.Sleep(4 * time.Millisecond) // a few hundred requests a second
 			}
-		}
-		if s, found := r.status(); found && s.State != RolloutRunning {
-			return s.State
-		}
-		time.Sleep(4 * time.Millisecond) // a few hundred requests a second
+			return nil
+		})
 	}
-	return RolloutRunning
+	must.NoError(r.t, callers.Wait())
+	s, _ := r.status()
+	return s.State
 }
 
 func (r *rolloutFixture) status() (RolloutStatus, bool) {
@@ -70,7 +86,7 @@
 
 // A good version must get all traffic within the time limit, and the status must be completed only then.
 func TestRollout_GoodVersionCompletes(t *testing.T) {
-	r := newRolloutFixture(t, succeed)
+	r := newRolloutFixture(t, succeed, succeed)
 	must.EqOp(t, RolloutCompleted, r.order(8*time.Second))
 	must.EqOp(t, 0, r.failed.Load())
 	before := len(r.older.received())
@@ -83,7 +99,7 @@
 // A version whose responses are errors must get a small share of the requests and none once it is rolled back. Callers must not see its
 // errors while the old version can respond.
 func TestRollout_BadVersionIsRolledBack(t *testing.T) {
-	r := newRolloutFixture(t, func(conn net.Conn, q *http.Request, _ string) bool {
+	r := newRolloutFixture(t, succeed, func(conn net.Conn, q *http.Request, _ string) bool {
 		return respond(conn, q.Header.Get("Test-Id"), 500, "", "failed")
 	})
 	must.EqOp(t, RolloutRolledBack, r.order(8*time.Second))
@@ -96,9 +112,35 @@
 	must.EqOp(t, before, len(r.newer.received()))
 }
 
+// streamWithInterval returns the handler of an upstream whose streams begin at once and whose further events follow at the interval.
+func streamWithInterval(interval time.Duration) func(net.Conn, *http.Request, string) bool {
+	return func(conn net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Test-Id"))
+		for id := range measuredIntervals + 2 {
+			event := fmt.Sprintf("id: %d\ndata: a\n\n", id)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+			time.Sleep(interval)
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// A version whose streams begin in time and continue four times slower must be rolled back.
+func TestRollout_SlowStreamsAreRolledBack(t *testing.T) {
+	r := newRolloutFixture(t, streamWithInterval(5*time.Millisecond), streamWithInterval(20*time.Millisecond))
+	r.path, r.callers = "/talk/", 12
+	must.EqOp(t, RolloutRolledBack, r.order(8*time.Second))
+	must.Less(t, r.sent.Load()/10+50, int64(len(r.newer.received())))
+	must.StrContains(t, r.gateway.rollouts.driver.Status()[0].Reason, "is slow more often")
+}
+
 // A new version must get no requests before the rollout has started, and after an order is withdrawn all versions must stay in use.
 func TestRollout_OrderWithdrawn(t *testing.T) {
-	r := newRolloutFixture(t, succeed)
+	r := newRolloutFixture(t, succeed, succeed)
 	r.store.put("order/plain", RolloutOrder{Target: "v2", TimeLimit: time.Hour})
 	r.eventually("order taken", func() bool { return r.gateway.rollouts.driver.Plan("plain") != nil })
 	r.store.remove("order/plain")
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -33,6 +33,7 @@
 		}
 		a.timeoutTimer.Reset(c.gapTimeout())
 		c.beginStream(response)
+		a.reportEvents(chunk)
 		if id, found := eventstream.LastID(chunk); found {
 			c.progress.lastEvent, c.progress.resumable = id, true
 		}
