gateway: decide a rollout early enough to report its end within the time limit

Cause: the limit was the time of the decision; the second of monitoring and the writes of record and status came after it. Change: the decision falls earlier by the monitoring time and 0.7 s, by a quarter of the limit at most. Test: TestRollout_DecidedBeforeTheTimeLimit failed before.

--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -22,6 +22,11 @@
 	// rolloutCap is the maximum traffic share of a new version until it has been evaluated. It is slightly below the share of all requests
 	// that a faulty version is allowed to get.
 	rolloutCap = 0.08
+	// reportMargin is the time that a decision needs until the operators can read it: a tick, the write of the record and that of the status,
+	// which may have to be repeated once.
+	reportMargin = 700 * time.Millisecond
+	// maxMarginShare is the maximum fraction of a rollout's time limit that is reserved for monitoring and reporting.
+	maxMarginShare = 0.25
 	// statusWriteInterval is the minimum time between attempts to write a status.
 	statusWriteInterval = 300 * time.Millisecond
 )
@@ -163,7 +168,7 @@
 			deadline = r.deadlineOf(known, o)
 		}
 		shifts = append(shifts, rollout.Shift{
-			ID: o.id, Service: service, From: fromVersion(service, o.Target), To: o.Target, Deadline: deadline,
+			ID: o.id, Service: service, From: fromVersion(service, o.Target), To: o.Target, Deadline: deadline.Add(-decisionMargin(o.TimeLimit)),
 			MaxCanaryShare: rolloutCap,
 		})
 	}
@@ -179,6 +184,12 @@
 	}
 }
 
+// decisionMargin returns how long before the end of a rollout's time limit the new version must have all traffic, so that the end of the
+// rollout is reported within the limit.
+func decisionMargin(limit time.Duration) time.Duration {
+	return min(rolloutConfig().MonitorTime+reportMargin, time.Duration(maxMarginShare*float64(limit)))
+}
+
 // stopTicker stops the ticker, if there is one.
 func (r *rollouts) stopTicker() {
 	if r.ticker != nil {
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -161,3 +161,22 @@
 	f.eventually("order taken", func() bool { return f.gateway.rollouts.driver.Plan("plain") != nil })
 	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
 }
+
+// A rollout must be decided early enough that its end can be monitored and reported within the operators' time limit.
+func TestRollout_DecidedBeforeTheTimeLimit(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	for _, limit := range []time.Duration{time.Second, 15 * time.Second, time.Hour} {
+		f.store.put("order/plain", RolloutOrder{Target: "v2", TimeLimit: limit})
+		var decided time.Time
+		f.eventually("order taken", func() bool {
+			status := f.gateway.rollouts.driver.Status()
+			if len(status) != 1 || time.Until(status[0].By) > limit || time.Until(status[0].By) < limit/2 {
+				return false
+			}
+			decided = status[0].By
+			return true
+		})
+		margin := min(limit/4, rolloutConfig().MonitorTime+reportMargin)
+		must.LessEq(t, limit-margin, time.Until(decided))
+	}
+}
