--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	// rolloutTick is the interval between steps of the active rollouts, a sixth of rolloutConfig's window.
+	// rolloutTick is the interval between steps of the active rollouts, a twelfth of rolloutConfig's window.
 	rolloutTick = 50 * time.Millisecond
 	// rolloutCap is the maximum traffic share of a new version until it has been evaluated. It is slightly below the share of all requests
 	// that a faulty version is allowed to get.
 	rolloutCap = 0.08
+	// rolloutMonitorTime is how long the new version is observed with all traffic before the rollout is completed.
+	rolloutMonitorTime = time.Second
 	// reportMargin is the time that a decision needs until the operators can read it: a tick, the write of the record and that of the status,
 	// which may have to be repeated once.
 	reportMargin = 700 * time.Millisecond
@@ -32,10 +34,13 @@
 )
 
 // rolloutConfig returns the settings for rollouts with a time limit of about ten seconds. Their statistical tests see only a few requests
-// per second, so that only large differences can be detected.
-func rolloutConfig() rollout.Config {
+// per second, so that only large differences can be detected. A window is long enough that most requests to the new version have one to the old
+// version beside them; those without one are no evidence. The leader and an aggregator in each data centre test independently.
+func rolloutConfig(dataCentres int) rollout.Config {
 	c := rollout.DefaultConfig()
-	c.Window = 300 * time.Millisecond
+	c.Alpha = 0.03
+	c.IndependentTests = 1 + dataCentres
+	c.Window = 600 * time.Millisecond
 	c.Lag = 300 * time.Millisecond
 	c.Beta = 0.05
 	c.FailedDifference = 0.25
@@ -43,7 +48,7 @@
 	c.MinStep = 800 * time.Millisecond
 	c.PlanReserve = 0.3
 	c.SettleTime = 300 * time.Millisecond
-	c.MonitorTime = time.Second
+	c.MonitorTime = rolloutMonitorTime
 	c.DeadlineGrace = 2 * time.Second
 	c.RetryEvery = 300 * time.Millisecond
 	return c
@@ -113,7 +118,7 @@
 	return &rollouts{
 		g: g,
 		driver: shift.New(shift.Options{
-			Config: rolloutConfig(), Lease: rolloutLease(), Instance: g.settings.Instance, DataCentre: g.settings.DataCentre,
+			Config: rolloutConfig(len(g.settings.DataCentres)), Lease: rolloutLease(), Instance: g.settings.Instance, DataCentre: g.settings.DataCentre,
 			KV: g.store, Host: rolloutHost{g},
 		}),
 		orders:   make(map[string]rolloutOrder),
@@ -187,7 +192,7 @@
 // decisionMargin returns how long before the end of a rollout's time limit the new version must have all traffic, so that the end of the
 // rollout is reported within the limit.
 func decisionMargin(limit time.Duration) time.Duration {
-	return min(rolloutConfig().MonitorTime+reportMargin, time.Duration(maxMarginShare*float64(limit)))
+	return min(rolloutMonitorTime+reportMargin, time.Duration(maxMarginShare*float64(limit)))
 }
 
 // stopTicker stops the ticker, if there is one.
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -176,7 +176,7 @@
 			decided = status[0].By
 			return true
 		})
-		margin := min(limit/4, rolloutConfig().MonitorTime+reportMargin)
+		margin := min(limit/4, rolloutMonitorTime+reportMargin)
 		must.LessEq(t, limit-margin, time.Until(decided))
 	}
 }
--- a/version/rollout/latencylimit.go
+++ b/version/rollout/latencylimit.go
@@ -33,8 +33,8 @@
 
 func (k limitKey) anyDataCentre() limitKey { return limitKey{route: k.route, class: k.class} }
 
-// promptClass returns the class of a prompt's length. Each class spans a factor of two.
-func promptClass(tokens int) int { return bits.Len(uint(max(tokens, 0) / minClassTokens)) }
+// promptClass returns the class of a prompt's length. Each class spans a factor of four.
+func promptClass(tokens int) int { return (bits.Len(uint(max(tokens, 0)/minClassTokens)) + 1) / 2 }
 
 // latencyLimit is a quantile of the old version's latencies, above which a request is slow.
 type latencyLimit struct {
