upstream: limit the bytes of a response head

Callers: none seen; reported for systems like this one: an upstream in trouble sends bytes that are no answer without end. Cause: http.ReadResponse has no limit on the status line and the header lines. A gateway read on until the attempt's deadline, up to 15 s, at the speed of the link: enough for the process to be killed for its memory. Class: a reader with a bound in time but none in bytes. Change: at most 64 KiB are read for a head; beyond that the connection is closed, the attempt counts as failed with bad-answer, and the upstream as broken. Chunk sizes, extensions and trailers are bounded by net/http already. TestServe_ResponseWithoutEnd plays head, bodies and an event without end through a gateway.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -11,9 +11,11 @@
 
 // Conn is one connection to an upstream. It is used by one goroutine at a time; Abort may be called from any goroutine.
 type Conn struct {
-	pool   *Pool
-	nc     net.Conn
-	reader *bufio.Reader
+	pool *Pool
+	nc   net.Conn
+	// limited bounds what reader may read from nc.
+	limited *limitedReader
+	reader  *bufio.Reader
 	// keepAlive is how long the upstream keeps the connection open while idle, as far as it states it.
 	keepAlive time.Duration
 	usedAt    time.Time
--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -143,7 +143,9 @@
 
 // receive reads the head of the response to r and skips responses to other requests.
 func receive(c *Conn, r *Request) (*Response, error) {
+	defer c.limited.allowAll()
 	for range maxMismatchedResponses + 1 {
+		c.limited.allow(maxHeadBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -161,6 +163,7 @@
 		if response.Close || closeDelimited(response) {
 			return nil, ErrMismatchedResponse
 		}
+		c.limited.allow(maxMismatchedBodyBytes)
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes)); err != nil {
 			return nil, err
 		}
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -142,10 +142,12 @@
 		p.release()
 		return nil, trace.ConnectionProblem(err, "dial %s", p.address)
 	}
+	limited := newLimitedReader(nc)
 	return &Conn{
 		pool:      p,
 		nc:        nc,
-		reader:    bufio.NewReaderSize(nc, p.config.BufferBytes),
+		limited:   limited,
+		reader:    bufio.NewReaderSize(limited, p.config.BufferBytes),
 		keepAlive: p.config.MaxIdle,
 		usedAt:    time.Now(),
 	}, nil
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -232,6 +232,9 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		a.inconclusive = true
 		return result.DeadlineBeforeRun, false
+	case errors.Is(err, upstream.ErrHeadTooLong):
+		a.outcome = health.Broken
+		return result.BadAnswer, true
 	default:
 		return a.interrupted(), true
 	}
