gateway: bound a buffered response by a setting, 4 MB by default

All bodies together are still not bounded (docs/platform.md, known limits). Tests: TestServe_ResponseSizeLimit; TestServe_ResponseWithoutEnd as before.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of the body of a response that is not a stream.
-	maxResponseBytes = 16 << 20
 	// nonIdempotentMaxIdle is the maximum idle time of a connection that is reused for a request that must not be repeated: if the
 	// upstream closes an idle connection just as the request is sent, the request is lost.
 	nonIdempotentMaxIdle = 500 * time.Millisecond
@@ -272,11 +270,12 @@
 // forwardComplete reads a response that is not a stream, validates it and forwards it.
 func (a *attempt) forwardComplete(response *upstream.Response) result.Code {
 	c := a.call
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	limit := int64(c.g.settings.MaxResponseMB * (1 << 20))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return a.interrupted()
 	}
-	if len(body) > maxResponseBytes || !a.isAuthentic(response) {
+	if int64(len(body)) > limit || !a.isAuthentic(response) {
 		a.outcome = health.Broken
 		return result.BadAnswer
 	}
--- a/process/gateway/endless_test.go
+++ b/process/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -50,3 +51,20 @@
 		})
 	}
 }
+
+// A response of the maximum size must be forwarded; a longer one must not be.
+func TestServe_ResponseSizeLimit(t *testing.T) {
+	const limit = 1 << 14
+	sizes := map[string]int{"/look/fits": limit, "/look/exceeds": limit + 1}
+	serve := func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 200, "", strings.Repeat("x", sizes[r.URL.Path]))
+	}
+	f := newFixture(t, newUpstream(t, "a", serve))
+	s := f.settings("small")
+	s.MaxResponseMB = limit / float64(1<<20)
+	g := f.startUnmanaged(s, f.store)
+	t.Cleanup(func() { g.Stop(context.Background()) })
+	f.waitReady(g)
+	must.EqOp(t, limit, len(f.send(g, http.MethodGet, "/look/fits", nil).body))
+	must.EqOp(t, http.StatusBadGateway, f.send(g, http.MethodGet, "/look/exceeds", nil).status)
+}
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -30,6 +30,9 @@
 	MemoryMB float64 `json:"memory_mb" validate:"min=32,max=1048576"`
 	// MaxFiles is the maximum number of file descriptors of the process. Default 4096.
 	MaxFiles int `json:"max_files" validate:"min=256,max=10000000"`
+	// MaxResponseMB is the maximum size of the body of a response that is not a stream, in megabytes. Such bodies are held in memory until they
+	// are complete; an upstream that sends more is treated as broken. Default 4.
+	MaxResponseMB float64 `json:"max_response_mb" validate:"min=0.01,max=1024"`
 	// Store holds the settings of the platform's store.
 	Store Store `json:"store"`
 	// Fleet holds the limits that apply to all gateways together.
@@ -80,7 +83,9 @@
 	return Gateway{
 		MemoryMB: 256,
 		MaxFiles: 4096,
-		Store:    Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
+
+		MaxResponseMB: 4,
+		Store:         Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
 			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
 		},
