rollout: no division by zero for a record at the last step

Callers: an entry that reads a record in state canary or ramping at the last step ends with a panic, and all that lead the rollout after it. Cause: stepComplete divided the remaining time by the number of steps left, which is zero there. A foreign or faulty writer suffices. Change: at least one step counts as left; the step after the last one is a comparison at a lower share, which is safe.

--- a/version/rollout/schedule.go
+++ b/version/rollout/schedule.go
@@ -118,7 +118,8 @@
 // evenly among the remaining steps, because some defects appear only after a while.
 func (m *Machine) stepComplete(now time.Time) bool {
 	since := m.record.since()
-	stepsLeft := time.Duration(len(m.steps) - 1 - int(m.record.Step))
+	// A record read from the platform may be in a state that does not belong to its step.
+	stepsLeft := time.Duration(max(1, len(m.steps)-1-int(m.record.Step)))
 	stay := max(m.plannedEnd().Sub(since)/stepsLeft, m.config.MinStep)
 	if now.Before(since.Add(stay)) {
 		return false
