gateway: ask the store again when a watch is overdue

Cause: the store keeps watches waiting and cuts them when it discards its history. The gateways waited for the timeout of the call, 2.4 s, which is longer than the 2.2 s from which entries may have expired, and paused for 0.3 s before they read everything again. Ruled out: an outage; new calls were answered all the time. Change: 250 ms after its end a watch is checked by a call without a wait over a new connection; the first result of either counts. After a lost history everything is read at once.

--- a/process/event/event.go
+++ b/process/event/event.go
@@ -79,6 +79,7 @@
 	PlatformRecovered  ID = 702
 	RegistrationFailed ID = 703
 	ListOutageEnded    ID = 704
+	WatchOverdue       ID = 705
 )
 
 // Level is the severity of a log event.
@@ -162,6 +163,7 @@
 	{PlatformRecovered, "platform available again", Info, ""},
 	{RegistrationFailed, "registration in the platform's store failed", Info, ""},
 	{ListOutageEnded, "list of upstreams confirmed again after a gap in which entries may have expired", Info, ""},
+	{WatchOverdue, "watch of the store is overdue, the store is asked over another connection", Info, ""},
 }
 
 var byID = func() map[ID]Description {
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/jayridge/jayridge/internal/sleep"
@@ -30,6 +32,9 @@
 	maxPauseShare = 0.3
 	// maxWatchPause keeps the pause below the ages from which the copy is treated as old. 790 gateways then read the store 790 times a second.
 	maxWatchPause = time.Second
+	// watchOverdue is how long after the end of its wait a watch may respond before the store is asked over another connection. A waiting watch
+	// can be lost without a sign, while the store serves new calls.
+	watchOverdue = 250 * time.Millisecond
 	// watchRetry is the delay before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without a response after which the store is logged as unavailable.
@@ -76,28 +81,69 @@
 
 // step makes one call and passes its result to the control goroutine.
 func (w *watcher) step() error {
-	sent := bootclock.Now()
-	wait := watchWaitFor(watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS))
-	var batch mirror.Batch
-	var err error
+	var r storeResponse
 	if w.revision == 0 {
-		batch, err = w.g.store.Snapshot(w.g.ctx, allKeys)
+		r = w.ask(w.g.ctx, 0, w.g.store.Snapshot)
 	} else {
-		batch, err = w.g.store.Changes(w.g.ctx, allKeys, w.revision, wait)
+		r = w.changes(watchWaitFor(watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)))
 	}
+	batch, err := r.batch, r.err
 	if errors.Is(err, mirror.ErrCompacted) {
 		event.Log(event.StoreHistoryLost, "revision", w.revision)
 		w.revision = 0
-		return nil
+		return w.step() // reads everything
 	}
 	if err != nil {
 		return err
 	}
 	batch.ContactAt = bootclock.Now()
-	batch.AsOf = currentAt(sent, batch.ContactAt, wait, batch)
+	batch.AsOf = currentAt(r.sent, batch.ContactAt, r.wait, batch)
 	return w.deliver(batch)
 }
 
+// storeResponse is the result of one call of the store.
+type storeResponse struct {
+	batch mirror.Batch
+	err   error
+	// sent is the time at which the call was sent, wait the time for which the store was asked to wait.
+	sent time.Time
+	wait time.Duration
+}
+
+func (w *watcher) ask(ctx context.Context, wait time.Duration, call func(ctx context.Context, prefix string) (mirror.Batch, error)) storeResponse {
+	r := storeResponse{sent: bootclock.Now(), wait: wait}
+	r.batch, r.err = call(ctx, allKeys)
+	return r
+}
+
+// changes waits for changes after the copy's revision. If the response is overdue, the store is asked again without a wait, and the first
+// result of either call counts, be it an error: the next call is then made after watchRetry, and not after the timeout of the watch.
+func (w *watcher) changes(wait time.Duration) storeResponse {
+	ctx, cancel := context.WithCancel(w.g.ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	responses := make(chan storeResponse, 2)
+	ask := func(wait time.Duration) {
+		calls.Go(func() {
+			responses <- w.ask(ctx, wait, func(ctx context.Context, prefix string) (mirror.Batch, error) {
+				return w.g.store.Changes(ctx, prefix, w.revision, wait)
+			})
+		})
+	}
+	ask(wait)
+	overdue := time.NewTimer(wait + watchOverdue)
+	defer overdue.Stop()
+	select {
+	case r := <-responses:
+		return r
+	case <-overdue.C:
+		event.LogSampled(event.WatchOverdue, "wait_ms", wait.Milliseconds(), "revision", w.revision)
+		ask(0)
+		return <-responses
+	}
+}
+
 // currentAt returns the latest time at which a response of the store was certainly current. A response is made after its call was sent; a
 // watch that ended without changes was current until the end of the wait.
 func currentAt(sent, received time.Time, wait time.Duration, b mirror.Batch) time.Time {
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +44,7 @@
 	for _, gateways := range []int{1, 5, 31, 790} {
 		pause := watchPauseFor(gateways, 13_000)
 		must.Positive(t, watchWaitFor(pause))
-		must.Less(t, directory.DefaultConfig().OutageAfter, pause+watchWaitFor(pause))
+		must.Less(t, directory.DefaultConfig().OutageAfter, pause+watchWaitFor(pause)+watchOverdue)
 	}
 }
 
@@ -97,3 +99,35 @@
 		Revision: 2, AsOf: asOf, ContactAt: bootclock.Now(), Items: []mirror.Item{{Key: "upstream/a", Revision: 2, Deleted: true}},
 	}}
 }
+
+// silentStore is a store whose watches get no response once they are silenced, while calls without a wait are served.
+type silentStore struct {
+	*fakeStore
+	silenced atomic.Bool
+	// asked counts the calls without a wait.
+	asked atomic.Int64
+}
+
+func (s *silentStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if wait > 0 && s.silenced.Load() {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	if wait == 0 {
+		s.asked.Add(1)
+	}
+	return s.fakeStore.Changes(ctx, prefix, after, wait)
+}
+
+// A watch that is lost without a sign must not count as an outage of the store: an upstream that was removed meanwhile would stay in use.
+func TestWatch_LostWithoutSign(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &silentStore{fakeStore: f.store}
+	g := f.startWith("silent", store)
+	f.waitReady(g)
+	store.silenced.Store(true)
+	f.eventually("watch lost", func() bool { return g.configAge() > watchWait })
+	f.store.remove("upstream/a")
+	f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
+	f.eventually("store asked again", func() bool { return store.asked.Load() > 0 })
+}
