--- a/connection/upstream/limit.go
+++ b/connection/upstream/limit.go
@@ -9,7 +9,8 @@
 // maxHeadBytes limits the bytes that are read for one response head, and those that are read ahead of its body with it.
 const maxHeadBytes = 64 << 10
 
-// ErrHeadTooLong means that an upstream sent more than maxHeadBytes without completing the head of a response.
+// ErrHeadTooLong means that an upstream sent more than maxHeadBytes without completing the head of a response, or too long a response to
+// another request before it.
 var ErrHeadTooLong = errors.New("response head too long")
 
 // limitedReader reads from a connection and fails once a limit that can be changed between reads is used up. Without it, the head of a
--- a/process/gateway/evidence.go
+++ b/process/gateway/evidence.go
@@ -3,12 +3,8 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/shift"
-	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/request/eventstream"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/rollout"
@@ -48,43 +44,20 @@
 	return p.last.Sub(p.first) / time.Duration(p.intervals)
 }
 
-// versions returns the sets of upstream versions that may run the call's next attempt, in order of preference. A nil set means all
-// versions.
-func (c *call) versions(plan *shift.Plan) []balancer.Versions {
-	if plan == nil {
-		return []balancer.Versions{nil}
-	}
-	newer := func(version string) bool { return version == plan.To }
-	older := func(version string) bool { return version != plan.To }
-	chat := c.prompt.Session()
-	if chat == 0 {
-		chat = xxhash.Sum64String(c.id)
-	}
-	switch failed := len(c.progress.attempts) > 0; {
-	case plan.Stopped:
-		return []balancer.Versions{older}
-	case plan.Share == 0 && c.g.balancer.HasVersion(c.service, older):
-		return []balancer.Versions{older}
-	case candidate.InCohort(chat, plan.Salt, plan.Share) && (!failed || plan.Share == 1):
-		return []balancer.Versions{newer, older}
-	default:
-		return []balancer.Versions{older, newer}
-	}
-}
-
 // reportEvents reports the speed of a stream to the rollout of the service as soon as it is known.
 func (a *attempt) reportEvents(events []byte) {
-	if !a.pace.add(time.Now(), eventstream.Count(events)) {
+	if a.plan == nil || !a.pace.add(time.Now(), eventstream.Count(events)) {
 		return
 	}
 	a.paceReported = true
 	a.observe(a.observation(time.Now()))
 }
 
-// reportToRollout reports the outcome of an attempt to the rollout of the service, if there is one. Refused requests are not reported, since
+// reportToRollout reports the outcome of an attempt to the rollout of the service, if there is one. A stream whose speed has been reported is
+// reported again only if it failed. Refused requests are not reported, since
 // they show nothing about the version.
 func (a *attempt) reportToRollout(code result.Code) {
-	if code.Outcome() == result.NotRun {
+	if a.plan == nil || code.Outcome() == result.NotRun {
 		return
 	}
 	o := a.observation(time.Now())
@@ -123,11 +96,8 @@
 	return o
 }
 
-// observe sends an observation to the rollout by whose plan the upstream was chosen, if there was one.
+// observe sends an observation to the rollout by whose plan the upstream was chosen.
 func (a *attempt) observe(o rollout.Observation) {
-	if a.plan == nil {
-		return
-	}
 	o.Step = a.plan.Step
 	if a.choice.Version == a.plan.To {
 		o.Side = rollout.New
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -7,12 +7,16 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/lease"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/shift"
+	"github.com/jayridge/jayridge/request/candidate"
 	"github.com/jayridge/jayridge/version/rollout"
 )
 
@@ -314,3 +318,27 @@
 	case <-g.ctx.Done():
 	}
 }
+
+// versions returns the sets of upstream versions that may run the call's next attempt, in order of preference. A nil set means all
+// versions.
+func (c *call) versions(plan *shift.Plan) []balancer.Versions {
+	if plan == nil {
+		return []balancer.Versions{nil}
+	}
+	newer := func(version string) bool { return version == plan.To }
+	older := func(version string) bool { return version != plan.To }
+	chat := c.prompt.Session()
+	if chat == 0 {
+		chat = xxhash.Sum64String(c.id)
+	}
+	switch failed := len(c.progress.attempts) > 0; {
+	case plan.Stopped:
+		return []balancer.Versions{older}
+	case plan.Share == 0 && c.g.balancer.HasVersion(c.service, older):
+		return []balancer.Versions{older}
+	case candidate.InCohort(chat, plan.Salt, plan.Share) && (!failed || plan.Share == 1):
+		return []balancer.Versions{newer, older}
+	default:
+		return []balancer.Versions{older, newer}
+	}
+}
--- a/version/rollout/machine_test.go
+++ b/version/rollout/machine_test.go
@@ -232,3 +232,19 @@
 		})
 	})
 }
+
+// A record in a state that does not belong to its step must not end the process of the leader that reads it.
+func TestMachine_CanaryRecordAtLastStep(t *testing.T) {
+	config, shift := simConfig(), simShift()
+	for _, state := range []State{Canary, Ramping} {
+		m := NewMachine(config, shift, simStart)
+		lease := Lease{Held: true, Fence: 1}
+		m.Tick(simStart, lease)
+		last := uint8(len(config.Steps(shift.MaxCanaryShare)) - 1)
+		m.RecordRead(simStart, Record{
+			ID: shift.ID, State: state, Step: last, Share: 1, Fence: 1, StartedMS: simStart.UnixMilli(), SinceMS: simStart.UnixMilli(),
+		}, 1)
+		m.Tick(simStart.Add(config.SettleTime), lease)
+		must.Eq(t, state, m.State())
+	}
+}
