eventstream: search each byte for the end of an event once

Callers: an event without end, as an upstream in trouble may send, cost a gateway 2 s of a core before it was given up at 1 MB, and the requests beside it waited. Cause: after each read of 1 KB the whole event was searched from its start, a thousand times half a megabyte. Change: a read is searched together with the three bytes before it, in which an end may have begun.

--- a/request/eventstream/eventstream.go
+++ b/request/eventstream/eventstream.go
@@ -23,6 +23,8 @@
 	buffer []byte
 	// consumed is the length of the prefix of buffer that the last call of Next returned.
 	consumed int
+	// searched is the length of the prefix of buffer that contains no end of an event.
+	searched int
 	err      error
 }
 
@@ -33,12 +35,15 @@
 // the stream it returns io.EOF, or io.ErrUnexpectedEOF if an incomplete event remains. It never returns both bytes and an error.
 func (r *Reader) Next() ([]byte, error) {
 	r.buffer = append(r.buffer[:0], r.buffer[r.consumed:]...)
-	r.consumed = 0
+	r.consumed, r.searched = 0, 0
 	for {
-		if end := lastEventEnd(r.buffer); end > 0 {
-			r.consumed = end
-			return r.buffer[:end], nil
+		// An end may have begun in the part that was searched before.
+		from := max(0, r.searched-maxEndBytes+1)
+		if end := lastEventEnd(r.buffer[from:]); end > 0 {
+			r.consumed = from + end
+			return r.buffer[:r.consumed], nil
 		}
+		r.searched = len(r.buffer)
 		if r.err != nil {
 			return nil, r.streamError()
 		}
@@ -70,6 +75,9 @@
 	return r.err
 }
 
+// maxEndBytes is the length of the longest end of an event, which is "\r\n\r\n".
+const maxEndBytes = 4
+
 // lastEventEnd returns the total length of the complete events at the start of b.
 func lastEventEnd(b []byte) int {
 	end := 0
