gateway: log the prompt parts of failed attempts and the suspects that an answer clears

Event 412 now has the fingerprint, the first shared parts of the prompt and how long the answer had lasted; event 414 is logged when an answer clears a suspect. Decisions are unchanged.

--- a/process/event/event.go
+++ b/process/event/event.go
@@ -60,6 +60,7 @@
 	CallerDisconnected ID = 411
 	AttemptFailed      ID = 412
 	CrashSuspectFound  ID = 413
+	SuspectCleared     ID = 414
 
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
@@ -144,6 +145,7 @@
 	{CallerDisconnected, "caller left before the answer", Info, ""},
 	{AttemptFailed, "attempt at an upstream failed", Info, ""},
 	{CrashSuspectFound, "request was in flight at an upstream that crashed", Info, ""},
+	{SuspectCleared, "request that was in flight at a crash was answered", Info, ""},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
 	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -78,6 +78,7 @@
 	})
 	defer a.timeoutTimer.Stop()
 	code, accepted = a.do()
+	p.answering = a.answeringFor()
 	a.release(code)
 	a.reportToRollout(code)
 	return code, accepted
@@ -113,6 +114,14 @@
 	inconclusive bool
 }
 
+// answeringFor returns the time since the response headers arrived, zero if there was no response.
+func (a *attempt) answeringFor() time.Duration {
+	if a.headLatency == 0 {
+		return 0
+	}
+	return time.Since(a.started) - a.headLatency
+}
+
 // release returns the reserved capacity and reports the outcome to the balancer and the crash tracker.
 func (a *attempt) release(code result.Code) {
 	if a.inconclusive {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -35,6 +35,8 @@
 	upstream     string
 	first        time.Duration
 	cached, load int
+	// answering is how long the latest upstream had been answering when the attempt ended, zero if it sent no response headers.
+	answering time.Duration
 	// fetched is the number of prompt tokens whose cache entries the upstream copies from another upstream.
 	fetched int
 	// passedOver is an upstream that has more of the prompt cached and was not chosen, with its load and pending tokens.
@@ -64,7 +66,8 @@
 		p.attempts = append(p.attempts, retry.Attempt{Code: code, Accepted: accepted})
 		decision := c.decide()
 		event.LogSampled(event.AttemptFailed, "request", c.id, "attempt", len(p.attempts), "result", code.String(), "sent", accepted,
-			"upstream", p.upstream, "load", p.load, "next", decision.Action.String(), "left_ms", time.Until(c.deadline).Milliseconds())
+			"upstream", p.upstream, "load", p.load, "next", decision.Action.String(), "left_ms", time.Until(c.deadline).Milliseconds(),
+			"fingerprint", uint64(c.fingerprint()), "parts", c.sharedPartIDs(), "answering_ms", p.answering.Milliseconds())
 		if decision.Action == retry.GiveUp {
 			return c.giveUp(decision.Code)
 		}
--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -64,7 +64,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.RecordAnswer(c.fingerprint())
+	f := c.fingerprint()
+	if n := s.tracker.Count(f); n > 0 {
+		event.LogSampled(event.SuspectCleared, "fingerprint", uint64(f), "crashes", n, "request", c.id, "parts", c.sharedPartIDs())
+	}
+	s.tracker.RecordAnswer(f)
 	s.hasSuspects.Store(s.tracker.Len() > 0)
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,6 +109,21 @@
 	event.LogSampled(id, fields...)
 }
 
+// maxLoggedParts is the maximum number of prompt parts in a log line.
+const maxLoggedParts = 8
+
+// sharedPartIDs returns the IDs of the first shared parts of the prompt as they are logged, separated by commas.
+func (c *call) sharedPartIDs() string {
+	var ids []string
+	for _, part := range c.prompt.SharedParts() {
+		if len(ids) == maxLoggedParts {
+			break
+		}
+		ids = append(ids, strconv.FormatUint(part.ID, 36))
+	}
+	return strings.Join(ids, ",")
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // hashFraction maps a request ID to a number in [0, 1).
