gateway: quarantine prompt parts that crash upstreams

Cause: the crash tracker identified a request by team, target and body. Each of these requests was a new suspect with one crash. Class: evidence collected under a key that the sender can vary.

No suspect reached three crashes, so neither the rule on simultaneous crashes nor cleared suspects (18 lines 414, sound requests) explain it.

Change: quarantine.Parts collects the prompt parts of the requests in flight at each crash, from all gateways. A crash is attributed to the part that was in flight at the most crashes; a complete answer, or eight events of one, shows that a part is sound, which is told to the neighbours. Rejected after three crashes (five if tied or if other crashes abound, six after a recent answer), with rare trials by one gateway, so that a wrong decision ends. Reports go out within 20 ms; quarantined parts are also kept in the store, for a restart of all gateways. A request is judged again before each further attempt. Answers that end with their connection, and requests whose caller left, count as evidence only together with a crash.

--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -174,6 +174,9 @@
 // MarkBodyRead records that the body was read to its end, so that the connection can be reused.
 func (a *Response) MarkBodyRead() { a.bodyRead = true }
 
+// IsCloseDelimited reports whether the body ends with the connection, so that a truncated body cannot be told from a complete one.
+func (a *Response) IsCloseDelimited() bool { return closeDelimited(a.response) }
+
 // Close ends the exchange and returns the connection to the pool or closes it.
 func (a *Response) Close() {
 	notAborted := a.stopAbort()
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -40,7 +40,9 @@
 	&Order{1, "load-version", "v2", 7},
 	&OrderDone{1, 25, "stale"},
 	&Claims{2, "basket-app", 1, []byte{9}}, &ClaimsDone{2, true, false, 1 << 40, []bool{true, false}},
-	&FleetState{[]UpstreamLoad{{1 << 31, 2, 3, 4, 5}}, []PromptHolder{{"press-7", []PromptPart{{1 << 60, 700}}}}, true, []RequestCrash{{1 << 63, 8, 900}}},
+	&FleetState{[]UpstreamLoad{{1 << 31, 2, 3, 4, 5}}, []PromptHolder{{"press-7", []PromptPart{{1 << 60, 700}}}}, true, []RequestCrash{{1 << 63, 8, 900}}, &PartReport{
+		[]PartCrash{{1 << 62, 9, 100, 50, []uint64{1 << 61}}}, []PartAnswer{{10, 11, 12}}, []QuarantinedPart{{13, 14, 3, 1, 15}},
+	}},
 	&StorePull{3, 1 << 40},
 	&StorePush{3, 4, 5, true, 6, []StoreItem{{"key", []byte("value"), 5, true}}, 7},
 }
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -394,6 +394,45 @@
 	// Crashes are the requests that were in flight at upstreams that crashed, as observed by the sender or reported to it since
 	// the last message.
 	Crashes []RequestCrash `msgpack:"c,omitempty"`
+	// Parts is what the sender found out or was told about prompt parts that may crash upstreams since the last message, nil if nothing.
+	Parts *PartReport `msgpack:"q,omitempty"`
+}
+
+// PartReport reports on prompt parts that may crash upstreams. Services and parts are hashes, ages are in milliseconds. All lists may be
+// empty.
+type PartReport struct {
+	Crashes     []PartCrash       `msgpack:"c,omitempty"`
+	Answers     []PartAnswer      `msgpack:"a,omitempty"`
+	Quarantined []QuarantinedPart `msgpack:"q,omitempty"`
+}
+
+// PartCrash reports which prompt parts the requests had that were in flight at an upstream that crashed.
+type PartCrash struct {
+	Service uint64 `msgpack:"v"`
+	// Upstream is a hash of the upstream's name and start.
+	Upstream uint64 `msgpack:"u"`
+	// StartedAgeMS is the time since the latest of the requests was sent, AgeMS the time since the crash was detected.
+	StartedAgeMS uint32   `msgpack:"s"`
+	AgeMS        uint32   `msgpack:"a"`
+	Parts        []uint64 `msgpack:"p"`
+}
+
+// PartAnswer reports that a request with a part was answered completely.
+type PartAnswer struct {
+	Service uint64 `msgpack:"v"`
+	Part    uint64 `msgpack:"p"`
+	AgeMS   uint32 `msgpack:"a"`
+}
+
+// QuarantinedPart reports a part that requests are rejected for.
+type QuarantinedPart struct {
+	Service uint64 `msgpack:"v"`
+	Part    uint64 `msgpack:"p"`
+	// Crashes is the number of crashes that the part was quarantined for, Trials the number of requests that ran as a trial since.
+	Crashes uint32 `msgpack:"c"`
+	Trials  uint32 `msgpack:"t"`
+	// AgeMS is the time since the latest crash or trial.
+	AgeMS uint32 `msgpack:"a"`
 }
 
 // RequestCrash reports that a request was in flight at an upstream that crashed.
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -61,6 +61,10 @@
 	AttemptFailed      ID = 412
 	CrashSuspectFound  ID = 413
 	SuspectCleared     ID = 414
+	PartQuarantined    ID = 415
+	PartReleased       ID = 416
+	PartTrial          ID = 417
+	QuarantineNotSaved ID = 418
 
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
@@ -146,6 +150,10 @@
 	{AttemptFailed, "attempt at an upstream failed", Info, ""},
 	{CrashSuspectFound, "request was in flight at an upstream that crashed", Info, ""},
 	{SuspectCleared, "request that was in flight at a crash was answered", Info, ""},
+	{PartQuarantined, "requests with a prompt part are rejected, it crashed upstreams", Error, "send the part to the owner of the model engine; lines 410 with quarantined_part name the requests"},
+	{PartReleased, "requests with a prompt part are accepted again, one was answered", Info, ""},
+	{PartTrial, "request with a quarantined prompt part runs as a trial", Info, ""},
+	{QuarantineNotSaved, "quarantined prompt part could not be stored", Warning, "check the platform's store; gateways that restart learn of the part from their neighbours"},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
 	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -56,10 +56,13 @@
 	id       string
 	body     []byte
 	prompt   forward.Prompt
+	partIDs  forward.PartIDs
 	header   http.Header
 	progress progress
-	// quarantinedFor is the remaining time of the quarantine of the request's fingerprint.
-	quarantinedFor time.Duration
+	// quarantinedFor is the remaining time of the quarantine of the request's fingerprint or of one of its prompt parts, quarantinedPart the
+	// hash of that part.
+	quarantinedFor  time.Duration
+	quarantinedPart uint64
 }
 
 // admit reads and validates a request. It returns result.OK if the request may be sent.
@@ -81,11 +84,12 @@
 	if code := c.readBody(); code != result.OK {
 		return code
 	}
-	if c.quarantinedFor = c.g.crashes.quarantinedFor(bootclock.Now(), c); c.quarantinedFor > 0 {
-		return result.Quarantined
-	}
 	c.service = c.route.PickService(hashFraction(c.id))
 	c.prompt = c.g.headers.ParsePrompt(h)
+	c.partIDs = c.g.headers.ParsePartIDs(h)
+	if c.isQuarantined() {
+		return result.Quarantined
+	}
 	c.header = c.g.headers.UpstreamHeaders(h, c.team)
 	return result.OK
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -79,7 +79,7 @@
 	defer a.timeoutTimer.Stop()
 	code, accepted = a.do()
 	p.answering = a.answeringFor()
-	a.release(code)
+	a.release(code, accepted)
 	a.reportToRollout(code)
 	return code, accepted
 }
@@ -110,6 +110,11 @@
 	pace        streamPace
 	// paceReported means that the rollout of the service has got an observation of the stream's speed.
 	paceReported bool
+	// events is the number of events forwarded, provenSound means that the answer has shown that the prompt does not crash the upstream.
+	events      int
+	provenSound bool
+	// mayBeTruncated means that the answer ended with its connection, as it also does if the upstream crashes.
+	mayBeTruncated bool
 	// inconclusive means that the attempt shows nothing about the health of the upstream, and outcome is not set.
 	inconclusive bool
 }
@@ -122,23 +127,25 @@
 	return time.Since(a.started) - a.headLatency
 }
 
-// release returns the reserved capacity and reports the outcome to the balancer and the crash tracker.
-func (a *attempt) release(code result.Code) {
+// release returns the reserved capacity and reports the outcome to the balancer and the crash tracker. accepted means that the request may have
+// run.
+func (a *attempt) release(code result.Code, accepted bool) {
+	now := bootclock.Now()
+	incomplete := a.inconclusive || a.outcome == health.Broken || a.outcome == health.Unanswered
+	if accepted && (incomplete || a.mayBeTruncated) {
+		a.call.g.crashes.recordBroken(now, a)
+	}
 	if a.inconclusive {
 		a.choice.Release()
 		return
 	}
-	now := bootclock.Now()
 	down := a.choice.Done(now, a.outcome)
-	switch a.outcome {
-	case health.Broken:
-		a.call.g.crashes.recordBroken(now, a)
-		if !down {
-			a.call.g.checkConnection(a.choice.Upstream)
-		}
-	case health.Answered:
+	if a.outcome == health.Answered && !a.mayBeTruncated {
 		a.call.g.crashes.recordAnswered(a.call)
 	}
+	if !down && (a.outcome == health.Broken || a.mayBeTruncated) {
+		a.call.g.checkConnection(a.choice.Upstream)
+	}
 	if down {
 		a.call.g.handleDown(now, &a.choice.Upstream, "outcome", a.outcome.String(), "result", code.String(), "request", a.call.id)
 	}
@@ -303,6 +310,9 @@
 	if impliesNotRun(response.Status) {
 		return result.UpstreamBroken
 	}
+	if a.mayBeTruncated = response.IsCloseDelimited(); response.Status < http.StatusMultipleChoices && len(body) > 0 && !a.mayBeTruncated {
+		a.proveSound()
+	}
 	c.writeResponse(r)
 	c.g.metrics.record(c.g.metrics.latency, time.Since(c.started))
 	return result.OK
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -91,6 +91,9 @@
 	if c.request.Context().Err() != nil {
 		return retry.Decision{Action: retry.GiveUp, Code: c.canceledCode(retry.FinalCode(r))}
 	}
+	if c.isQuarantined() {
+		return retry.Decision{Action: retry.GiveUp, Code: retry.FinalCode(r)}
+	}
 	return c.g.budgets.decide(bootclock.Now(), c.service, c.route.MaxAttempts, r)
 }
 
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -119,6 +119,7 @@
 	membersChanged := false
 	for _, item := range items {
 		membersChanged = s.applyMember(item) || membersChanged
+		s.g.crashes.applyStored(now, item)
 		s.applyItem(now, item, r.source)
 		s.g.rollouts.applyRecord(time.Now(), item)
 	}
--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -8,8 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/process/quarantine"
 )
 
@@ -17,19 +19,36 @@
 // only from other gateways that detected them.
 const maxQueuedCrashReports = 256
 
-// crashTracker detects requests that crash the upstreams that run them, and reports the crashes to neighbours.
+// crashTracker detects requests and prompt parts that crash the upstreams that answer them, and exchanges what it finds with neighbours.
 type crashTracker struct {
 	// hasSuspects is set when a suspect request is found, and cleared by recordAnswered when there is none left. Most requests skip the
 	// mutex, since it is not set.
 	hasSuspects atomic.Bool
-
-	mu      sync.Mutex
-	tracker *quarantine.Crashes
-	reports []quarantine.Crash
+	// reportsQueued gets a value when there is something to send to the neighbours.
+	reportsQueued chan struct{}
+	// quarantineChanges are the changes of the list of quarantined parts that this gateway has to write to the store.
+	quarantineChanges chan quarantineChange
+	// ownsTask reports whether a task is assigned to this gateway. It must not block.
+	ownsTask func(task uint64) bool
+
+	mu       sync.Mutex
+	detector *quarantine.Detector
+	requests *quarantine.Crashes
+	parts    *quarantine.Parts
+	reports  []quarantine.Crash
+	// partReport is queued for the neighbours.
+	partReport partReport
 }
 
-func newCrashTracker() *crashTracker {
-	return &crashTracker{tracker: quarantine.NewCrashes(quarantine.DefaultCrashConfig())}
+func newCrashTracker(ownsTask func(task uint64) bool) *crashTracker {
+	return &crashTracker{
+		reportsQueued:     make(chan struct{}, 1),
+		quarantineChanges: make(chan quarantineChange, maxQuarantineChanges),
+		ownsTask:          ownsTask,
+		detector:          quarantine.NewDetector(quarantine.DefaultDetectorConfig()),
+		requests:          quarantine.NewCrashes(quarantine.DefaultCrashConfig()),
+		parts:             quarantine.NewParts(quarantine.DefaultPartConfig()),
+	}
 }
 
 // processHash identifies an upstream process; it changes with each restart.
@@ -40,21 +59,54 @@
 	return quarantine.FingerprintOf(c.team, c.request.RequestURI, c.body)
 }
 
-// recordBroken records an attempt whose outcome is health.Broken: the connection ended or the response was invalid.
+func (c *call) serviceHash() uint64 { return xxhash.Sum64String(c.service) }
+
+// isQuarantined decides whether the request is rejected because its content crashed upstreams, and sets quarantinedFor if it is.
+func (c *call) isQuarantined() bool {
+	now := bootclock.Now()
+	c.quarantinedFor = c.g.crashes.quarantinedFor(now, c)
+	if c.quarantinedFor == 0 {
+		c.quarantinedFor, c.quarantinedPart = c.g.crashes.judgeParts(now, c)
+	}
+	return c.quarantinedFor > 0
+}
+
+// recordBroken records an attempt that ended without a complete answer. Its prompt parts are not suspected if the answer had gone on for long.
 func (s *crashTracker) recordBroken(now time.Time, a *attempt) {
 	crash := quarantine.Crash{
 		Fingerprint: a.call.fingerprint(), Upstream: processHash(&a.choice.Upstream), Started: now.Add(-time.Since(a.started)),
+		Service: a.call.serviceHash(),
+	}
+	crash.Abandoned = a.inconclusive || a.outcome == health.Unanswered
+	if !a.provenSound {
+		crash.Parts = a.call.partIDs.All
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queueReports(s.tracker.RecordBrokenAnswer(now, crash))
+	s.recordDetected(now, s.detector.RecordBrokenAnswer(now, crash))
 }
 
 // recordDown records that an upstream went down.
 func (s *crashTracker) recordDown(now time.Time, u *directory.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queueReports(s.tracker.RecordUnreachable(now, processHash(u)))
+	s.recordDetected(now, s.detector.RecordUnreachable(now, processHash(u)))
+}
+
+// recordDetected records the requests that were in flight at an upstream that crashed. The caller holds s.mu.
+func (s *crashTracker) recordDetected(now time.Time, detected []quarantine.DetectedCrash) {
+	if len(detected) == 0 {
+		return
+	}
+	for _, d := range detected {
+		if !d.Abandoned && s.requests.RecordCrash(d.At, d.Crash) {
+			s.queueReport(d.Crash)
+		}
+		crash := quarantine.PartCrash{Service: d.Service, Upstream: d.Upstream, Started: d.Started, At: d.At, IDs: d.Parts}
+		s.vouch(now, crash, nil)
+		s.recordPartCrash(now, crash)
+	}
+	s.updateParts(now, true)
 }
 
 // recordAnswered records that an upstream responded to a request, which removes the request from the suspects.
@@ -65,11 +117,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := c.fingerprint()
-	if n := s.tracker.Count(f); n > 0 {
+	if n := s.requests.Count(f); n > 0 {
 		event.LogSampled(event.SuspectCleared, "fingerprint", uint64(f), "crashes", n, "request", c.id, "parts", c.sharedPartIDs())
 	}
-	s.tracker.RecordAnswer(f)
-	s.hasSuspects.Store(s.tracker.Len() > 0)
+	s.requests.RecordAnswer(f)
+	s.hasSuspects.Store(s.requests.Len() > 0)
 }
 
 // quarantinedFor returns how much longer requests with the call's fingerprint are rejected, zero if they are not.
@@ -79,7 +131,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.RejectedFor(now, c.fingerprint())
+	return s.requests.RejectedFor(now, c.fingerprint())
 }
 
 // recordFromPeer records crashes reported by a neighbour and forwards those that are new.
@@ -90,20 +142,27 @@
 		crash := quarantine.Crash{
 			Fingerprint: quarantine.Fingerprint(r.Fingerprint), Upstream: r.Upstream, Started: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 		}
-		if s.tracker.RecordPeerCrash(now, crash) {
-			s.queueReports([]quarantine.Crash{crash})
+		if s.requests.RecordCrash(now, crash) {
+			s.queueReport(crash)
 		}
 	}
 }
 
-// queueReports queues crashes for the neighbours. The caller holds s.mu.
-func (s *crashTracker) queueReports(crashes []quarantine.Crash) {
-	for _, c := range crashes {
-		s.hasSuspects.Store(true)
-		event.LogSampled(event.CrashSuspectFound, "fingerprint", uint64(c.Fingerprint), "upstream_start", c.Upstream, "crashes", s.tracker.Count(c.Fingerprint))
-		if len(s.reports) < maxQueuedCrashReports {
-			s.reports = append(s.reports, c)
-		}
+// queueReport queues a crash for the neighbours. The caller holds s.mu.
+func (s *crashTracker) queueReport(c quarantine.Crash) {
+	s.hasSuspects.Store(true)
+	event.LogSampled(event.CrashSuspectFound, "fingerprint", uint64(c.Fingerprint), "upstream_start", c.Upstream, "crashes", s.requests.Count(c.Fingerprint))
+	if len(s.reports) < maxQueuedCrashReports {
+		s.reports = append(s.reports, c)
+		s.wakeSender()
+	}
+}
+
+// wakeSender makes the worker that sends reports send the queued ones.
+func (s *crashTracker) wakeSender() {
+	select {
+	case s.reportsQueued <- struct{}{}:
+	default: // it is about to send
 	}
 }
 
@@ -113,9 +172,7 @@
 	defer s.mu.Unlock()
 	var reports []wire.RequestCrash
 	for _, c := range s.reports {
-		reports = append(reports, wire.RequestCrash{
-			Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, AgeMS: uint32(now.Sub(c.Started).Milliseconds()),
-		})
+		reports = append(reports, wire.RequestCrash{Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, AgeMS: age(now, c.Started)})
 	}
 	s.reports = nil
 	return reports
--- a/process/gateway/crashes_test.go
+++ b/process/gateway/crashes_test.go
@@ -62,5 +62,5 @@
 func crashCount(g *Gateway) int {
 	g.crashes.mu.Lock()
 	defer g.crashes.mu.Unlock()
-	return g.crashes.tracker.Count(quarantine.FingerprintOf("drivers", "/book/crash", []byte("hello")))
+	return g.crashes.requests.Count(quarantine.FingerprintOf("drivers", "/book/crash", []byte("hello")))
 }
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -41,6 +41,9 @@
 	if len(m.Crashes) > 0 {
 		p.g.crashes.recordFromPeer(now, m.Crashes)
 	}
+	if m.Parts != nil {
+		p.g.crashes.recordPartsFromPeer(now, m.Parts)
+	}
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
@@ -60,7 +63,7 @@
 	return loads
 }
 
-// sendState sends this gateway's loads and its new prompts and crashes to all neighbours.
+// sendState sends this gateway's loads and its new prompts to all neighbours.
 func (p *peers) sendState() {
 	m := &wire.FleetState{}
 	for hash, l := range p.g.balancer.Loads(bootclock.Now()) {
@@ -70,7 +73,19 @@
 		})
 	}
 	m.Holders = promptHolders(p.g.balancer.TakeHolderUpdates())
-	m.Crashes = p.g.crashes.takeReports(bootclock.Now())
+	p.broadcast(m)
+}
+
+// sendReports sends the queued reports on crashes to all neighbours.
+func (p *peers) sendReports() {
+	now := bootclock.Now()
+	m := &wire.FleetState{Partial: true, Crashes: p.g.crashes.takeReports(now), Parts: p.g.crashes.takePartReport(now)}
+	if len(m.Crashes) > 0 || m.Parts != nil {
+		p.broadcast(m)
+	}
+}
+
+func (p *peers) broadcast(m *wire.FleetState) {
 	for _, c := range p.neighbourConns() {
 		_ = c.Send(m) // a dead neighbour is detected by its silence
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -118,7 +118,6 @@
 		pools:        newPools(),
 		budgets:      newBudgets(o.Settings.Fleet),
 		callers:      newCallerTracker(),
-		crashes:      newCrashTracker(),
 		metrics:      newMetrics(),
 		batches:      make(chan sourcedBatch, maxQueuedBatches),
 		sinceQueries: make(chan sinceQuery, maxQueuedBatches),
@@ -126,6 +125,7 @@
 	}
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
+	g.crashes = newCrashTracker(g.peers.ownsTask)
 	g.rollouts = newRollouts(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
@@ -141,6 +141,7 @@
 	g.startWorker(g.watch)
 	g.startWorker(g.probe)
 	g.startWorker(g.register)
+	g.startWorker(g.saveQuarantines)
 	g.startWorker(g.peers.run)
 	g.startWorker(g.fetchHeldPrompts)
 	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 )
@@ -22,6 +24,8 @@
 	// peerSilenceTimeout is the time without a message after which a neighbour or its connection is considered dead and the connection is
 	// replaced.
 	peerSilenceTimeout = 3 * time.Second
+	// minReportInterval is the minimum time between reports of crashes to the neighbours.
+	minReportInterval = 20 * time.Millisecond
 	// redialInterval is the minimum time between attempts to dial a neighbour.
 	redialInterval = 250 * time.Millisecond
 	// dialFallbackAfter is the time without a connection after which the neighbour with the larger name dials too. The other one may have
@@ -50,6 +54,8 @@
 	startID string
 	// neighbourAdded wakes run when there is a new neighbour, so that it is dialled immediately.
 	neighbourAdded chan struct{}
+	// taskShare is this gateway's share of the tasks that are divided among the registered gateways, nil before the first list.
+	taskShare atomic.Pointer[taskShare]
 	// deregisteredAt holds the time at which the registration ended, for members that are no longer registered and still
 	// included in the gateway count.
 	deregisteredAt map[string]time.Time
@@ -116,6 +122,7 @@
 	p.members = maps.Clone(members)
 	names := slices.Sorted(maps.Keys(members))
 	self := p.g.settings.Instance
+	p.taskShare.Store(&taskShare{index: slices.Index(names, self), count: len(names)})
 	if !slices.Contains(names, self) {
 		names = append(names, self)
 	}
@@ -165,13 +172,13 @@
 // ownsTask reports whether a task is assigned to this gateway. Each task is assigned to one of the registered gateways. A gateway that is
 // not registered owns all tasks.
 func (p *peers) ownsTask(task uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	names := slices.Sorted(maps.Keys(p.members))
-	at := slices.Index(names, p.g.settings.Instance)
-	return at < 0 || task%uint64(len(names)) == uint64(at)
+	share := p.taskShare.Load()
+	return share == nil || share.index < 0 || task%uint64(share.count) == uint64(share.index)
 }
 
+// taskShare is the position of this gateway in the sorted list of registered gateways, negative if it is not registered, and their number.
+type taskShare struct{ index, count int }
+
 // disconnect closes a neighbour's connection and discards its reported load. The caller holds p.mu.
 func (p *peers) disconnect(name string, l *peerLink) {
 	if l.conn != nil {
@@ -184,18 +191,23 @@
 
 // run maintains the connections and sends periodic messages until the gateway stops.
 func (p *peers) run() {
-	var pulledAt, sendAt time.Time
+	var pulledAt, sendAt, reportAt time.Time
 	for p.g.ctx.Err() == nil {
 		p.maintain()
-		if now := time.Now(); !now.Before(sendAt) {
+		now := time.Now()
+		if !now.Before(sendAt) {
 			sendAt = now.Add(p.statePeriod())
 			p.sendState()
 		}
+		if !now.Before(reportAt) {
+			reportAt = now.Add(minReportInterval)
+			p.sendReports()
+		}
 		if time.Since(pulledAt) >= pullPeriod && p.g.configAge() > pullAge {
 			pulledAt = time.Now()
 			p.sendPulls()
 		}
-		p.wait(time.Until(sendAt))
+		p.wait(time.Until(sendAt), time.Until(reportAt))
 	}
 	_ = p.server.Close() // returns no error
 	p.mu.Lock()
@@ -208,14 +220,27 @@
 	}
 }
 
-// wait returns after d, or earlier if a neighbour is added or the gateway stops.
-func (p *peers) wait(d time.Duration) {
+// wait returns after d, or earlier if a neighbour is added or the gateway stops, or if there are crashes to report, but for those not before
+// reportIn.
+func (p *peers) wait(d, reportIn time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-p.neighbourAdded:
-	case <-p.g.ctx.Done():
+	reportTimer := time.NewTimer(reportIn)
+	defer reportTimer.Stop()
+	var reports <-chan struct{}
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-reportTimer.C:
+			reports = p.g.crashes.reportsQueued
+		case <-reports:
+			return
+		case <-p.neighbourAdded:
+			return
+		case <-p.g.ctx.Done():
+			return
+		}
 	}
 }
 
@@ -284,6 +309,9 @@
 		l.startID = start
 		p.sendKnownPrompts(conn)
 	}
+	if report := p.g.crashes.knownParts(bootclock.Now()); report != nil {
+		_ = conn.Send(&wire.FleetState{Partial: true, Parts: report}) // if the connection is lost, the next one sends it again
+	}
 	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -103,6 +103,9 @@
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
 			"cached", c.progress.cached, "fetched", c.progress.fetched)
 	}
+	if c.quarantinedPart != 0 {
+		fields = append(fields, "quarantined_part", formatPart(c.quarantinedPart))
+	}
 	if p := &c.progress; p.passedOver != "" {
 		fields = append(fields, "passed_over", p.passedOver, "passed_load", p.passedOverLoad, "passed_pending", p.passedOverPending)
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -34,6 +34,9 @@
 		a.timeoutTimer.Reset(c.gapTimeout())
 		c.beginStream(response)
 		a.reportEvents(chunk)
+		if a.events += eventstream.Count(chunk); a.events >= soundEvents {
+			a.proveSound()
+		}
 		if id, found := eventstream.LastID(chunk); found {
 			c.progress.lastEvent, c.progress.resumable = id, true
 		}
@@ -51,6 +54,9 @@
 // streamEnded finishes a stream that the upstream ended in an orderly way.
 func (a *attempt) streamEnded(response *upstream.Response) result.Code {
 	a.call.beginStream(response)
+	if a.mayBeTruncated = response.IsCloseDelimited() && !a.provenSound; a.events > 0 && !a.mayBeTruncated {
+		a.proveSound()
+	}
 	a.outcome = health.Answered
 	return result.OK
 }
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -58,6 +59,53 @@
 	return p
 }
 
+// maxCheckedParts is the number of parts of a prompt that are checked one by one. Prompts typically have a few.
+const maxCheckedParts = 256
+
+// manyPartsID stands for the parts after maxCheckedParts, so that none goes unchecked.
+const manyPartsID = "..."
+
+// PartIDs holds the hashes that identify the parts of a prompt, regardless of the model.
+type PartIDs struct {
+	// All are the parts in every spelling that an upstream may accept, the last one included.
+	All []uint64
+	// Answered are the parts that an answer to the request certainly used: all except the last one, or none if the description of the prompt
+	// can be read in several ways.
+	Answered []uint64
+}
+
+// ParsePartIDs parses the description of the prompt for the detection of parts that crash upstreams. Unlike ParsePrompt, it also takes what
+// follows a malformed part, since a caller can add one.
+func (n *HeaderNames) ParsePartIDs(h http.Header) PartIDs {
+	var ids PartIDs
+	values := h.Values(n.PromptParts)
+	canonical, many := len(values) == 1, false
+	for part := range strings.SplitSeq(strings.Join(values, ","), ",") {
+		text := strings.TrimSpace(part)
+		id, _, _ := strings.Cut(text, ":")
+		id = strings.ToLower(strings.TrimSpace(id))
+		canonical = canonical && canonicalPart.MatchString(part)
+		if id == "" {
+			continue
+		}
+		if many = len(ids.All) == maxCheckedParts; many {
+			ids.All = append(ids.All, xxhash.Sum64String(manyPartsID))
+			break
+		}
+		ids.All = append(ids.All, xxhash.Sum64String(id))
+	}
+	switch {
+	case canonical && many:
+		ids.Answered = ids.All
+	case canonical:
+		ids.Answered = ids.All[:len(ids.All)-1]
+	}
+	return ids
+}
+
+// canonicalPart matches a part in the only spelling that all upstreams read alike.
+var canonicalPart = regexp.MustCompile(`^[0-9a-z]+:[0-9]+$`)
+
 // atoiOr parses a non-negative number, or returns fallback if text is not one.
 func atoiOr(text string, fallback int) int {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
