gateway: log the rate of requests that upstreams name

Nothing read the header with which an upstream says how many requests a second it takes. It is read now, kept with the upstream's state, and a change is logged (event 314, 315 if it cannot be read). Placement does not use it yet.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -80,6 +80,10 @@
 	// reportedTotal is the number of requests of all entries according to the upstream's latest answer to this entry or a peer.
 	reportedTotal int
 	reportedAt    time.Time
+	// rateLimit is the rate of requests that the upstream named, in requests per second from all entries; negative if it named none. rateLimitAt is
+	// the time of the answer that it comes from.
+	rateLimit   float64
+	rateLimitAt time.Time
 	// answeredSinceLoads is set if the upstream answered a request of this entry since the last call of Loads.
 	answeredSinceLoads bool
 }
@@ -149,6 +153,7 @@
 		monitor:     health.New(b.config.Health),
 		cache:       placement.NewCache(service.CacheTokens * 3 / 4), // a quarter is left for answers and for what other entries send
 		coldLimiter: rate.NewLimiter(0, 1),
+		rateLimit:   NoRateLimit,
 	}
 }
 
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -45,6 +45,8 @@
 	PeerUnreachable         ID = 311
 	StoreCopyTooLarge       ID = 312
 	PromptCacheReported     ID = 313
+	UpstreamLimitChanged    ID = 314
+	UpstreamLimitInvalid    ID = 315
 
 	RequestFailed      ID = 400
 	UpstreamCold       ID = 401
@@ -132,6 +134,8 @@
 	{UpstreamUp, "upstream answers probes again", Info, ""},
 	{ProbeFailed, "probe of an upstream failed", Info, ""},
 	{PeerUnreachable, "peer could not be reached", Info, ""},
+	{UpstreamLimitChanged, "upstream changed the rate of requests that it takes", Info, ""},
+	{UpstreamLimitInvalid, "upstream named a rate of requests that cannot be read", Warning, "look at the upstream's version; the previous rate stays in force"},
 	{PromptCacheReported, "upstream told which prompts it holds", Info, ""},
 	{StoreCopyTooLarge, "copy of the store is too large for a peer's question", Warning, "the peer reads the store itself; look for what fills it"},
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/result"
@@ -225,11 +226,30 @@
 		total = load.Running + load.Waiting
 	}
 	a.choice.AnswerStarted(bootclock.Now(), total)
+	a.recordRateLimit(response)
 	if c.progress.first == 0 {
 		c.progress.first = time.Since(c.started)
 	}
 }
 
+// recordRateLimit records the rate of requests that the upstream named. Only the upstream's own answer shows that there is no limit any more.
+func (a *attempt) recordRateLimit(response *upstream.Response) {
+	perSecond, named, err := a.call.g.headers.ParseRateLimit(response.Header)
+	if err != nil {
+		event.LogSampled(event.UpstreamLimitInvalid, "upstream", a.choice.ID, "error", err, "request", a.call.id)
+		return
+	}
+	if !named {
+		if !a.isAuthentic(response) {
+			return
+		}
+		perSecond = balancer.NoRateLimit
+	}
+	if a.choice.RecordRateLimit(bootclock.Now(), perSecond) {
+		event.Log(event.UpstreamLimitChanged, "upstream", a.choice.ID, "per_second", perSecond, "source", "answer", "request", a.call.id)
+	}
+}
+
 // exchangeFailed maps the error of an exchange without a response to a result, and reports whether the request may have run.
 func (a *attempt) exchangeFailed(err error) (result.Code, bool) {
 	cause := context.Cause(a.ctx)
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -36,6 +36,9 @@
 	FetchFrom string
 	// Load is an upstream's load as running requests, waiting requests and slots, separated by commas.
 	Load string
+	// RateLimit is the number of requests a second that an upstream takes from all entries together, a decimal number. Without the header there is no
+	// limit.
+	RateLimit string
 	// UpstreamID identifies the upstream that answers a health check.
 	UpstreamID string
 	// ColdFor is the remaining time for which an upstream is cold, in milliseconds.
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"fmt"
+	"math"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -115,6 +117,20 @@
 	return n
 }
 
+// ParseRateLimit parses the rate limit that an upstream names, in requests a second. named is false if the header is missing. A malformed value is an
+// error.
+func (n *HeaderNames) ParseRateLimit(h http.Header) (perSecond float64, named bool, err error) {
+	text := h.Get(n.RateLimit)
+	if text == "" {
+		return 0, false, nil
+	}
+	perSecond, err = strconv.ParseFloat(text, 64)
+	if err != nil || perSecond < 0 || math.IsInf(perSecond, 0) || math.IsNaN(perSecond) {
+		return 0, false, fmt.Errorf("rate limit %q of the upstream is not a number of requests a second", text)
+	}
+	return perSecond, true, nil
+}
+
 // Load is the load that an upstream reports.
 type Load struct {
 	Running, Waiting, Slots int
