gateway: share the rate of requests that upstreams name

Cause: nothing read the header. Class: a limit of the upstream that only its owner knows, like the rate of cold upstreams, the other one that all gateways have to share; the two are one mechanism now.

Change: the limit of an upstream is what it named in its newest answer to any gateway; changes go to the neighbours with the periodic state, and all limits to a neighbour that connects. Each gateway sends its share. Below one request a second a gateway sends only in its turn: by its place among the registered gateways and the time of day, which spreads the turns evenly; the random phases that cold upstreams had still apply while the place is unknown. An answer without the header ends the limit. A limit of zero gets a request every ten seconds, since only answers show that it has ended.

Four to 300 entries in virtual time never exceed the limit by more than two requests in 4 s, and use nine tenths of it or more (TestPick_NamedRateLimit).

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -396,6 +396,18 @@
 	Crashes []RequestCrash `msgpack:"c,omitempty"`
 	// Parts is what the sender found out or was told about prompt parts that may crash upstreams since the last message, nil if nothing.
 	Parts *PartReport `msgpack:"q,omitempty"`
+	// Limits are the rate limits of upstreams that changed since the last message.
+	Limits []UpstreamLimit `msgpack:"m,omitempty"`
+}
+
+// UpstreamLimit reports the rate of requests that an upstream takes from all gateways together.
+type UpstreamLimit struct {
+	// Upstream is a hash of the upstream's name.
+	Upstream uint64 `msgpack:"u"`
+	// PerSecond is the rate in requests per second, negative if there is no limit.
+	PerSecond float64 `msgpack:"r"`
+	// AgeMS is the time since the upstream named it, in milliseconds.
+	AgeMS uint32 `msgpack:"a"`
 }
 
 // PartReport reports on prompt parts that may crash upstreams. Services and parts are hashes, ages are in milliseconds. All lists may be
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -29,7 +29,7 @@
 	PeerLoadMaxAge time.Duration
 	// ReportedTotalMaxAge is how long the total load that an upstream reported is used if load reports of some peers are missing.
 	ReportedTotalMaxAge time.Duration
-	// Seed is the seed of the random tie breaker. It also sets the phase of the entry's cold-start window.
+	// Seed is the seed of the random tie breaker. It also sets the phase of the entry's rate window while its position is unknown.
 	Seed uint64
 }
 
@@ -52,10 +52,14 @@
 	random   *rand.Rand
 	backends map[string]*backend
 	services map[string][]*backend
-	// entries is the number of entries that share the limits of the fleet.
-	entries int
-	peers   map[string]peerLoad
-	updates holderUpdates
+	// entries is the number of entries that share the limits of the fleet, position this entry's place among them, negative if it is unknown.
+	// timeOfDay is added to a time to get the time of day, which all entries have in common.
+	entries, position int
+	timeOfDay         time.Duration
+	peers             map[string]peerLoad
+	// limitUpdates are the changed rate limits that the peers have not been told.
+	limitUpdates []RateLimit
+	updates      holderUpdates
 	// scratch is reused between decisions.
 	scratch []placement.Upstream
 }
@@ -66,11 +70,13 @@
 	hash  uint64
 	local bool
 	// leaving is set while the upstream shuts down and takes no new requests.
-	leaving     bool
-	monitor     *health.Monitor
-	cache       *placement.Cache
-	coldLimiter *rate.Limiter
-	coldRate    float64
+	leaving bool
+	monitor *health.Monitor
+	cache   *placement.Cache
+	// coldRate is the rate of requests that the upstream takes from all entries while it is cold, in requests per second; zero if there is no limit.
+	coldRate float64
+	// limiter holds this entry's share of the rate in force.
+	limiter *rate.Limiter
 	// fetchRate is the rate at which the upstream copies cached prompts from others, in tokens per millisecond.
 	fetchRate float64
 	// inFlight is the number of this entry's requests in flight, pendingTokens the number of their prompt tokens that the upstream
@@ -113,6 +119,7 @@
 		services: make(map[string][]*backend),
 		peers:    make(map[string]peerLoad),
 		entries:  1,
+		position: -1,
 	}
 }
 
@@ -138,7 +145,7 @@
 			e.ColdUntil = coldUntil // a probe found a later end than the published entry states
 		}
 		e.leaving = i >= len(upstreams)
-		e.coldRate = service.MaxColdRate
+		e.coldRate = max(0, service.MaxColdRate)
 		e.fetchRate = service.FetchTokensPerMS
 		next[u.ID] = e
 		b.services[u.Service] = append(b.services[u.Service], e)
@@ -148,12 +155,12 @@
 
 func (b *Balancer) newBackend(u directory.Upstream, service *routing.Service) *backend {
 	return &backend{
-		hash:        upstreamHash(u.ID),
-		local:       u.DataCentre == b.config.DataCentre,
-		monitor:     health.New(b.config.Health),
-		cache:       placement.NewCache(service.CacheTokens * 3 / 4), // a quarter is left for answers and for what other entries send
-		coldLimiter: rate.NewLimiter(0, 1),
-		rateLimit:   NoRateLimit,
+		hash:      upstreamHash(u.ID),
+		local:     u.DataCentre == b.config.DataCentre,
+		monitor:   health.New(b.config.Health),
+		cache:     placement.NewCache(service.CacheTokens * 3 / 4), // a quarter is left for answers and for what other entries send
+		limiter:   rate.NewLimiter(0, 1),
+		rateLimit: NoRateLimit,
 	}
 }
 
@@ -169,6 +176,14 @@
 	b.entries = max(1, n)
 }
 
+// SetPosition sets the place of this entry among the entries, from zero, and what to add to a time to get the time of day, by which the entries take
+// turns. A negative position means that it is unknown.
+func (b *Balancer) SetPosition(position int, timeOfDay time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.position, b.timeOfDay = position, timeOfDay
+}
+
 // SetLoadFactor sets the maximum number of requests of an upstream, as a multiple of the mean of its service.
 func (b *Balancer) SetLoadFactor(factor float64) {
 	b.mu.Lock()
@@ -238,8 +253,8 @@
 		return nil
 	}
 	e := group[index]
-	if b.isCold(now, e) {
-		e.coldLimiter.AllowN(now, 1)
+	if _, limited := b.currentRate(now, e); limited {
+		e.limiter.AllowN(now, 1)
 	}
 	c := &Choice{
 		Upstream: e.Upstream, Cached: b.scratch[index].CachedTokens, Load: int(b.scratch[index].Load), Candidates: candidates,
@@ -291,40 +306,12 @@
 	if q.DataCentre != nil && !q.DataCentre(e.DataCentre) || q.Versions != nil && !q.Versions(e.Version) {
 		u.Excluded = true
 	}
-	if b.isCold(now, e) && (e.coldLimiter.TokensAt(now) < 1 || !b.inColdWindow(now, e)) {
+	if perSecond, limited := b.currentRate(now, e); limited && (e.limiter.TokensAt(now) < 1 || !b.inRateWindow(now, e, perSecond)) {
 		u.Excluded = true
 	}
 	return u
 }
 
-// isCold reports whether the upstream is cold. It also updates the cold-start limiter to this entry's share of the rate that the upstream
-// can handle.
-func (b *Balancer) isCold(now time.Time, e *backend) bool {
-	if e.coldRate <= 0 || !now.Before(e.ColdUntil) {
-		return false
-	}
-	if share := rate.Limit(e.coldRate / float64(b.entries)); e.coldLimiter.Limit() != share {
-		e.coldLimiter.SetLimitAt(now, share)
-	}
-	return true
-}
-
-// coldWindow is the duration of the window in which an entry may use its share of a cold upstream's rate if the share is less than one
-// request per second. Without windows, many entries would spend their accumulated tokens at the same moment. Of 31 entries
-// that share 13 requests per second, 18 have their window within any one second.
-const coldWindow = 400 * time.Millisecond
-
-// inColdWindow reports whether the entry may use its share of a cold upstream's rate now. The window recurs with the interval at which
-// the entry earns one request; its position in the interval is pseudo-random.
-func (b *Balancer) inColdWindow(now time.Time, e *backend) bool {
-	interval := time.Duration(float64(b.entries) / e.coldRate * float64(time.Second))
-	if interval <= time.Second {
-		return true
-	}
-	phase := time.Duration((e.hash ^ b.config.Seed) % uint64(interval))
-	return (time.Duration(now.UnixNano())+phase)%interval < coldWindow
-}
-
 // remoteLoad returns the load of other entries on an upstream. It is the sum of their reports if those of all entries are recent
 // enough. Otherwise the total in the upstream's latest answer to any entry is used if it is higher and recent enough.
 func (b *Balancer) remoteLoad(now time.Time, e *backend) (requests, pending int) {
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -7,6 +7,7 @@
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/request/placement"
 )
 
@@ -44,6 +45,11 @@
 	if m.Parts != nil {
 		p.g.crashes.recordPartsFromPeer(now, m.Parts)
 	}
+	for _, l := range m.Limits {
+		if id := p.g.balancer.AddRateLimit(balancer.RateLimit{Upstream: l.Upstream, PerSecond: l.PerSecond, At: ago(now, l.AgeMS)}); id != "" {
+			event.Log(event.UpstreamLimitChanged, "upstream", id, "per_second", l.PerSecond, "source", "peer", "peer", name)
+		}
+	}
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
@@ -63,7 +69,7 @@
 	return loads
 }
 
-// sendState sends this gateway's loads and its new prompts to all neighbours.
+// sendState sends this gateway's loads, its new prompts and the changed rate limits to all neighbours.
 func (p *peers) sendState() {
 	m := &wire.FleetState{}
 	for hash, l := range p.g.balancer.Loads(bootclock.Now()) {
@@ -73,9 +79,18 @@
 		})
 	}
 	m.Holders = promptHolders(p.g.balancer.TakeHolderUpdates())
+	m.Limits = wireLimits(bootclock.Now(), p.g.balancer.TakeRateLimits())
 	p.broadcast(m)
 }
 
+func wireLimits(now time.Time, limits []balancer.RateLimit) []wire.UpstreamLimit {
+	var out []wire.UpstreamLimit
+	for _, l := range limits {
+		out = append(out, wire.UpstreamLimit{Upstream: l.Upstream, PerSecond: l.PerSecond, AgeMS: age(now, l.At)})
+	}
+	return out
+}
+
 // sendReports sends the queued reports on crashes to all neighbours.
 func (p *peers) sendReports() {
 	now := bootclock.Now()
@@ -109,3 +124,13 @@
 		_ = c.Send(&wire.FleetState{Partial: true, Holders: []wire.PromptHolder{h}}) // a lost message costs repeated prefills
 	}
 }
+
+// sendKnownFaults sends a new neighbour what it must know before it sends requests: the prompt parts that crash upstreams, and the rate limits of
+// upstreams.
+func (p *peers) sendKnownFaults(c *link.Conn) {
+	now := bootclock.Now()
+	m := &wire.FleetState{Partial: true, Parts: p.g.crashes.knownParts(now), Limits: wireLimits(now, p.g.balancer.RateLimits())}
+	if m.Parts != nil || len(m.Limits) > 0 {
+		_ = c.Send(m) // if the connection is lost, the next one sends it again
+	}
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -156,16 +156,19 @@
 // updateGatewayCount updates the number of gateways among which the fleet's limits are divided. Members that are no longer registered
 // are included for countDeregisteredFor, since a registration may expire while the gateway runs. The caller holds p.mu.
 func (p *peers) updateGatewayCount(names []string) {
-	n := len(names)
+	counted := slices.Clone(names)
 	for name, at := range p.deregisteredAt {
 		if slices.Contains(names, name) || time.Since(at) > countDeregisteredFor {
 			delete(p.deregisteredAt, name)
 			continue
 		}
-		n++
+		counted = append(counted, name)
 	}
+	slices.Sort(counted)
+	n := len(counted)
 	p.g.gatewayCount.Store(int64(n))
 	p.g.balancer.SetEntries(n)
+	p.g.balancer.SetPosition(slices.Index(counted, p.g.settings.Instance), time.Duration(time.Now().UnixNano()-bootclock.Now().UnixNano()))
 	p.g.budgets.setGatewayCount(n)
 }
 
@@ -309,9 +312,7 @@
 		l.startID = start
 		p.sendKnownPrompts(conn)
 	}
-	if report := p.g.crashes.knownParts(bootclock.Now()); report != nil {
-		_ = conn.Send(&wire.FleetState{Partial: true, Parts: report}) // if the connection is lost, the next one sends it again
-	}
+	p.sendKnownFaults(conn)
 	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
 }
 
