gateway: tell the neighbours that a suspect request was answered

Reports on a crash also went round among gateways for as long as the request was answered: an answer deleted the record of the crash, and the next copy of the report counted as new.

Cause: answers counted only where they arrived, crashes everywhere. Class: evidence against a request is shared, evidence for it is not.

Change: a gateway that clears a suspect tells its neighbours, which clear it and forward that once. The crashes stay known until they expire, and only their count is set to zero.

Before: TestCrashTracker_RequestAnsweredElsewhere failed, the third gateway rejected for 59.86 s after four crashes with answers in between at the other two. After: not rejected, and no report is exchanged by further answers.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -431,6 +431,7 @@
 
 // PartAnswer reports that a request with a part was answered completely.
 type PartAnswer struct {
+	// Service is zero if Part is the fingerprint of a whole request.
 	Service uint64 `msgpack:"v"`
 	Part    uint64 `msgpack:"p"`
 	AgeMS   uint32 `msgpack:"a"`
--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -120,7 +120,18 @@
 	if n := s.requests.Count(f); n > 0 {
 		event.LogSampled(event.SuspectCleared, "fingerprint", uint64(f), "crashes", n, "request", c.id, "parts", c.sharedPartIDs())
 	}
-	s.requests.RecordAnswer(f)
+	s.clearRequest(quarantine.PartAnswer{Part: quarantine.Part{Service: wholeRequests, ID: uint64(f)}, At: bootclock.Now()})
+}
+
+// wholeRequests stands for the service in answers to whole requests, which are identified by their fingerprint and not by a prompt part.
+const wholeRequests = 0
+
+// clearRequest removes a request that was answered from the suspects, and tells the neighbours if it was one. The caller holds s.mu.
+func (s *crashTracker) clearRequest(answer quarantine.PartAnswer) {
+	if s.requests.RecordAnswer(quarantine.Fingerprint(answer.Part.ID)) {
+		s.partReport.answers = append(s.partReport.answers, answer)
+		s.wakeSender()
+	}
 	s.hasSuspects.Store(s.requests.Len() > 0)
 }
 
--- a/process/gateway/crashfleet_test.go
+++ b/process/gateway/crashfleet_test.go
@@ -508,3 +508,63 @@
 		})
 	}
 }
+
+// simRequests is a fleet of crash trackers that exchange reports on whole requests.
+type simRequests struct {
+	trackers []*crashTracker
+	now      time.Time
+	// sent is the number of reports exchanged.
+	sent int
+}
+
+// exchange lets each tracker send its reports to all others, for some rounds.
+func (s *simRequests) exchange(rounds int) {
+	for range rounds {
+		s.now = s.now.Add(simTick)
+		for i, from := range s.trackers {
+			crashes, parts := from.takeReports(s.now), from.takePartReport(s.now)
+			s.sent += len(crashes)
+			for j, to := range s.trackers {
+				if i == j {
+					continue
+				}
+				to.recordFromPeer(s.now, crashes)
+				if parts != nil {
+					to.recordPartsFromPeer(s.now, parts)
+				}
+			}
+		}
+	}
+}
+
+// A request that one gateway saw answered must not be rejected by another that only heard of the crashes, and reports of a crash must not go round for
+// ever once the request was answered.
+func TestCrashTracker_RequestAnsweredElsewhere(t *testing.T) {
+	s := &simRequests{now: time.Unix(1000, 0)}
+	for range 3 {
+		s.trackers = append(s.trackers, newCrashTracker(func(uint64) bool { return false }))
+	}
+	c := &call{team: "drivers", request: &http.Request{RequestURI: "/look/popular"}}
+	for crash := range uint64(4) {
+		s.now = s.now.Add(time.Second)
+		first := s.trackers[0]
+		first.mu.Lock()
+		first.recordDetected(s.now, []quarantine.DetectedCrash{{At: s.now, Crash: quarantine.Crash{
+			Fingerprint: c.fingerprint(), Upstream: crash, Started: s.now.Add(-50 * time.Millisecond),
+		}}})
+		first.mu.Unlock()
+		s.exchange(5)
+		s.trackers[0].recordAnswered(c)
+		s.exchange(5)
+		s.trackers[1].recordAnswered(c)
+		s.exchange(5)
+	}
+	must.EqOp(t, 0, s.trackers[2].quarantinedFor(s.now, c))
+	s.sent = 0
+	for range 20 {
+		s.trackers[0].recordAnswered(c)
+		s.trackers[1].recordAnswered(c)
+		s.exchange(1)
+	}
+	must.EqOp(t, 0, s.sent)
+}
--- a/process/gateway/crashparts.go
+++ b/process/gateway/crashparts.go
@@ -122,7 +122,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range report.Answers {
-		s.recordPartAnswer(s.parts.RecordPeerAnswer, quarantine.PartAnswer{Part: quarantine.Part{Service: a.Service, ID: a.Part}, At: ago(now, a.AgeMS)})
+		answer := quarantine.PartAnswer{Part: quarantine.Part{Service: a.Service, ID: a.Part}, At: ago(now, a.AgeMS)}
+		if a.Service == wholeRequests {
+			s.clearRequest(answer)
+			continue
+		}
+		s.recordPartAnswer(s.parts.RecordPeerAnswer, answer)
 	}
 	for _, c := range report.Crashes {
 		crash := quarantine.PartCrash{Service: c.Service, Upstream: c.Upstream, Started: ago(now, c.StartedAgeMS), At: ago(now, c.AgeMS), IDs: c.Parts}
--- a/process/quarantine/crashes.go
+++ b/process/quarantine/crashes.go
@@ -74,8 +74,16 @@
 	return true
 }
 
-// RecordAnswer clears the suspicion of a request that an upstream answered.
-func (c *Crashes) RecordAnswer(f Fingerprint) { delete(c.suspects, f) }
+// RecordAnswer clears the suspicion of a request that an upstream answered, and reports whether there was one. The crashes stay known, so that late
+// reports of them are not taken for new ones.
+func (c *Crashes) RecordAnswer(f Fingerprint) bool {
+	s := c.suspects[f]
+	if s == nil || s.count == 0 {
+		return false
+	}
+	s.count = 0
+	return true
+}
 
 // RejectedFor returns how much longer a request is to be rejected, zero if it may be sent.
 func (c *Crashes) RejectedFor(now time.Time, f Fingerprint) time.Duration {
@@ -94,7 +102,15 @@
 }
 
 // Len returns the number of suspected requests.
-func (c *Crashes) Len() int { return len(c.suspects) }
+func (c *Crashes) Len() int {
+	n := 0
+	for _, s := range c.suspects {
+		if s.count > 0 {
+			n++
+		}
+	}
+	return n
+}
 
 func (c *Crashes) expire(now time.Time) {
 	for f, s := range c.suspects {
