gateway: no trials by gateways that are not registered

A gateway that is not registered, for instance just after its start, owned all tasks, which is harmless for the lists of prompts but let each such gateway run a request with a quarantined prompt part as a trial. Found by reading; a trial costs an upstream if the part is at fault. Trials are now made only by the registered gateway to which the part is assigned.

--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -28,8 +28,8 @@
 	reportsQueued chan struct{}
 	// quarantineChanges are the changes of the list of quarantined parts that this gateway has to write to the store.
 	quarantineChanges chan quarantineChange
-	// ownsTask reports whether a task is assigned to this gateway. It must not block.
-	ownsTask func(task uint64) bool
+	// isAssigned reports whether a task is assigned to this gateway. It must not block.
+	isAssigned func(task uint64) bool
 
 	mu       sync.Mutex
 	detector *quarantine.Detector
@@ -40,11 +40,11 @@
 	partReport partReport
 }
 
-func newCrashTracker(ownsTask func(task uint64) bool) *crashTracker {
+func newCrashTracker(isAssigned func(task uint64) bool) *crashTracker {
 	return &crashTracker{
 		reportsQueued:     make(chan struct{}, 1),
 		quarantineChanges: make(chan quarantineChange, maxQuarantineChanges),
-		ownsTask:          ownsTask,
+		isAssigned:        isAssigned,
 		detector:          quarantine.NewDetector(quarantine.DefaultDetectorConfig()),
 		requests:          quarantine.NewCrashes(quarantine.DefaultCrashConfig()),
 		parts:             quarantine.NewParts(quarantine.DefaultPartConfig()),
--- a/process/gateway/crashparts.go
+++ b/process/gateway/crashparts.go
@@ -108,7 +108,7 @@
 func (s *crashTracker) judgeParts(now time.Time, c *call) (time.Duration, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.parts.Judge(now, c.partIDs.All, func(p quarantine.Part) bool { return s.ownsTask(p.ID) })
+	v := s.parts.Judge(now, c.partIDs.All, func(p quarantine.Part) bool { return s.isAssigned(p.ID) })
 	if v.Trial != nil {
 		event.Log(event.PartTrial, "part", formatPart(v.Trial.Part.ID), "trials", v.Trial.Trials, "request", c.id)
 		s.partReport.quarantined = append(s.partReport.quarantined, *v.Trial)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -125,7 +125,7 @@
 	}
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
-	g.crashes = newCrashTracker(g.peers.ownsTask)
+	g.crashes = newCrashTracker(g.peers.isAssigned)
 	g.rollouts = newRollouts(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -179,6 +179,13 @@
 	return share == nil || share.index < 0 || task%uint64(share.count) == uint64(share.index)
 }
 
+// isAssigned reports whether a task is assigned to this gateway among the registered ones. Unlike ownsTask, it is false for all tasks of a gateway
+// that is not registered.
+func (p *peers) isAssigned(task uint64) bool {
+	share := p.taskShare.Load()
+	return share != nil && share.index >= 0 && task%uint64(share.count) == uint64(share.index)
+}
+
 // taskShare is the position of this gateway in the sorted list of registered gateways, negative if it is not registered, and their number.
 type taskShare struct{ index, count int }
 
