gateway: test fixture takes ports outside the range of outgoing connections

TestServe_RequestThatCrashesUpstreams failed once in nine runs of the package with 'bind: address already in use': the fixture chose a port of the kernel's ephemeral range, closed it, and a connection of another test could take it before the gateway listened. An earlier run of the package failed the same way or for another reason, its output was not kept. Ports are now taken from a range below.

--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -202,11 +203,29 @@
 	client  *http.Client
 }
 
+const (
+	// firstTestPort and testPorts are the range of the ports of gateways, below those that the kernel gives to outgoing connections: a connection of
+	// another test could take a port between the choice and the start of the gateway.
+	firstTestPort, testPorts = 15_000, 15_000
+)
+
+// nextTestPort is the offset of the next port to try. Concurrent test processes begin at different ones.
+var nextTestPort atomic.Int64
+
+func init() { nextTestPort.Store(int64(os.Getpid()) * 97) }
+
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer listener.Close() //nolint:errcheck // only the port is needed
-	return listener.Addr().String()
+	for range testPorts {
+		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		must.NoError(t, listener.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func newFixture(t *testing.T, upstreams ...*fakeUpstream) *fixture {
