Guards for quarantined prompt parts

Six safety checks of the fix, each removed in a scratch copy: the named test fails. One test is new: a quarantined part that is read from the store.

--- a/process/gateway/crashfleet_test.go
+++ b/process/gateway/crashfleet_test.go
@@ -568,3 +568,17 @@
 	}
 	must.EqOp(t, 0, s.sent)
 }
+
+// A gateway that starts must reject a quarantined part that it reads from the store, also if its neighbours know nothing of it.
+func TestCrashTracker_StoredQuarantine(t *testing.T) {
+	s := newCrashSim(1, 1, 1)
+	bad := &call{service: "model", partIDs: testHeaders.ParsePartIDs(http.Header{"Test-Parts": {"bad:1,f:1"}})}
+	part := quarantine.Part{Service: bad.serviceHash(), ID: bad.partIDs.All[0]}
+	s.stored[part] = quarantine.QuarantinedPart{Part: part, Crashes: 3}
+	s.start(0)
+	wait, _ := s.gateways[0].tracker.judgeParts(s.now, bad)
+	must.Positive(t, wait)
+	other := &call{service: "model", partIDs: testHeaders.ParsePartIDs(http.Header{"Test-Parts": {"a:1,f:1"}})}
+	wait, _ = s.gateways[0].tracker.judgeParts(s.now, other)
+	must.EqOp(t, 0, wait)
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -83,4 +83,10 @@
 guard sick-data-centre process/entry/shift.go 's/DataCentre: target\.DataCentre, Failed/DataCentre: "", Failed/' ./test TestRollout_FaultyDataCentreCausesNoRollback
 guard stop-without-lease version/rollout/machine.go 's/case v\.Rejected && m\.record/case v.Rejected \&\& m.lease.Held \&\& m.record/' ./test TestRollout_StoppedWhilePlatformIsDown
 guard slow-judged version/rollout/sequential.go 's/for kind := range numOutcomeKinds \{\n\t\t\tt\.evaluateGroup/for kind := range 1 {\n\t\t\tt.evaluateGroup/' ./test 'TestRollout_LateFaults/is_slow'
+guard part-attribution process/quarantine/evidence.go 's/if n < top \|\|/if false \&\& n < top ||/; s/if n > top \{/if top = max(top, n); false {/' ./process/quarantine TestParts_AttributesToTheMostFrequent
+guard part-answer process/quarantine/parts.go 's/return found && !crash\.At\.After\(at\)/return false \&\& found \&\& at.IsZero()/' ./process/quarantine TestParts_LateReportOfAClearedCrash
+guard part-sound process/gateway/crashparts.go 's/if len\(c\.partIDs\.Answered\) == 0/if true/' ./process/gateway TestCrashParts_NoCulpritAmongSoundParts
+guard part-reports process/gateway/crashparts.go 's/s\.partReport\.crashes = append\(s\.partReport\.crashes, crash\)//' ./process/gateway TestCrashParts_FleetRejectsOnlyTheCrashingPart
+guard part-store process/gateway/quarantinestore.go 's/if item\.Deleted \|\|/if true ||/' ./process/gateway TestCrashTracker_StoredQuarantine
+guard request-answers process/gateway/crashes.go 's/s\.partReport\.answers = append\(s\.partReport\.answers, answer\)//' ./process/gateway TestCrashTracker_RequestAnsweredElsewhere
 exit $missed
