Guards for shared rate limits

Three safety checks of the fix, each removed in a scratch copy: the named test fails. One test is new: a rate limit that another gateway was told.

--- a/process/gateway/ratelimit_test.go
+++ b/process/gateway/ratelimit_test.go
@@ -98,3 +98,15 @@
 	_, all = limited.since(lifted)
 	must.Greater(t, int(2*perSecond), all)
 }
+
+// A gateway must apply the rate limit that only another gateway has been told, as soon as it hears of it.
+func TestServe_NamedRateLimitOfOtherGateway(t *testing.T) {
+	limited := newLimitedUpstream(t, "limited", 2.5)
+	limited.limited.Store(true)
+	f := newFixture(t, limited.fakeUpstream)
+	other := f.start("two")
+	f.waitReady(other)
+	f.eventually("gateways are connected", func() bool { return len(other.peers.neighbourConns()) > 0 && len(f.gateway.peers.neighbourConns()) > 0 })
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodGet, "/look/1", nil).status)
+	f.eventually("the other gateway knows the limit", func() bool { return len(other.balancer.RateLimits()) == 1 })
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -89,4 +89,7 @@
 guard part-reports process/gateway/crashparts.go 's/s\.partReport\.crashes = append\(s\.partReport\.crashes, crash\)//' ./process/gateway TestCrashParts_FleetRejectsOnlyTheCrashingPart
 guard part-store process/gateway/quarantinestore.go 's/if item\.Deleted \|\|/if true ||/' ./process/gateway TestCrashTracker_StoredQuarantine
 guard request-answers process/gateway/crashes.go 's/s\.partReport\.answers = append\(s\.partReport\.answers, answer\)//' ./process/gateway TestCrashTracker_RequestAnsweredElsewhere
+guard rate-share process/balancer/ratelimit.go 's/rate\.Limit\(perSecond \/ float64\(b\.entries\)\)/rate.Limit(perSecond)/' ./process/balancer TestPick_NamedRateLimit
+guard rate-turns process/balancer/ratelimit.go 's/return \(time\.Duration\(now.*/return true || phase > 0/' ./process/balancer TestPick_NamedRateLimit
+guard rate-peers process/gateway/fleetstate.go 's/m\.Limits = wireLimits\(bootclock\.Now\(\), p\.g\.balancer\.TakeRateLimits\(\)\)//' ./process/gateway TestServe_NamedRateLimitOfOtherGateway
 exit $missed
