--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -103,8 +103,8 @@
 			s.queueReport(d.Crash)
 		}
 		crash := quarantine.PartCrash{Service: d.Service, Upstream: d.Upstream, Started: d.Started, At: d.At, IDs: d.Parts}
+		crash.IDs = s.recordPartCrash(now, crash)
 		s.vouch(now, crash, nil)
-		s.recordPartCrash(now, crash)
 	}
 	s.updateParts(now, true)
 }
--- a/process/gateway/crashparts.go
+++ b/process/gateway/crashparts.go
@@ -72,16 +72,15 @@
 	return true
 }
 
-// recordPartCrash records the parts of requests that were in flight at a crash, and forwards those that are new. The caller holds s.mu.
-func (s *crashTracker) recordPartCrash(now time.Time, crash quarantine.PartCrash) {
-	fresh := s.parts.RecordCrash(now, crash)
-	if len(fresh) == 0 || s.partReport.queued+len(fresh) > maxQueuedParts {
-		return
+// recordPartCrash records the parts of requests that were in flight at a crash, forwards those that are new and returns them. The caller holds s.mu.
+func (s *crashTracker) recordPartCrash(now time.Time, crash quarantine.PartCrash) []uint64 {
+	crash.IDs = s.parts.RecordCrash(now, crash)
+	if n := len(crash.IDs); n > 0 && s.partReport.queued+n <= maxQueuedParts {
+		s.partReport.crashes = append(s.partReport.crashes, crash)
+		s.partReport.queued += n
+		s.wakeSender()
 	}
-	crash.IDs = fresh
-	s.partReport.crashes = append(s.partReport.crashes, crash)
-	s.partReport.queued += len(fresh)
-	s.wakeSender()
+	return crash.IDs
 }
 
 // updateParts quarantines the parts that the crashes point to. own means that this gateway detected the latest crash, so that it writes the newly
