--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -48,9 +48,11 @@
 type Balancer struct {
 	config Config
 
-	mu       sync.Mutex
-	random   *rand.Rand
+	mu     sync.Mutex
+	random *rand.Rand
+	// backends are the upstreams by ID, byHash by the hash of the ID.
 	backends map[string]*backend
+	byHash   map[uint64]*backend
 	services map[string][]*backend
 	// entries is the number of entries that share the limits of the fleet, position this entry's place among them, negative if it is unknown.
 	// timeOfDay is added to a time to get the time of day, which all entries have in common.
@@ -116,6 +118,7 @@
 		config:   config,
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
 		backends: make(map[string]*backend),
+		byHash:   make(map[uint64]*backend),
 		services: make(map[string][]*backend),
 		peers:    make(map[string]peerLoad),
 		entries:  1,
@@ -130,6 +133,7 @@
 	defer b.mu.Unlock()
 	next := make(map[string]*backend, len(upstreams)+len(leaving))
 	clear(b.services)
+	clear(b.byHash)
 	for i, u := range slices.Concat(upstreams, leaving) {
 		service := services(u.Service)
 		if service == nil {
@@ -148,6 +152,7 @@
 		e.coldRate = max(0, service.MaxColdRate)
 		e.fetchRate = service.FetchTokensPerMS
 		next[u.ID] = e
+		b.byHash[e.hash] = e
 		b.services[u.Service] = append(b.services[u.Service], e)
 	}
 	b.backends = next
--- a/process/balancer/ratelimit.go
+++ b/process/balancer/ratelimit.go
@@ -38,10 +38,8 @@
 func (b *Balancer) AddRateLimit(l RateLimit) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, e := range b.backends {
-		if e.hash == l.Upstream && b.recordRateLimit(e, l) {
-			return e.ID
-		}
+	if e := b.byHash[l.Upstream]; e != nil && b.recordRateLimit(e, l) {
+		return e.ID
 	}
 	return ""
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -246,7 +246,7 @@
 		perSecond = balancer.NoRateLimit
 	}
 	if a.choice.RecordRateLimit(bootclock.Now(), perSecond) {
-		event.Log(event.UpstreamLimitChanged, "upstream", a.choice.ID, "per_second", perSecond, "source", "answer", "request", a.call.id)
+		event.LogSampled(event.UpstreamLimitChanged, "upstream", a.choice.ID, "per_second", perSecond, "source", "answer", "request", a.call.id)
 	}
 }
 
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -47,7 +47,7 @@
 	}
 	for _, l := range m.Limits {
 		if id := p.g.balancer.AddRateLimit(balancer.RateLimit{Upstream: l.Upstream, PerSecond: l.PerSecond, At: ago(now, l.AgeMS)}); id != "" {
-			event.Log(event.UpstreamLimitChanged, "upstream", id, "per_second", l.PerSecond, "source", "peer", "peer", name)
+			event.LogSampled(event.UpstreamLimitChanged, "upstream", id, "per_second", l.PerSecond, "source", "peer", "peer", name)
 		}
 	}
 	for _, h := range m.Holders {
