--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -194,14 +194,21 @@
 	e.order = e.order[1:]
 }
 
+// knownParts tells which parts need no further suspicion.
+type knownParts struct {
+	// isQuarantined reports whether a part is quarantined; it explains the crashes at which it was in flight.
+	isQuarantined func(Part) bool
+	// isProtected reports whether a part was answered recently; it needs more crashes than others.
+	isProtected func(Part) bool
+}
+
 // culprits returns the parts that are the most likely cause of enough crashes to be quarantined. Each crash is attributed to the part that was
-// in flight at the most crashes. Crashes at which a quarantined part was in flight are explained by it. A part that was answered recently needs
-// more crashes.
-func (e *evidence) culprits(isQuarantined, answered func(Part) bool) []QuarantinedPart {
+// in flight at the most crashes.
+func (e *evidence) culprits(known knownParts) []QuarantinedPart {
 	// Only the crashes of parts that were in flight at enough of them matter.
 	relevant := make(map[uint64]struct{})
 	for part, r := range e.parts {
-		if r.counted < e.config.Crashes || isQuarantined(part) || r.counted < e.config.AnsweredCrashes && answered(part) {
+		if r.counted < e.config.Crashes || known.isQuarantined(part) || !e.isSuspect(part, known) {
 			continue
 		}
 		for upstream := range r.crashes {
@@ -210,7 +217,7 @@
 	}
 	alone, tied := make(map[Part]int), make(map[Part]int)
 	for upstream := range relevant {
-		leaders := e.leaders(e.crashes[upstream], isQuarantined, answered)
+		leaders := e.leaders(e.crashes[upstream], known)
 		for _, part := range leaders {
 			if !e.parts[part].crashes[upstream].counted {
 				continue
@@ -220,19 +227,33 @@
 			}
 		}
 	}
-	return e.choose(alone, tied, isQuarantined)
+	return e.choose(alone, tied, known)
+}
+
+func (e *evidence) isSuspect(part Part, known knownParts) bool {
+	return e.parts[part].counted >= e.config.AnsweredCrashes || !known.isProtected(part)
+}
+
+// isExplained reports whether a quarantined part was in flight at a crash.
+func (c *crashRecord) isExplained(known knownParts) bool {
+	for part := range c.parts {
+		if known.isQuarantined(part) {
+			return true
+		}
+	}
+	return false
 }
 
 // leaders returns the parts to which a crash is attributed.
-func (e *evidence) leaders(c *crashRecord, isQuarantined, answered func(Part) bool) []Part {
+func (e *evidence) leaders(c *crashRecord, known knownParts) []Part {
+	if c.isExplained(known) {
+		return nil
+	}
 	top := 0
 	var leaders []Part
 	for part := range c.parts {
-		if isQuarantined(part) {
-			return nil
-		}
 		n := e.parts[part].counted
-		if n < top || n < e.config.AnsweredCrashes && answered(part) {
+		if n < top || !e.isSuspect(part, known) {
 			continue
 		}
 		if n > top {
@@ -245,10 +266,10 @@
 
 // choose returns the parts to quarantine, given the number of crashes of which each is the only leader and one of the leaders. Of tied parts it
 // returns at most MaxTied, the same at all entries.
-func (e *evidence) choose(alone, tied map[Part]int, isQuarantined func(Part) bool) []QuarantinedPart {
+func (e *evidence) choose(alone, tied map[Part]int, known knownParts) []QuarantinedPart {
 	var found []QuarantinedPart
 	for part, n := range tied {
-		if n >= e.config.TiedCrashes || alone[part] >= e.config.Crashes && e.isInMostCrashes(part, isQuarantined) {
+		if n >= e.config.TiedCrashes || alone[part] >= e.config.Crashes && e.isInMostCrashes(part, known) {
 			found = append(found, e.quarantine(part))
 		}
 	}
@@ -260,7 +281,7 @@
 
 // isInMostCrashes reports whether a part was in flight at half or more of the unexplained crashes since the first one at which it was. Where
 // upstreams crash often for other reasons, a part may be in flight at some of the crashes by chance.
-func (e *evidence) isInMostCrashes(part Part, isQuarantined func(Part) bool) bool {
+func (e *evidence) isInMostCrashes(part Part, known knownParts) bool {
 	r := e.parts[part]
 	var first time.Time
 	for upstream := range r.crashes {
@@ -270,15 +291,7 @@
 	}
 	others := 0
 	for upstream, c := range e.crashes {
-		explained := func() bool {
-			for other := range c.parts {
-				if isQuarantined(other) {
-					return true
-				}
-			}
-			return false
-		}
-		if r.crashes[upstream] == nil && !c.at.Before(first) && !explained() {
+		if r.crashes[upstream] == nil && !c.at.Before(first) && !c.isExplained(known) {
 			others++
 		}
 	}
--- a/process/quarantine/parts.go
+++ b/process/quarantine/parts.go
@@ -181,7 +181,7 @@
 	return true, nil
 }
 
-// Update quarantines the parts that the crashes now point to, and releases those whose time has passed. It returns the newly quarantined ones.
+// Update quarantines the parts that the crashes now point to, round by round since each explains some of the crashes, and releases those whose time has passed. It returns the newly quarantined ones.
 func (p *Parts) Update(now time.Time) []QuarantinedPart {
 	for part, q := range p.quarantined {
 		if now.Sub(q.At) >= p.config.QuarantineFor {
@@ -189,12 +189,13 @@
 		}
 	}
 	p.evidence.expire(now)
+	known := knownParts{isQuarantined: p.IsQuarantined, isProtected: func(part Part) bool {
+		_, protected := p.AnsweredAt(now, part)
+		return protected
+	}}
 	var added []QuarantinedPart
 	for {
-		found := p.evidence.culprits(p.IsQuarantined, func(part Part) bool {
-			_, protected := p.AnsweredAt(now, part)
-			return protected
-		})
+		found := p.evidence.culprits(known)
 		for _, q := range found {
 			p.add(q)
 		}
