placement: reject requests that would wait too long at a model upstream

Cause: the load bound is a multiple of the mean over the upstreams that can take the request; with one such upstream it bounds nothing. The same happens when the others are down.

Change: a model upstream gets no request while it has 1.25 requests a slot or more. The request goes elsewhere or is rejected at once, to come back.

TestChoose_LastModelUpstreamIsNotOverloaded failed before (0 chosen, -1 expected).

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -230,8 +230,7 @@
 	}
 }
 
-// wait returns after d, or earlier if a neighbour is added or the gateway stops, or if there are crashes to report, but for those not before
-// reportIn.
+// wait returns after d. It returns earlier if a neighbour is added or the gateway stops, and after reportIn if there are crashes to report.
 func (p *peers) wait(d, reportIn time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -64,7 +64,7 @@
 // maxCheckedParts is the number of parts of a prompt that are checked one by one. Prompts typically have a few.
 const maxCheckedParts = 256
 
-// manyPartsID stands for the parts after maxCheckedParts, so that none goes unchecked.
+// manyPartsID is the ID of all parts beyond maxCheckedParts together, so that none goes unchecked.
 const manyPartsID = "..."
 
 // PartIDs holds the hashes that identify the parts of a prompt, regardless of the model.
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -45,6 +45,9 @@
 	FailureRateTolerance float64
 	// LoadFactor limits the requests on an upstream to a multiple of the mean of its service. LoadSlack is added to that limit.
 	LoadFactor, LoadSlack float64
+	// SlotFactor limits the requests on a model upstream to a multiple of its slots. A request beyond the slots waits until others end, and
+	// callers leave when that takes seconds.
+	SlotFactor float64
 }
 
 // DefaultConfig returns weights for engines that prefill about 60 prompt tokens per millisecond.
@@ -63,6 +66,7 @@
 		FailureRateTolerance: 0.15, // allows for a single failure among the most recent requests
 		LoadFactor:           1.5,  // three quarters of the load bound of 2, since entries see different loads
 		LoadSlack:            2,
+		SlotFactor:           1.25,
 	}
 }
 
@@ -156,7 +160,7 @@
 		// The scan starts at a random index, which spreads requests over upstreams of equal cost.
 		i := (start + offset) % len(upstreams)
 		u := &upstreams[i]
-		if u.Excluded || u.Load+1 > limit {
+		if u.Excluded || u.Load+1 > limit || c.isFull(r, u) {
 			continue
 		}
 		cost := c.cost(r, u, available) + max(0, u.FailureRate-tolerated)*milliseconds(c.FailurePenalty)
@@ -173,6 +177,11 @@
 	return best
 }
 
+// isFull reports whether a model upstream has so many requests that another one would not start in time.
+func (c *Config) isFull(r Request, u *Upstream) bool {
+	return r.Tokens > 0 && u.Slots > 0 && u.Load >= c.SlotFactor*float64(u.Slots)
+}
+
 // needsInitialPlacement reports whether no eligible upstream is known to have the chat's shared prefix cached.
 func needsInitialPlacement(r Request, upstreams []Upstream) bool {
 	if r.SharedTokens == 0 {
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -148,3 +148,19 @@
 	must.EqOp(t, 1, at)
 	must.EqOp(t, -1, source)
 }
+
+// If only one model upstream can take requests, it must not get more than it can start in time, however many the others refuse.
+func TestChoose_LastModelUpstreamIsNotOverloaded(t *testing.T) {
+	upstreams := []Upstream{{Hash: 1, Slots: 64, Load: 79}, {Hash: 2, Slots: 64, Excluded: true}}
+	model, plain := Request{Tokens: 500}, Request{}
+	chosen, _ := Choose(DefaultConfig(), model, upstreams, 0)
+	must.EqOp(t, 0, chosen)
+	upstreams[0].Load = 80
+	chosen, _ = Choose(DefaultConfig(), model, upstreams, 0)
+	must.EqOp(t, -1, chosen)
+	chosen, _ = Choose(DefaultConfig(), plain, upstreams, 0)
+	must.EqOp(t, 0, chosen)
+	upstreams[0].Slots = 0
+	chosen, _ = Choose(DefaultConfig(), model, upstreams, 0)
+	must.EqOp(t, 0, chosen)
+}
