--- a/process/event/event.go
+++ b/process/event/event.go
@@ -87,6 +87,9 @@
 	RegistrationFailed ID = 703
 	ListOutageEnded    ID = 704
 	WatchOverdue       ID = 705
+	WatchFailed        ID = 706
+	StoreCopyReceived  ID = 707
+	StorePullExpired   ID = 708
 )
 
 // Level is the severity of a log event.
@@ -178,6 +181,9 @@
 	{RegistrationFailed, "registration in the platform's store failed", Info, ""},
 	{ListOutageEnded, "list of upstreams confirmed again after a gap in which entries may have expired", Info, ""},
 	{WatchOverdue, "watch of the store is overdue, the store is asked over another connection", Info, ""},
+	{WatchFailed, "call for the changes of the store failed", Info, ""},
+	{StoreCopyReceived, "large copy of the store's changes received from a peer", Info, ""},
+	{StorePullExpired, "peer sent no changes of the store in time", Info, ""},
 }
 
 var byID = func() map[ID]Description {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -28,6 +28,8 @@
 	dials         atomic.Int64
 	probes        atomic.Int64
 	storeFailures atomic.Int64
+	// storeBytes counts the bytes of items in complete responses of the store, peerCopyBytes those received from peers.
+	storeBytes, peerCopyBytes atomic.Int64
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
 
@@ -62,6 +64,8 @@
 	line("jayridge_upstream_connections_total", m.dials.Load())
 	line("jayridge_probes_total", m.probes.Load())
 	line("jayridge_store_failures_total", m.storeFailures.Load())
+	line("jayridge_store_bytes_total", m.storeBytes.Load())
+	line("jayridge_peer_copy_bytes_total", m.peerCopyBytes.Load())
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
 	m.mu.Lock()
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -272,6 +272,7 @@
 	}
 	for id, q := range p.pendingPulls {
 		if now.Sub(q.sent) > pullTimeout {
+			event.LogSampled(event.StorePullExpired, "peer", q.peer, "ms", now.Sub(q.sent).Milliseconds())
 			delete(p.pendingPulls, id)
 		}
 	}
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -20,6 +20,8 @@
 	pullTimeout = 2 * time.Second
 	// maxPushBytes is the maximum size of the items in one push, so that it fits into a frame.
 	maxPushBytes = 900 << 10
+	// largeCopyBytes is the size of the items in a push from which it is logged.
+	largeCopyBytes = 64 << 10
 )
 
 // pendingPull is a StorePull that a neighbour has not answered yet.
@@ -58,12 +60,10 @@
 	now := bootclock.Now()
 	push.AgeMS = ageMS(now, batch.AsOf)
 	push.ContactAgeMS = ageMS(now, batch.ContactAt)
-	size := 0
 	for _, i := range batch.Items {
 		push.Items = append(push.Items, wire.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-		size += len(i.Key) + len(i.Value)
 	}
-	if size > maxPushBytes {
+	if size := batch.Bytes(); size > maxPushBytes {
 		event.LogSampled(event.StoreCopyTooLarge, "peer", c.Remote().Instance, "bytes", size, "revision", batch.Revision)
 		return
 	}
@@ -90,6 +90,12 @@
 	for _, i := range m.Items {
 		batch.Items = append(batch.Items, mirror.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
+	size := batch.Bytes()
+	p.g.metrics.peerCopyBytes.Add(int64(size))
+	if size >= largeCopyBytes {
+		event.LogSampled(event.StoreCopyReceived, "peer", name, "bytes", size, "ms", bootclock.Now().Sub(q.sent).Milliseconds(),
+			"after", m.After, "revision", m.Revision, "known_revision", p.g.revision.Load())
+	}
 	select {
 	case p.g.batches <- sourcedBatch{batch: batch, after: m.After, source: name}:
 	default:
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -88,12 +88,14 @@
 		r = w.changes(watchWaitFor(watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)))
 	}
 	batch, err := r.batch, r.err
+	w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
 	if errors.Is(err, mirror.ErrCompacted) {
 		event.Log(event.StoreHistoryLost, "revision", w.revision)
 		w.revision = 0
 		return w.step() // reads everything
 	}
 	if err != nil {
+		event.LogSampled(event.WatchFailed, "ms", bootclock.Now().Sub(r.sent).Milliseconds(), "revision", w.revision, "error", err)
 		return err
 	}
 	batch.ContactAt = bootclock.Now()
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -35,6 +35,15 @@
 	ContactAt time.Time
 }
 
+// Bytes returns the size of the keys and values of the batch.
+func (b Batch) Bytes() int {
+	size := 0
+	for _, i := range b.Items {
+		size += len(i.Key) + len(i.Value)
+	}
+	return size
+}
+
 // ErrCompacted means that the store has discarded the changes after the requested revision. The copy must be updated with a full batch.
 var ErrCompacted = errors.New("history lost")
 
