gateway: keep pulls open until their timeout

What callers saw: gateways that could not reach the store got no large change from their neighbours either, and kept routing by the old configuration.

Cause: the time of a pull is read from package bootclock, since the age of the copy is counted from it, but its expiry was compared with time.Now. Every pull was 1.7e12 ms old and dropped at the next round of maintenance, after 0.4 s at most; an answer that took longer was thrown away as unasked. Class: times of two clocks compared. The other uses of both clocks in the package were read; no other pair is compared.

Failed before: TestStorePull_AnswerAfterMaintenance, "expected map to contain keys 1".

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -271,8 +271,8 @@
 		}
 	}
 	for id, q := range p.pendingPulls {
-		if now.Sub(q.sent) > pullTimeout {
-			event.LogSampled(event.StorePullExpired, "peer", q.peer, "ms", now.Sub(q.sent).Milliseconds())
+		if age := bootclock.Now().Sub(q.sent); age > pullTimeout {
+			event.LogSampled(event.StorePullExpired, "peer", q.peer, "ms", age.Milliseconds())
 			delete(p.pendingPulls, id)
 		}
 	}
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -26,6 +26,7 @@
 
 // pendingPull is a StorePull that a neighbour has not answered yet.
 type pendingPull struct {
+	// sent is a time of package bootclock.
 	sent time.Time
 	peer string
 }
