Bound calls of the store by their progress, not by their length

Cause: the deadline of a store call covered the whole response, and for a watch it had been running since the wait began. Class: a deadline on the whole of a transfer whose size is not bounded, and a retry that adds load to what is slow.

A watch is asked again only if no response has begun; of two calls, the first that begins goes on and the other is cancelled. The parameters of a watch are a struct: the new connection was hidden in a wait of zero.

Ruled out: a longer timeout, which only moves the size at which it breaks.

--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -77,17 +77,19 @@
 	return b, nil
 }
 
-func (s *fakeStore) Snapshot(context.Context, string) (mirror.Batch, error) { return s.since(0, true) }
+func (s *fakeStore) Snapshot(context.Context, string, func(int)) (mirror.Batch, error) {
+	return s.since(0, true)
+}
 
-func (s *fakeStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (mirror.Batch, error) {
+func (s *fakeStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
 	for range 20 {
-		b, err := s.since(after, false)
+		b, err := s.since(w.After, false)
 		if err != nil || len(b.Items) > 0 {
 			return b, err
 		}
 		sleep.For(ctx, 10*time.Millisecond)
 	}
-	return s.since(after, false)
+	return s.since(w.After, false)
 }
 
 func (s *fakeStore) Get(_ context.Context, key string) (services.KeyValue, error) {
@@ -439,11 +441,11 @@
 	partitioned atomic.Bool
 }
 
-func (s *partitionedStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (s *partitionedStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
 	if s.partitioned.Load() {
 		return mirror.Batch{}, services.ErrUnavailable
 	}
-	return s.fakeStore.Changes(ctx, prefix, after, wait)
+	return s.fakeStore.Changes(ctx, w)
 }
 
 func (s *partitionedStore) Renew(ctx context.Context, lease services.LeaseID) error {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -30,11 +29,10 @@
 // is done.
 type Store interface {
 	services.KV
-	// Snapshot reads all items with a key prefix.
-	Snapshot(ctx context.Context, prefix string) (mirror.Batch, error)
-	// Changes is a long poll: it waits up to wait for changes after a revision. It returns mirror.ErrCompacted if the store no longer
-	// has them.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error)
+	// Snapshot reads all items with a key prefix. progress is called with the number of bytes that have just arrived and must not block.
+	Snapshot(ctx context.Context, prefix string, progress func(bytes int)) (mirror.Batch, error)
+	// Changes makes one long poll. It returns mirror.ErrCompacted if the store no longer has the changes.
+	Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error)
 }
 
 // loadFactorShare is the fraction of the fleet's load factor that a gateway applies. The margin covers the delay with which gateways see
@@ -78,6 +76,8 @@
 	view atomic.Pointer[view]
 	// configConfirmedAt is the latest time at which the configuration was known to be current, in bootclock nanoseconds.
 	configConfirmedAt atomic.Int64
+	// storeProgressAt is the latest time at which bytes of a watch's response arrived, in bootclock nanoseconds.
+	storeProgressAt atomic.Int64
 	// gatewayCount is the number of gateways among which the fleet's limits are divided.
 	gatewayCount atomic.Int64
 	// fleet holds the current fleet-wide limits.
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -83,7 +83,7 @@
 func (w *watcher) step() error {
 	var r storeResponse
 	if w.revision == 0 {
-		r = w.ask(w.g.ctx, 0, w.g.store.Snapshot)
+		r = w.snapshot()
 	} else {
 		r = w.changes(watchWaitFor(watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)))
 	}
@@ -112,37 +112,80 @@
 	wait time.Duration
 }
 
-func (w *watcher) ask(ctx context.Context, wait time.Duration, call func(ctx context.Context, prefix string) (mirror.Batch, error)) storeResponse {
-	r := storeResponse{sent: bootclock.Now(), wait: wait}
-	r.batch, r.err = call(ctx, allKeys)
-	return r
+// storeCall is a call of the store in progress.
+type storeCall struct {
+	// begun is closed when the first bytes of the response have arrived.
+	begun  chan struct{}
+	done   chan storeResponse
+	cancel context.CancelFunc
 }
 
-// changes waits for changes after the copy's revision. If the response is overdue, the store is asked again without a wait, and the first
-// result of either call counts, be it an error: the next call is then made after watchRetry, and not after the timeout of the watch.
-func (w *watcher) changes(wait time.Duration) storeResponse {
+// start makes a call on a goroutine of its own.
+func (w *watcher) start(calls *sync.WaitGroup, wait time.Duration, request func(ctx context.Context, progress func(int)) (mirror.Batch, error)) storeCall {
 	ctx, cancel := context.WithCancel(w.g.ctx)
+	c := storeCall{begun: make(chan struct{}), done: make(chan storeResponse, 1), cancel: cancel}
+	var first sync.Once
+	progress := func(int) {
+		first.Do(func() { close(c.begun) })
+		w.g.storeProgressAt.Store(bootclock.Now().UnixNano())
+	}
+	calls.Go(func() {
+		r := storeResponse{sent: bootclock.Now(), wait: wait}
+		r.batch, r.err = request(ctx, progress)
+		c.done <- r
+	})
+	return c
+}
+
+// snapshot reads everything.
+func (w *watcher) snapshot() storeResponse {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	defer cancel()
-	responses := make(chan storeResponse, 2)
-	ask := func(wait time.Duration) {
-		calls.Go(func() {
-			responses <- w.ask(ctx, wait, func(ctx context.Context, prefix string) (mirror.Batch, error) {
-				return w.g.store.Changes(ctx, prefix, w.revision, wait)
-			})
+	c := w.start(&calls, 0, func(ctx context.Context, progress func(int)) (mirror.Batch, error) {
+		return w.g.store.Snapshot(ctx, allKeys, progress)
+	})
+	defer c.cancel()
+	return <-c.done
+}
+
+// changes waits for changes after the copy's revision. If no response begins in time, the store is asked again without a wait. The call
+// whose response begins or fails first counts and the other one is cancelled, so that they do not share the link for the same changes. An
+// error counts too: the next call is then made after watchRetry, and not after the timeout of the watch.
+func (w *watcher) changes(wait time.Duration) storeResponse {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	ask := func(watch mirror.Watch) storeCall {
+		watch.Prefix, watch.After = allKeys, w.revision
+		return w.start(&calls, watch.Wait, func(ctx context.Context, progress func(int)) (mirror.Batch, error) {
+			watch.Progress = progress
+			return w.g.store.Changes(ctx, watch)
 		})
 	}
-	ask(wait)
+	first := ask(mirror.Watch{Wait: wait})
+	defer first.cancel()
 	overdue := time.NewTimer(wait + watchOverdue)
 	defer overdue.Stop()
 	select {
-	case r := <-responses:
+	case r := <-first.done:
 		return r
+	case <-first.begun:
+		return <-first.done
 	case <-overdue.C:
-		event.LogSampled(event.WatchOverdue, "wait_ms", wait.Milliseconds(), "revision", w.revision)
-		ask(0)
-		return <-responses
+	}
+	event.LogSampled(event.WatchOverdue, "wait_ms", wait.Milliseconds(), "revision", w.revision)
+	second := ask(mirror.Watch{NewConnection: true})
+	defer second.cancel()
+	select {
+	case r := <-first.done:
+		return r
+	case r := <-second.done:
+		return r
+	case <-first.begun:
+		second.cancel()
+		return <-first.done
+	case <-second.begun:
+		first.cancel()
+		return <-second.done
 	}
 }
 
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/mirror"
@@ -100,23 +101,23 @@
 	}}
 }
 
-// silentStore is a store whose watches get no response once they are silenced, while calls without a wait are served.
+// silentStore is a store whose watches get no response once they are silenced, while calls over new connections are served.
 type silentStore struct {
 	*fakeStore
 	silenced atomic.Bool
-	// asked counts the calls without a wait.
+	// asked counts the calls over new connections.
 	asked atomic.Int64
 }
 
-func (s *silentStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Batch, error) {
-	if wait > 0 && s.silenced.Load() {
+func (s *silentStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
+	if !w.NewConnection && s.silenced.Load() {
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
-	if wait == 0 {
+	if w.NewConnection {
 		s.asked.Add(1)
 	}
-	return s.fakeStore.Changes(ctx, prefix, after, wait)
+	return s.fakeStore.Changes(ctx, w)
 }
 
 // A watch that is lost without a sign must not count as an outage of the store: an upstream that was removed meanwhile would stay in use.
@@ -131,3 +132,39 @@
 	f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
 	f.eventually("store asked again", func() bool { return store.asked.Load() > 0 })
 }
+
+// slowStore is a store whose responses take long to arrive once it is slow.
+type slowStore struct {
+	*fakeStore
+	slow atomic.Bool
+	// responses counts the slow responses that have begun, asked the calls over new connections.
+	responses, asked atomic.Int64
+}
+
+func (s *slowStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
+	if w.NewConnection {
+		s.asked.Add(1)
+	}
+	if s.slow.Load() {
+		s.responses.Add(1)
+		for range 20 {
+			w.Progress(1)
+			sleep.For(ctx, (watchWait+2*watchOverdue)/20)
+		}
+	}
+	return s.fakeStore.Changes(ctx, w)
+}
+
+// A response that takes long to arrive must not be asked for again: two copies of the same changes would share the link.
+func TestWatch_SlowResponseNotRepeated(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &slowStore{fakeStore: f.store}
+	g := f.startWith("slow", store)
+	f.waitReady(g)
+	store.slow.Store(true)
+	f.eventually("slow response", func() bool { return store.responses.Load() == 1 })
+	f.store.remove("upstream/a")
+	f.eventually("next call", func() bool { return store.responses.Load() == 2 })
+	must.SliceEmpty(t, g.view.Load().upstreams)
+	must.Zero(t, store.asked.Load())
+}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -44,6 +44,19 @@
 	return size
 }
 
+// Watch is one long poll for changes.
+type Watch struct {
+	Prefix string
+	// After is the revision after which changes are wanted.
+	After uint64
+	// Wait is the maximum time for which the store waits for a change.
+	Wait time.Duration
+	// NewConnection makes the call over a connection of its own, for when open ones may be silent.
+	NewConnection bool
+	// Progress, if set, is called with the number of bytes of the response that have just arrived. It must not block.
+	Progress func(bytes int)
+}
+
 // ErrCompacted means that the store has discarded the changes after the requested revision. The copy must be updated with a full batch.
 var ErrCompacted = errors.New("history lost")
 
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -49,7 +49,8 @@
 type Store struct {
 	// Address is the store's IP address and port.
 	Address string `json:"address" validate:"required,tcp_addr"`
-	// TimeoutMS is the timeout of a non-blocking store call, in milliseconds. Default 1000.
+	// TimeoutMS is the maximum time until the response of a store call begins, beyond the time for which the call waits, and the maximum
+	// pause within a response, in milliseconds. Default 1000.
 	TimeoutMS float64 `json:"timeout_ms" validate:"min=10,max=60000"`
 	// LeaseMS is the time to live of the gateway's registration without renewal, in milliseconds. Default 6000.
 	LeaseMS float64 `json:"lease_ms" validate:"min=1000,max=600000"`
