gateway: ask each neighbour once and fetch large values from one of them

Cause: a gateway whose copy of the store is older than 1.6 s asked all its neighbours every 0.3 s, and each answered with the whole change, although earlier answers were still under way. Ten neighbours and a change of 0.65 MB are 16 MB/s for a link of 1.25 MB/s; the more the link fell behind, the more was sent. Class: retries that add load to what is slow. Links to neighbours also counted as silent after 3 s, since one message took longer.

Now (mirror.Puller, a pure state machine) a neighbour has at most one open question, answers have only small values and list the large ones, and one neighbour sends those, in parts of 64 KB of which one is under way, if the store's own response makes no progress. Small changes no longer wait for large ones on this way, and copies over 900 KB, which neighbours refused before, can be fetched. A build without this asks and answers as before.

Ruled out: a longer period between questions, which only moves the size at which it breaks.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -239,6 +239,10 @@
 		return new(StorePull)
 	case TypeStorePush:
 		return new(StorePush)
+	case TypeStoreFetch:
+		return new(StoreFetch)
+	case TypeStoreChunk:
+		return new(StoreChunk)
 	default:
 		return nil
 	}
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -43,8 +43,10 @@
 	&FleetState{[]UpstreamLoad{{1 << 31, 2, 3, 4, 5}}, []PromptHolder{{"press-7", []PromptPart{{1 << 60, 700}}}}, true, []RequestCrash{{1 << 63, 8, 900}}, &PartReport{
 		[]PartCrash{{1 << 62, 9, 100, 50, []uint64{1 << 61}}}, []PartAnswer{{10, 11, 12}}, []QuarantinedPart{{13, 14, 3, 1, 15}},
 	}, []UpstreamLimit{{1 << 60, 2.5, 16}}},
-	&StorePull{3, 1 << 40},
-	&StorePush{3, 4, 5, true, 6, []StoreItem{{"key", []byte("value"), 5, true}}, 7},
+	&StorePull{3, 1 << 40, 5},
+	&StorePush{3, 4, 5, true, 6, []StoreItem{{"key", []byte("value"), 5, true}}, 7, []LargeValue{{"key", 8, 9}}},
+	&StoreFetch{3, "key", 4, 5, 6},
+	&StoreChunk{3, []byte("value")},
 }
 
 // All fields of all message types must arrive. A field with a duplicate or missing tag is lost, and so is a type missing from
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -45,6 +45,8 @@
 	TypeFleetState Type = 19
 	TypeStorePull  Type = 20
 	TypeStorePush  Type = 21
+	TypeStoreFetch Type = 22
+	TypeStoreChunk Type = 23
 )
 
 // Message is the content of one frame.
@@ -487,6 +489,8 @@
 	ID uint64 `msgpack:"i"`
 	// Revision is that of the sender's copy.
 	Revision uint64 `msgpack:"r"`
+	// MaxValueBytes is the maximum size of a value in the answer; larger ones are only listed. Zero means no maximum.
+	MaxValueBytes uint32 `msgpack:"m,omitempty"`
 }
 
 // StorePush answers a StorePull.
@@ -502,6 +506,34 @@
 	Items []StoreItem `msgpack:"t,omitempty"`
 	// ContactAgeMS is the time since the store last responded to the sender or to a peer that told it, in milliseconds. Zero means unknown.
 	ContactAgeMS uint32 `msgpack:"c,omitempty"`
+	// Large are the changes whose values are larger than MaxValueBytes of the StorePull. They are not in Items.
+	Large []LargeValue `msgpack:"l,omitempty"`
+}
+
+// LargeValue is a change of which only the size of the value is sent.
+type LargeValue struct {
+	Key      string `msgpack:"k"`
+	Revision uint64 `msgpack:"r"`
+	// Bytes is the size of the value.
+	Bytes uint32 `msgpack:"s"`
+}
+
+// StoreFetch asks a peer for a part of a value that it listed in a StorePush.
+type StoreFetch struct {
+	// ID matches the StoreChunk to the StoreFetch.
+	ID       uint64 `msgpack:"i"`
+	Key      string `msgpack:"k"`
+	Revision uint64 `msgpack:"r"`
+	// Offset is the first byte of the part, MaxBytes its maximum size.
+	Offset   uint32 `msgpack:"o"`
+	MaxBytes uint32 `msgpack:"m"`
+}
+
+// StoreChunk answers a StoreFetch.
+type StoreChunk struct {
+	ID uint64 `msgpack:"i"`
+	// Data is empty if the peer no longer has the value.
+	Data []byte `msgpack:"d,omitempty"`
 }
 
 // StoreItem is the latest change of a key in the platform's store.
@@ -520,3 +552,9 @@
 
 // Type implements Message.
 func (*StorePush) Type() Type { return TypeStorePush }
+
+// Type implements Message.
+func (*StoreFetch) Type() Type { return TypeStoreFetch }
+
+// Type implements Message.
+func (*StoreChunk) Type() Type { return TypeStoreChunk }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -35,13 +35,6 @@
 	applied chan<- struct{}
 }
 
-// sinceQuery asks the control goroutine for the changes in its copy of the store since a revision.
-type sinceQuery struct {
-	revision uint64
-	// reply receives the changes. It runs on the control goroutine and must not block.
-	reply func(mirror.Batch)
-}
-
 // view is the published state that request goroutines read. It is immutable.
 type view struct {
 	table     *routing.Table
@@ -89,8 +82,8 @@
 			return
 		case r := <-g.batches:
 			s.apply(r)
-		case q := <-g.sinceQueries:
-			q.reply(s.mirror.Since(q.revision))
+		case query := <-g.mirrorQueries:
+			query(s.mirror)
 		case f := <-g.tasks:
 			f()
 		case <-ticker.C:
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -83,9 +83,10 @@
 	// fleet holds the current fleet-wide limits.
 	fleet atomic.Pointer[settings.Fleet]
 	// revision is the revision of the local copy of the store.
-	revision     atomic.Uint64
-	batches      chan sourcedBatch
-	sinceQueries chan sinceQuery
+	revision atomic.Uint64
+	batches  chan sourcedBatch
+	// mirrorQueries are functions to run on the control goroutine with the copy of the store. They must not block.
+	mirrorQueries chan func(*mirror.Mirror)
 	// tasks are functions to run on the control goroutine.
 	tasks   chan func()
 	leaving atomic.Bool
@@ -109,19 +110,19 @@
 	config.Seed = rand.Uint64()
 	config.Placement.LoadFactor = loadFactorShare * o.Settings.Fleet.LoadFactor
 	g := &Gateway{
-		settings:     o.Settings,
-		store:        o.Store,
-		decoder:      o.Decoder,
-		headers:      o.Headers,
-		prompts:      o.Prompts,
-		balancer:     balancer.New(config),
-		pools:        newPools(),
-		budgets:      newBudgets(o.Settings.Fleet),
-		callers:      newCallerTracker(),
-		metrics:      newMetrics(),
-		batches:      make(chan sourcedBatch, maxQueuedBatches),
-		sinceQueries: make(chan sinceQuery, maxQueuedBatches),
-		tasks:        make(chan func(), maxQueuedTasks),
+		settings:      o.Settings,
+		store:         o.Store,
+		decoder:       o.Decoder,
+		headers:       o.Headers,
+		prompts:       o.Prompts,
+		balancer:      balancer.New(config),
+		pools:         newPools(),
+		budgets:       newBudgets(o.Settings.Fleet),
+		callers:       newCallerTracker(),
+		metrics:       newMetrics(),
+		batches:       make(chan sourcedBatch, maxQueuedBatches),
+		mirrorQueries: make(chan func(*mirror.Mirror), maxQueuedBatches),
+		tasks:         make(chan func(), maxQueuedTasks),
 	}
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -17,6 +17,7 @@
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
 )
 
@@ -46,10 +47,10 @@
 	// links are the connections to neighbours by name.
 	links map[string]*peerLink
 	// directConns are the connections dialled by connTo, by name.
-	directConns  map[string]*link.Conn
-	pendingPulls map[uint64]pendingPull
-	// lastPullID is the ID of the latest StorePull.
-	lastPullID uint64
+	directConns map[string]*link.Conn
+	puller      *mirror.Puller
+	// served belongs to the control goroutine.
+	served servedValues
 	// startID is a random ID of this process, new at each restart.
 	startID string
 	// neighbourAdded wakes run when there is a new neighbour, so that it is dialled immediately.
@@ -76,7 +77,7 @@
 
 func newPeers(g *Gateway) *peers {
 	p := &peers{
-		g: g, members: make(map[string]member), links: make(map[string]*peerLink), pendingPulls: make(map[uint64]pendingPull),
+		g: g, members: make(map[string]member), links: make(map[string]*peerLink), puller: mirror.NewPuller(pullConfig()), served: make(servedValues),
 		neighbourAdded: make(chan struct{}, 1), directConns: make(map[string]*link.Conn),
 		deregisteredAt: make(map[string]time.Time), startID: strconv.FormatUint(rand.Uint64(), 36),
 	}
@@ -197,11 +198,12 @@
 		event.Log(event.PeerLost, "peer", name, "heard_ms_ago", time.Since(l.lastMessageAt).Milliseconds())
 	}
 	p.g.balancer.RemovePeerLoad(name)
+	p.puller.RemovePeer(bootclock.Now(), name)
 }
 
 // run maintains the connections and sends periodic messages until the gateway stops.
 func (p *peers) run() {
-	var pulledAt, sendAt, reportAt time.Time
+	var sendAt, reportAt time.Time
 	for p.g.ctx.Err() == nil {
 		p.maintain()
 		now := time.Now()
@@ -213,10 +215,7 @@
 			reportAt = now.Add(minReportInterval)
 			p.sendReports()
 		}
-		if time.Since(pulledAt) >= pullPeriod && p.g.configAge() > pullAge {
-			pulledAt = time.Now()
-			p.sendPulls()
-		}
+		p.sendPulls()
 		p.wait(time.Until(sendAt), time.Until(reportAt))
 	}
 	_ = p.server.Close() // returns no error
@@ -270,11 +269,8 @@
 			p.g.startWorker(func() { p.dial(name, address) })
 		}
 	}
-	for id, q := range p.pendingPulls {
-		if age := bootclock.Now().Sub(q.sent); age > pullTimeout {
-			event.LogSampled(event.StorePullExpired, "peer", q.peer, "ms", age.Milliseconds())
-			delete(p.pendingPulls, id)
-		}
+	for _, name := range p.puller.Expire(bootclock.Now()) {
+		event.LogSampled(event.StorePullExpired, "peer", name)
 	}
 }
 
@@ -337,6 +333,7 @@
 	if l := p.links[name]; l != nil && l.conn == c {
 		l.conn, l.lostAt = nil, time.Now()
 		p.g.balancer.RemovePeerLoad(name)
+		p.puller.RemovePeer(bootclock.Now(), name)
 		event.Log(event.PeerLost, "peer", name)
 	}
 }
@@ -355,7 +352,11 @@
 	case *wire.StorePull:
 		p.answerPull(c, m)
 	case *wire.StorePush:
-		p.applyPush(name, m)
+		p.sendFetch(c, p.applyPush(name, m))
+	case *wire.StoreFetch:
+		p.answerFetch(c, m)
+	case *wire.StoreChunk:
+		p.sendFetch(c, p.applyChunk(name, m))
 	case *wire.Evidence:
 		p.g.enqueueTask(func() { p.g.rollouts.driver.HandleEvidence(time.Now(), m) })
 	case *wire.Gossip:
--- a/process/gateway/storepull_test.go
+++ b/process/gateway/storepull_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -14,12 +13,11 @@
 func TestStorePull_AnswerAfterMaintenance(t *testing.T) {
 	f := newFixture(t)
 	p := newPeers(f.gateway)
-	p.pendingPulls[1] = pendingPull{sent: bootclock.Now().Add(-pullTimeout / 2), peer: "b"}
-	p.pendingPulls[2] = pendingPull{sent: bootclock.Now().Add(-pullTimeout - time.Millisecond), peer: "b"}
+	sent := bootclock.Now().Add(-pullConfig().Timeout / 2)
+	questions := p.puller.Ask(sent, f.gateway.revision.Load(), []string{"b"})
+	must.Len(t, 1, questions)
 	p.maintain()
-	must.MapContainsKeys(t, p.pendingPulls, []uint64{1})
-	must.MapNotContainsKey(t, p.pendingPulls, 2)
 	revision := f.gateway.revision.Load() + 10
-	p.applyPush("b", &wire.StorePush{ID: 1, After: f.gateway.revision.Load(), Revision: revision, AgeMS: 1})
+	must.Nil(t, p.applyPush("b", &wire.StorePush{ID: questions[0].ID, After: f.gateway.revision.Load(), Revision: revision, AgeMS: 1}))
 	f.eventually("push applied", func() bool { return f.gateway.revision.Load() == revision })
 }
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -83,6 +83,12 @@
 // AsOf returns the latest time at which the copy was known to be current; zero before the first full batch.
 func (m *Mirror) AsOf() time.Time { return m.asOf }
 
+// Item returns the latest change of a key.
+func (m *Mirror) Item(key string) (Item, bool) {
+	i, found := m.items[key]
+	return i, found
+}
+
 // ContactAt returns the latest time at which the store is known to have responded; zero before the first full batch.
 func (m *Mirror) ContactAt() time.Time { return m.contactAt }
 
