gateway: watch upstreams separately while a large response arrives

What callers saw: requests reached upstreams seconds after these had said that they leave, while a large configuration was on its way, and ended with them.

Cause: the store's response holds all changes since the copy's revision, and none is applied before its last byte. The end of an upstream therefore waits behind a value of 0.8 MB, which takes 0.7 s at best on a link of 10 Mbit/s and several seconds if callers use the link as well. If it took longer than 2.2 s, the end of the response also looked like the end of an outage of the store, and upstreams that were removed without draining stayed in use for two seconds more. Class: what is urgent and small queues behind what is large.

Now, 100 ms after the beginning of a response, upstreams and evacuations are watched by calls of their own until its end. Their changes are applied without the copy's revision, which stays complete; each of their answers is a contact with the store. The pause between these calls is that of the usual watch, so the number of calls per gateway stays bounded by the size of the fleet.

Ruled out: separate watches all the time, which would double the reads of the store, the scarce resource of a large fleet; reading the response item by item, since the store writes the items in the order of revisions and a drain that follows the configuration is last in any case.

--- a/process/gateway/decoder.go
+++ b/process/gateway/decoder.go
@@ -42,6 +42,8 @@
 type Decoder interface {
 	// Decode returns the content of an item. With an error its Kind and Name are still set.
 	Decode(item mirror.Item) (DecodedItem, error)
+	// UrgentPrefixes returns the prefixes of the keys whose changes must not wait behind large values: they stop requests to upstreams.
+	UrgentPrefixes() []string
 	// EncodeStatus returns the key and value under which the status of a service's rollout is reported to the operators.
 	EncodeStatus(service string, status RolloutStatus) (key string, value []byte, err error)
 }
--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -62,7 +62,7 @@
 	s.items[key] = mirror.Item{Key: key, Revision: s.revision, Deleted: true}
 }
 
-func (s *fakeStore) since(after uint64, full bool) (mirror.Batch, error) {
+func (s *fakeStore) since(prefix string, after uint64, full bool) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -70,26 +70,26 @@
 	}
 	b := mirror.Batch{Revision: s.revision, Full: full}
 	for _, i := range s.items {
-		if i.Revision > after && !(full && i.Deleted) {
+		if i.Revision > after && !(full && i.Deleted) && strings.HasPrefix(i.Key, prefix) {
 			b.Items = append(b.Items, i)
 		}
 	}
 	return b, nil
 }
 
-func (s *fakeStore) Snapshot(context.Context, string, func(int)) (mirror.Batch, error) {
-	return s.since(0, true)
+func (s *fakeStore) Snapshot(_ context.Context, prefix string, _ func(int)) (mirror.Batch, error) {
+	return s.since(prefix, 0, true)
 }
 
 func (s *fakeStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
 	for range 20 {
-		b, err := s.since(w.After, false)
+		b, err := s.since(w.Prefix, w.After, false)
 		if err != nil || len(b.Items) > 0 {
 			return b, err
 		}
 		sleep.For(ctx, 10*time.Millisecond)
 	}
-	return s.since(w.After, false)
+	return s.since(w.Prefix, w.After, false)
 }
 
 func (s *fakeStore) Get(_ context.Context, key string) (services.KeyValue, error) {
@@ -171,6 +171,8 @@
 	return f, err
 }
 
+func (fakeDecoder) UrgentPrefixes() []string { return []string{"upstream/", "evacuate/"} }
+
 func (fakeDecoder) EncodeStatus(service string, status RolloutStatus) (string, []byte, error) {
 	value, err := json.Marshal(status)
 	return "status/" + service, value, err
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -35,6 +35,11 @@
 	// watchOverdue is how long after the end of its wait a watch may respond before the store is asked over another connection. A waiting watch
 	// can be lost without a sign, while the store serves new calls.
 	watchOverdue = 250 * time.Millisecond
+	// largeResponseAfter is the time from the beginning of a watch's response after which urgent keys are watched separately until its end.
+	largeResponseAfter = 100 * time.Millisecond
+	// urgentWait is the maximum time for which the store may hold a watch of urgent keys without changes. Each response is a contact with the
+	// store; it is well below directory.Config.OutageAfter.
+	urgentWait = time.Second
 	// watchRetry is the delay before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without a response after which the store is logged as unavailable.
@@ -51,7 +56,7 @@
 		started := time.Now()
 		err := w.step()
 		w.recordResult(err)
-		pause := watchPauseFor(int(g.gatewayCount.Load()), g.fleet.Load().ConfigMS) - time.Since(started)
+		pause := w.pause() - time.Since(started)
 		if err != nil {
 			pause = watchRetry
 		}
@@ -69,7 +74,7 @@
 // watchWaitFor returns the maximum time for which the store may hold a watch that follows the given pause.
 func watchWaitFor(pause time.Duration) time.Duration { return min(watchWait, maxContactGap-pause) }
 
-// watcher follows the store with one call at a time.
+// watcher follows the store. It makes one call at a time but for urgent keys during a large response.
 type watcher struct {
 	g        *Gateway
 	revision uint64
@@ -79,13 +84,18 @@
 	lossLogged bool
 }
 
+// pause returns the minimum time between two watch calls for the same keys.
+func (w *watcher) pause() time.Duration {
+	return watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)
+}
+
 // step makes one call and passes its result to the control goroutine.
 func (w *watcher) step() error {
 	var r storeResponse
 	if w.revision == 0 {
 		r = w.snapshot()
 	} else {
-		r = w.changes(watchWaitFor(watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)))
+		r = w.changes(watchWaitFor(w.pause()))
 	}
 	batch, err := r.batch, r.err
 	w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
@@ -169,7 +179,7 @@
 	case r := <-first.done:
 		return r
 	case <-first.begun:
-		return <-first.done
+		return w.finish(first)
 	case <-overdue.C:
 	}
 	event.LogSampled(event.WatchOverdue, "wait_ms", wait.Milliseconds(), "revision", w.revision)
@@ -182,10 +192,57 @@
 		return r
 	case <-first.begun:
 		second.cancel()
-		return <-first.done
+		return w.finish(first)
 	case <-second.begun:
 		first.cancel()
-		return <-second.done
+		return w.finish(second)
+	}
+}
+
+// finish waits for the end of a response that has begun. If that takes long, the response holds a large value, and urgent changes are asked for
+// separately until then.
+func (w *watcher) finish(c storeCall) storeResponse {
+	timer := time.NewTimer(largeResponseAfter)
+	defer timer.Stop()
+	select {
+	case r := <-c.done:
+		return r
+	case <-timer.C:
+	}
+	ctx, cancel := context.WithCancel(w.g.ctx)
+	var urgent sync.WaitGroup
+	defer urgent.Wait()
+	defer cancel()
+	for _, prefix := range w.g.decoder.UrgentPrefixes() {
+		urgent.Go(func() { w.watchUrgent(ctx, prefix) })
+	}
+	return <-c.done
+}
+
+// watchUrgent applies the changes of the keys with a prefix since the copy's revision until ctx is done or the store has lost its history. The
+// copy's revision stays as it is, since changes of other keys are missing. Each response also shows that the store is available.
+func (w *watcher) watchUrgent(ctx context.Context, prefix string) {
+	for after := w.revision; ctx.Err() == nil; {
+		batch, err := w.g.store.Changes(ctx, mirror.Watch{Prefix: prefix, After: after, Wait: urgentWait})
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, mirror.ErrCompacted):
+			event.LogSampled(event.WatchFailed, "prefix", prefix, "revision", after, "error", err)
+			return // the next watch of all keys reads everything
+		case err != nil:
+			event.LogSampled(event.WatchFailed, "prefix", prefix, "revision", after, "error", err)
+			sleep.For(ctx, watchRetry)
+			continue
+		}
+		after = batch.Revision
+		w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
+		partial := mirror.Batch{Items: batch.Items, ContactAt: bootclock.Now()}
+		select {
+		case w.g.batches <- sourcedBatch{batch: partial, after: w.revision, source: sourceStore}:
+		case <-ctx.Done():
+		}
+		sleep.For(ctx, w.pause())
 	}
 }
 
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -137,20 +137,21 @@
 type slowStore struct {
 	*fakeStore
 	slow atomic.Bool
-	// responses counts the slow responses that have begun, asked the calls over new connections.
-	responses, asked atomic.Int64
+	// responses counts the slow responses that have begun, complete those that have ended, asked the calls over new connections.
+	responses, complete, asked atomic.Int64
 }
 
 func (s *slowStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
 	if w.NewConnection {
 		s.asked.Add(1)
 	}
-	if s.slow.Load() {
+	if s.slow.Load() && w.Prefix == allKeys {
 		s.responses.Add(1)
 		for range 20 {
 			w.Progress(1)
 			sleep.For(ctx, (watchWait+2*watchOverdue)/20)
 		}
+		s.complete.Add(1)
 	}
 	return s.fakeStore.Changes(ctx, w)
 }
@@ -168,3 +169,17 @@
 	must.SliceEmpty(t, g.view.Load().upstreams)
 	must.Zero(t, store.asked.Load())
 }
+
+// An upstream that is removed while a large response arrives must be gone before the end of that response.
+func TestWatch_UpstreamRemovedDuringSlowResponse(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &slowStore{fakeStore: f.store}
+	g := f.startWith("slow", store)
+	f.waitReady(g)
+	f.gateway.Stop(context.Background()) // it would pass the removal on
+	store.slow.Store(true)
+	f.eventually("slow response", func() bool { return store.responses.Load() == 1 })
+	f.store.remove("upstream/a")
+	f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
+	must.Zero(t, store.complete.Load())
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -81,7 +81,8 @@
 guard slow-response platform/transfer.go 's/r\.t\.timer\.Reset\(r\.t\.idle\)/_ = r.t.idle/' ./platform TestChanges_SlowResponse
 guard one-question process/mirror/puller.go 's/_, waiting := p\.questions\[peer\]; waiting/false/' ./process/mirror TestPuller_OneQuestionPerPeer
 guard one-fetch process/mirror/puller.go 's/mayFetch && p\.fetch == nil/mayFetch/' ./process/mirror TestPuller_LargeValueFromOnePeer
-guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn <-first\.done\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
+guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
+guard urgent-watch process/gateway/watch.go 's/urgent\.Go\(func\(\) \{ w\.watchUrgent\(ctx, prefix\) \}\)/_, _ = ctx, prefix/' ./process/gateway TestWatch_UpstreamRemovedDuringSlowResponse
 guard listed-leaving process/membership/membership.go 's/if m\.State == platform\.InstanceLeaving \{\n\t\treturn false/if m.State == platform.InstanceLeaving {\n\t\treturn true/' ./test TestList_EntriesDisagree
 guard claim-lists process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test TestList_EntriesDisagree
 guard sick-data-centre process/entry/shift.go 's/DataCentre: target\.DataCentre, Failed/DataCentre: "", Failed/' ./test TestRollout_FaultyDataCentreCausesNoRollback
