gateway: do not send to an upstream that left while a connection was opened

What callers saw: a request could reach an upstream up to half a second after the gateway had learned that it drains, is gone, restarted or is in an evacuated data centre, and was then interrupted by its end.

Cause: the upstream is chosen before a connection is taken or opened, which may take up to the dial timeout of 0.5 s, and the choice was not looked at again. Class: a decision that is acted on after its inputs have changed. The other ways to an upstream were read: retries and resumed streams are attempts of their own and choose anew; health checks and lists of prompts carry no request.

Now an attempt asks the balancer once more when it has a connection (Choice.Usable: the same incarnation, not leaving) and otherwise counts as not sent, so that the retry at another upstream costs no retry budget. The comparison with the incarnation also keeps a request that was counted against the limits of the earlier process from a cold restarted one.

Ruled out: a shorter dial timeout, which refuses upstreams that are only slow.

Failed before: TestExchange_UpstreamLeavesAfterTheChoice, 4 of 4 cases ("expected non-nil error"); guard left-upstream shows the same.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -395,6 +395,14 @@
 	c.pendingTokens = 0
 }
 
+// Usable reports whether the upstream still takes requests. It may have left, have been drained or have restarted since it was chosen.
+func (c *Choice) Usable() bool {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.backends[c.ID] == c.backend && !c.backend.leaving
+}
+
 // Done ends the request and records its outcome. It reports whether the upstream went down because of it.
 func (c *Choice) Done(now time.Time, o health.Outcome) bool {
 	b := c.balancer
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -36,6 +36,9 @@
 // errResponseTimeout is the cancellation cause of an attempt whose upstream did not respond in time.
 var errResponseTimeout = errors.New("no answer in time")
 
+// errUpstreamLeft is the error of an attempt whose upstream left, was drained or restarted before the request was sent.
+var errUpstreamLeft = errors.New("the upstream has left")
+
 // bufferedResponse is a complete upstream response held in memory.
 type bufferedResponse struct {
 	status    int
@@ -197,6 +200,10 @@
 	if !conn.Reused() {
 		c.g.metrics.dials.Add(1)
 	}
+	if !a.choice.Usable() {
+		conn.Close()
+		return nil, errors.Join(upstream.ErrNotSent, errUpstreamLeft)
+	}
 	header := c.header.Clone()
 	header.Set(c.g.headers.Upstream, a.choice.ID)
 	header.Set(c.g.headers.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
@@ -257,6 +264,9 @@
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		a.inconclusive = true
 		return result.Full, false
+	case errors.Is(err, errUpstreamLeft):
+		a.inconclusive = true
+		return result.Unreachable, false
 	case errors.Is(err, upstream.ErrNotSent) && cause == nil:
 		a.outcome = health.Unreachable
 		return result.Unreachable, false
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -5,12 +5,18 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/upstream"
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/request/result"
 )
 
 // A non-idempotent request whose connection breaks after it was sent may have run: it must not be retried, and the response must not say
@@ -227,6 +233,43 @@
 	f.eventually("b is usable again", func() bool { return len(f.gateway.view.Load().upstreams) == 1 })
 }
 
+// A request whose upstream leaves while a connection to it is opened must not be sent there.
+func TestExchange_UpstreamLeavesAfterTheChoice(t *testing.T) {
+	for name, leave := range map[string]func(f *fixture, u *fakeUpstream){
+		"removed": func(f *fixture, u *fakeUpstream) { f.store.remove("upstream/" + u.id) },
+		"drains": func(f *fixture, u *fakeUpstream) {
+			entry := u.entry()
+			entry.Draining = true
+			f.store.put("upstream/"+u.id, entry)
+		},
+		"evacuated": func(f *fixture, _ *fakeUpstream) { f.store.put("evacuate/here", true) },
+		"restarts": func(f *fixture, u *fakeUpstream) {
+			entry := u.entry()
+			entry.Started++
+			f.store.put("upstream/"+u.id, entry)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, "a", succeed)
+			f := newFixture(t, u)
+			before := f.gateway.view.Load()
+			choice := f.gateway.balancer.Pick(bootclock.Now(), balancer.Query{Service: "plain"})
+			leave(f, u)
+			f.eventually("change adopted", func() bool { return f.gateway.view.Load() != before })
+
+			r := httptest.NewRequest(http.MethodGet, "/look/1", nil)
+			c := &call{g: f.gateway, request: r, header: r.Header, route: &f.config.Routes[0], deadline: time.Now().Add(time.Second)}
+			a := &attempt{call: c, choice: choice, ctx: t.Context()}
+			_, err := a.exchange()
+			must.ErrorIs(t, err, upstream.ErrNotSent)
+			code, accepted := a.exchangeFailed(err)
+			must.EqOp(t, result.Unreachable, code)
+			must.False(t, accepted)
+			must.SliceEmpty(t, u.received())
+		})
+	}
+}
+
 // A request that exceeds its route's timeout must get a response then, and the response must not say that it did not run.
 func TestServe_RouteTimeout(t *testing.T) {
 	release := make(chan struct{})
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -83,6 +83,7 @@
 guard one-fetch process/mirror/puller.go 's/mayFetch && p\.fetch == nil/mayFetch/' ./process/mirror TestPuller_LargeValueFromOnePeer
 guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
 guard urgent-watch process/gateway/watch.go 's/urgent\.Go\(func\(\) \{ w\.watchUrgent\(ctx, prefix\) \}\)/_, _ = ctx, prefix/' ./process/gateway TestWatch_UpstreamRemovedDuringSlowResponse
+guard left-upstream process/gateway/attempt.go 's/if !a\.choice\.Usable\(\)/if false/' ./process/gateway TestExchange_UpstreamLeavesAfterTheChoice
 guard listed-leaving process/membership/membership.go 's/if m\.State == platform\.InstanceLeaving \{\n\t\treturn false/if m.State == platform.InstanceLeaving {\n\t\treturn true/' ./test TestList_EntriesDisagree
 guard claim-lists process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test TestList_EntriesDisagree
 guard sick-data-centre process/entry/shift.go 's/DataCentre: target\.DataCentre, Failed/DataCentre: "", Failed/' ./test TestRollout_FaultyDataCentreCausesNoRollback
