gateway: believe refusals only with the request's ID

What callers saw (reports of other operators, shown here by a test): an upstream wrote a refusal once more on a kept connection. The caller of a request that ran there was told 503 "not run", or the request ran a second time elsewhere.

Cause: a response without a request ID was taken for the answer to the current request, and the not-run header or status 421 in it was believed. Class: a statement about one request that is not bound to it. A copy with its own ID was skipped already.

Now a refusal counts only with the request's ID. On a connection that has carried a request before, a response without an ID is skipped like one with another ID, and the true answer behind it is delivered; after such a response the connection is closed, since more may follow. Without the true answer the caller waits to its deadline if the request must not be repeated, and is told 504: nobody can say whether it ran.

Ruled out: to end the request with 502 at the first response without an ID. It is as safe, but throws away the answer that is on its way. The sidecars' way to their upstreams and the store use the client of net/http, whose frames or calls do not carry several requests' refusals in a row to a caller; not changed.

Failed before: TestServe_RefusalRepeatedOnKeptConnection, 7 of 10 cases over two gateways and several requests at once (no ID, an empty one, status 421 and 429, bare line feeds, in two parts, instead of the answer: "ran, and its caller got 503"); TestServe_RefusalWithoutID by guard refusal-id.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -20,13 +20,18 @@
 	keepAlive time.Duration
 	usedAt    time.Time
 	reused    bool
-	once      sync.Once
+	// skipped is the number of responses to other requests that were read. The connection is not reused after one.
+	skipped int
+	once    sync.Once
 }
 
 // Reused reports whether the connection has served an earlier request. The upstream may have closed such a connection in the
 // meantime.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Skipped returns the number of responses that were read during the exchange and belong to other requests.
+func (c *Conn) Skipped() int { return c.skipped }
+
 // Close closes the connection. It may be called more than once.
 func (c *Conn) Close() {
 	c.once.Do(func() {
--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -141,7 +141,8 @@
 	return nil
 }
 
-// receive reads the head of the response to r and skips responses to other requests.
+// receive reads the head of the response to r and skips responses to other requests. The first response on a connection may lack the request ID; a
+// later one without it may be a copy of an earlier one.
 func receive(c *Conn, r *Request) (*Response, error) {
 	defer c.limited.allowAll()
 	for range maxMismatchedResponses + 1 {
@@ -154,12 +155,13 @@
 			continue // an interim response has no body
 		}
 		id := response.Header.Get(r.IDHeader)
-		if id == "" || id == r.ID {
+		if id == r.ID || id == "" && !c.reused {
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: response.Body,
 				HasRequestID: id == r.ID, conn: c, response: response,
 			}, nil
 		}
+		c.skipped++
 		if response.Close || closeDelimited(response) {
 			return nil, ErrMismatchedResponse
 		}
@@ -181,7 +183,8 @@
 func (a *Response) Close() {
 	notAborted := a.stopAbort()
 	c := a.conn
-	if !a.bodyRead || !notAborted || !a.requestWritten.Load() || a.response.Close || c.reader.Buffered() > 0 || closeDelimited(a.response) {
+	if !a.bodyRead || !notAborted || !a.requestWritten.Load() || a.response.Close || c.reader.Buffered() > 0 || c.skipped > 0 ||
+		closeDelimited(a.response) {
 		c.Close()
 		return
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -165,12 +165,14 @@
 	defer response.Close()
 	a.recordHead(response)
 	h := &c.g.headers
+	// Only a response with the request's ID shows that the request did not run. One without it may be to another request.
+	own := response.HasRequestID
 	switch {
-	case response.Status == http.StatusMisdirectedRequest:
+	case own && response.Status == http.StatusMisdirectedRequest:
 		// The address belongs to another upstream now, so the chosen one is not running there any more.
 		a.outcome = health.Unreachable
 		return result.Unreachable, false
-	case response.Header.Get(h.NotRun) != "":
+	case own && response.Header.Get(h.NotRun) != "":
 		a.outcome = health.Rejected
 		a.discardBody(response)
 		return result.Full, false
@@ -213,7 +215,7 @@
 	if c.progress.answered {
 		header.Set(c.g.headers.LastEventID, c.progress.lastEvent)
 	}
-	return upstream.Exchange(a.ctx, conn, &upstream.Request{
+	response, err := upstream.Exchange(a.ctx, conn, &upstream.Request{
 		Method:   c.request.Method,
 		Target:   c.request.RequestURI,
 		Host:     c.request.Host,
@@ -222,6 +224,10 @@
 		IDHeader: c.g.headers.RequestID,
 		ID:       c.id,
 	})
+	if n := conn.Skipped(); n > 0 {
+		event.LogSampled(event.ForeignResponse, "upstream", a.choice.ID, "responses", n, "request", c.id)
+	}
+	return response, err
 }
 
 // recordHead records the arrival of the response headers and the load that they report.
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -84,6 +84,8 @@
 guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
 guard urgent-watch process/gateway/watch.go 's/urgent\.Go\(func\(\) \{ w\.watchUrgent\(ctx, prefix\) \}\)/_, _ = ctx, prefix/' ./process/gateway TestWatch_UpstreamRemovedDuringSlowResponse
 guard left-upstream process/gateway/attempt.go 's/if !a\.choice\.Usable\(\)/if false/' ./process/gateway TestExchange_UpstreamLeavesAfterTheChoice
+guard kept-refusal connection/upstream/exchange.go 's/id == "" && !c\.reused/id == ""/' ./process/gateway TestServe_RefusalRepeatedOnKeptConnection
+guard refusal-id process/gateway/attempt.go 's/own := response\.HasRequestID/own := true/' ./process/gateway TestServe_RefusalWithoutID
 guard listed-leaving process/membership/membership.go 's/if m\.State == platform\.InstanceLeaving \{\n\t\treturn false/if m.State == platform.InstanceLeaving {\n\t\treturn true/' ./test TestList_EntriesDisagree
 guard claim-lists process/sidecar/claim.go 's/if route.Idempotent \|\| x.open.IdempotencyKey == ""/if true/' ./test TestList_EntriesDisagree
 guard sick-data-centre process/entry/shift.go 's/DataCentre: target\.DataCentre, Failed/DataCentre: "", Failed/' ./test TestRollout_FaultyDataCentreCausesNoRollback
