--- a/process/gateway/foreign_test.go
+++ b/process/gateway/foreign_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,3 +149,91 @@
 	all.Wait()
 	return outcomes
 }
+
+// A stream that broke off must not contain anything of the answer of the next upstream unless that is a stream too, and must not look complete.
+func TestStream_NextUpstreamFails(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	breaks := map[string]string{"after an event": "", "within a field": "id: 3\nda", "within an ID": "id: ", "between fields": "id: 3\ndata: c\n"}
+	const head, signed = "HTTP/1.1 %s\r\nTest-Id: %s\r\n", "HTTP/1.1 %s\r\nTest-Id: %s\r\nTest-Signature: s\r\n"
+	answers := map[string]struct{ status, head, rest string }{
+		"plain error":          {"500 X", signed, "Content-Length: 8\r\n\r\nnext: no"},
+		"chunked error":        {"500 X", signed, "Transfer-Encoding: chunked\r\n\r\n8\r\nnext: no\r\n0\r\n\r\n"},
+		"error as events":      {"500 X", signed, "Content-Type: text/event-stream\r\nContent-Length: 17\r\n\r\nid: 3\ndata: no\n\n\n"},
+		"unframed error":       {"500 X", signed, "Connection: close\r\n\r\nnext: no\n\n"},
+		"unauthorized":         {"401 X", signed, "Content-Length: 8\r\n\r\nnext: no"},
+		"other type":           {"200 X", signed, "Content-Type: text/plain\r\nContent-Length: 10\r\n\r\nnext: no\n\n"},
+		"unsigned stream":      {"200 X", head, "Content-Type: text/event-stream\r\nContent-Length: 17\r\n\r\nid: 3\ndata: no\n\n\n"},
+		"refusal":              {"503 X", head, "Test-Not-Run: 1\r\nContent-Length: 8\r\n\r\nnext: no"},
+		"bare line feeds":      {"500 X", "HTTP/1.1 %s\nTest-Id: %s\n", "Test-Signature: s\nContent-Length: 8\n\nnext: no"},
+		"head breaks off":      {"200 X", signed, "Content-Type: text/event-stream\r\nContent-Le"},
+		"stream without event": {"200 X", signed, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nnext: no\r\n"},
+	}
+	for breakName, rest := range breaks {
+		for answerName, answer := range answers {
+			t.Run(breakName+"/"+answerName, func(t *testing.T) {
+				t.Parallel()
+				serve := func(conn net.Conn, r *http.Request, _ string) bool {
+					if r.Header.Get("Last-Event-Id") == "" {
+						return writeEventStream(conn, r, events+rest, false)
+					}
+					text := fmt.Sprintf(answer.head, answer.status, r.Header.Get("Test-Id")) + answer.rest
+					_, _ = io.WriteString(conn, text[:len(text)/2])
+					time.Sleep(10 * time.Millisecond) // the parts arrive separately
+					_, _ = io.WriteString(conn, text[len(text)/2:])
+					return false
+				}
+				a, b := newUpstream(t, "a", serve), newUpstream(t, "b", serve)
+				f := newFixture(t, a, b)
+				gateways := []*Gateway{f.gateway, f.start("two")}
+				f.waitReady(gateways[1])
+				var all sync.WaitGroup
+				for i, path := range []string{"/chat/1", "/chat/2", "/talk/1", "/talk/2"} {
+					all.Go(func() {
+						got := f.send(gateways[i%2], http.MethodPost, path, nil)
+						if got.body != events || got.err == nil {
+							t.Errorf("%s: body %q, error %v", path, got.body, got.err)
+						}
+					})
+				}
+				all.Wait()
+				resumed := 0
+				for _, r := range slices.Concat(a.received(), b.received()) {
+					if r.Header.Get("Last-Event-Id") == "2" {
+						resumed++
+					}
+				}
+				must.EqOp(t, 2, resumed, must.Sprint("both resumable streams are continued"))
+			})
+		}
+	}
+}
+
+// An answer whose head breaks off must not reach the caller as a success, whatever part of it has arrived.
+func TestServe_HeadBreaksOff(t *testing.T) {
+	const full = "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n"
+	for name, lineEnd := range map[string]string{"CRLF": "\r\n", "LF": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var broken atomic.Int64
+			serve := func(conn net.Conn, r *http.Request, _ string) bool {
+				var n int
+				if _, err := fmt.Sscanf(r.Header.Get("Test-Tokens"), "%d", &n); err != nil {
+					return succeed(conn, r, "")
+				}
+				broken.Add(1)
+				head := strings.ReplaceAll(fmt.Sprintf(full, r.Header.Get("Test-Id")), "\r\n", lineEnd)
+				_, _ = io.WriteString(conn, head[:min(n, len(head)-len(lineEnd))])
+				return false
+			}
+			f := newFixture(t, newUpstream(t, "a", serve))
+			for n := range len(full) + 8 {
+				for _, path := range []string{"book", "look", "chat"} {
+					got := f.send(f.gateway, http.MethodPost, fmt.Sprintf("/%s/%d", path, n), func(r *http.Request) { r.Header.Set("Test-Tokens", fmt.Sprint(n)) })
+					must.GreaterEq(t, http.StatusInternalServerError, got.status, must.Sprintf("%s, %d bytes of the head", path, n))
+					must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status) // keeps the upstream healthy
+				}
+			}
+			must.EqOp(t, 3*(len(full)+8), int(broken.Load()))
+		})
+	}
+}
