gateway: list upstreams separately while everything is read again

Now the upstreams and evacuations are listed and then watched by calls of their own if reading takes longer than 100 ms. An empty copy needs everything first, so a starting gateway makes no further calls.

Ruled out: to read the pages in another order. Pages are sorted by key, and the value that takes long may have any key.

Failed before: TestWatch_UpstreamRemovedDuringSlowResponse, the case with the lost history (2 complete responses before the upstream was gone).

--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -35,7 +35,7 @@
 	// watchOverdue is how long after the end of its wait a watch may respond before the store is asked over another connection. A waiting watch
 	// can be lost without a sign, while the store serves new calls.
 	watchOverdue = 250 * time.Millisecond
-	// largeResponseAfter is the time from the beginning of a watch's response after which urgent keys are watched separately until its end.
+	// largeResponseAfter is the time from the beginning of a response after which urgent keys are asked for separately until its end.
 	largeResponseAfter = 100 * time.Millisecond
 	// urgentWait is the maximum time for which the store may hold a watch of urgent keys without changes. Each response is a contact with the
 	// store; it is well below directory.Config.OutageAfter.
@@ -155,7 +155,7 @@
 		return w.g.store.Snapshot(ctx, allKeys, progress)
 	})
 	defer c.cancel()
-	return <-c.done
+	return w.finish(c)
 }
 
 // changes waits for changes after the copy's revision. If no response begins in time, the store is asked again without a wait. The call
@@ -199,8 +199,8 @@
 	}
 }
 
-// finish waits for the end of a response that has begun. If that takes long, the response holds a large value, and urgent changes are asked for
-// separately until then.
+// finish waits for the end of a call whose response has everything. If that takes long, the response holds a large value, and urgent changes are
+// asked for separately until then. An empty copy needs everything first.
 func (w *watcher) finish(c storeCall) storeResponse {
 	timer := time.NewTimer(largeResponseAfter)
 	defer timer.Stop()
@@ -209,6 +209,9 @@
 		return r
 	case <-timer.C:
 	}
+	if w.g.revision.Load() == 0 {
+		return <-c.done
+	}
 	ctx, cancel := context.WithCancel(w.g.ctx)
 	var urgent sync.WaitGroup
 	defer urgent.Wait()
@@ -219,17 +222,18 @@
 	return <-c.done
 }
 
-// watchUrgent applies the changes of the keys with a prefix since the copy's revision until ctx is done or the store has lost its history. The
-// copy's revision stays as it is, since changes of other keys are missing. Each response also shows that the store is available.
+// watchUrgent applies the changes of the keys with a prefix until ctx is done. The copy's revision stays as it is, since changes of other keys are
+// missing. Each response also shows that the store is available.
 func (w *watcher) watchUrgent(ctx context.Context, prefix string) {
 	for after := w.revision; ctx.Err() == nil; {
-		batch, err := w.g.store.Changes(ctx, mirror.Watch{Prefix: prefix, After: after, Wait: urgentWait})
+		batch, err := w.urgentChanges(ctx, prefix, after)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, mirror.ErrCompacted):
-			event.LogSampled(event.WatchFailed, "prefix", prefix, "revision", after, "error", err)
-			return // the next watch of all keys reads everything
+			event.Log(event.StoreHistoryLost, "prefix", prefix, "revision", after)
+			after = 0
+			continue
 		case err != nil:
 			event.LogSampled(event.WatchFailed, "prefix", prefix, "revision", after, "error", err)
 			sleep.For(ctx, watchRetry)
@@ -237,15 +241,28 @@
 		}
 		after = batch.Revision
 		w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
-		partial := mirror.Batch{Items: batch.Items, ContactAt: bootclock.Now()}
+		batch.ContactAt = bootclock.Now()
+		if !batch.Full {
+			batch.Revision = 0
+		}
 		select {
-		case w.g.batches <- sourcedBatch{batch: partial, after: w.revision, source: sourceStore}:
+		case w.g.batches <- sourcedBatch{batch: batch, after: w.revision, source: sourceStore}:
 		case <-ctx.Done():
 		}
 		sleep.For(ctx, w.pause())
 	}
 }
 
+// urgentChanges returns the changes of the keys with a prefix after a revision; all keys with the prefix if that is zero.
+func (w *watcher) urgentChanges(ctx context.Context, prefix string, after uint64) (mirror.Batch, error) {
+	if after > 0 {
+		return w.g.store.Changes(ctx, mirror.Watch{Prefix: prefix, After: after, Wait: urgentWait})
+	}
+	batch, err := w.g.store.Snapshot(ctx, prefix, nil)
+	batch.Prefix = prefix
+	return batch, err
+}
+
 // currentAt returns the latest time at which a response of the store was certainly current. A response is made after its call was sent; a
 // watch that ended without changes was current until the end of the wait.
 func currentAt(sent, received time.Time, wait time.Duration, b mirror.Batch) time.Time {
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -133,10 +133,12 @@
 	f.eventually("store asked again", func() bool { return store.asked.Load() > 0 })
 }
 
-// slowStore is a store whose responses take long to arrive once it is slow.
+// slowStore is a store whose responses take long to arrive once it is slow, except for parts of the keys.
 type slowStore struct {
 	*fakeStore
 	slow atomic.Bool
+	// compacted is set while the changes are lost.
+	compacted atomic.Bool
 	// responses counts the slow responses that have begun, complete those that have ended, asked the calls over new connections.
 	responses, complete, asked atomic.Int64
 }
@@ -145,17 +147,31 @@
 	if w.NewConnection {
 		s.asked.Add(1)
 	}
-	if s.slow.Load() && w.Prefix == allKeys {
-		s.responses.Add(1)
-		for range 20 {
-			w.Progress(1)
-			sleep.For(ctx, (watchWait+2*watchOverdue)/20)
-		}
-		s.complete.Add(1)
+	if s.compacted.Load() {
+		return mirror.Batch{}, mirror.ErrCompacted
 	}
+	s.respond(ctx, w.Prefix, w.Progress)
 	return s.fakeStore.Changes(ctx, w)
 }
 
+func (s *slowStore) Snapshot(ctx context.Context, prefix string, progress func(int)) (mirror.Batch, error) {
+	s.respond(ctx, prefix, progress)
+	return s.fakeStore.Snapshot(ctx, prefix, progress)
+}
+
+// respond takes the time of a response to arrive.
+func (s *slowStore) respond(ctx context.Context, prefix string, progress func(int)) {
+	if !s.slow.Load() || prefix != allKeys {
+		return
+	}
+	s.responses.Add(1)
+	for range 20 {
+		progress(1)
+		sleep.For(ctx, (watchWait+2*watchOverdue)/20)
+	}
+	s.complete.Add(1)
+}
+
 // A response that takes long to arrive must not be asked for again: two copies of the same changes would share the link.
 func TestWatch_SlowResponseNotRepeated(t *testing.T) {
 	f := newFixture(t, newUpstream(t, "a", succeed))
@@ -172,14 +188,19 @@
 
 // An upstream that is removed while a large response arrives must be gone before the end of that response.
 func TestWatch_UpstreamRemovedDuringSlowResponse(t *testing.T) {
-	f := newFixture(t, newUpstream(t, "a", succeed))
-	store := &slowStore{fakeStore: f.store}
-	g := f.startWith("slow", store)
-	f.waitReady(g)
-	f.gateway.Stop(context.Background()) // it would pass the removal on
-	store.slow.Store(true)
-	f.eventually("slow response", func() bool { return store.responses.Load() == 1 })
-	f.store.remove("upstream/a")
-	f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
-	must.Zero(t, store.complete.Load())
+	for name, compacted := range map[string]bool{"changes": false, "everything, the history is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newUpstream(t, "a", succeed))
+			store := &slowStore{fakeStore: f.store}
+			g := f.startWith("slow", store)
+			f.waitReady(g)
+			f.gateway.Stop(context.Background()) // it would pass the removal on
+			store.slow.Store(true)
+			store.compacted.Store(compacted)
+			f.eventually("slow response", func() bool { return store.responses.Load() == 1 })
+			f.store.remove("upstream/a")
+			f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
+			must.Zero(t, store.complete.Load())
+		})
+	}
 }
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	Revision uint64
 	// Full means that the batch is a snapshot: Items are all existing items, and keys without an item were removed.
 	Full bool
+	// Prefix, if set, is the prefix of the only keys of which a full batch is a snapshot. Such a batch does not change the copy's revision.
+	Prefix string
 	// AsOf is the latest time, by the receiver's clock, at which the batch is known to have matched the store.
 	AsOf time.Time
 	// ContactAt is the latest time, by the receiver's clock, at which the store is known to have responded to any gateway. The response need
@@ -95,7 +98,7 @@
 // Apply applies a batch and returns the items that changed, in ascending order of revision. after is the base revision of a batch that is
 // not full; such a batch is ignored if the copy's revision is lower than after or the copy is still empty, since changes would be missing.
 func (m *Mirror) Apply(after uint64, b Batch) []Item {
-	if !b.Full && (after > m.revision || m.revision == 0) {
+	if partial := !b.Full || b.Prefix != ""; partial && (m.revision == 0 || !b.Full && after > m.revision) {
 		return nil
 	}
 	var changed []Item
@@ -110,7 +113,7 @@
 	if b.Full && m.revision == 0 {
 		m.historyStart = b.Revision
 	}
-	if b.Revision >= m.revision {
+	if b.Revision >= m.revision && b.Prefix == "" {
 		m.revision = b.Revision
 		if b.AsOf.After(m.asOf) {
 			m.asOf = b.AsOf
@@ -152,7 +155,7 @@
 	}
 	var removed []Item
 	for key, known := range m.items {
-		if _, found := present[key]; found || known.Deleted || known.Revision > b.Revision {
+		if _, found := present[key]; found || known.Deleted || known.Revision > b.Revision || !strings.HasPrefix(key, b.Prefix) {
 			continue
 		}
 		tombstone := Item{Key: key, Revision: b.Revision, Deleted: true}
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -1,7 +1,7 @@
 package mirror
 
 import (
-	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,10 +63,10 @@
 		store, copies := New(), []*Mirror{New(), New(), New()}
 		store.Apply(0, Batch{Full: true, Revision: 1})
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
-			switch rapid.IntRange(0, 2).Draw(r, "step") {
+			switch rapid.IntRange(0, 4).Draw(r, "step") {
 			case 0:
 				revision := store.Revision() + 1
-				item := putItem(fmt.Sprint(rapid.IntRange(0, 5).Draw(r, "key")), revision)
+				item := putItem(rapid.SampledFrom([]string{"a", "b", "c", "p1", "p2", "p3"}).Draw(r, "key"), revision)
 				if rapid.Bool().Draw(r, "delete") {
 					item = deletedItem(item.Key, revision)
 				}
@@ -74,6 +74,18 @@
 			case 1:
 				to := copies[rapid.IntRange(0, 2).Draw(r, "to")]
 				to.Apply(to.Revision(), store.Since(to.Revision()))
+			case 2:
+				to := copies[rapid.IntRange(0, 2).Draw(r, "to")]
+				to.Apply(to.Revision(), Batch{Items: withPrefix("p", store.Since(to.Revision()))})
+			case 3:
+				snapshot := Batch{Full: true, Prefix: "p", Revision: store.Revision(), Items: withPrefix("p", store.Since(0))}
+				to := copies[rapid.IntRange(0, 2).Draw(r, "to")]
+				before := to.Revision()
+				to.Apply(0, snapshot)
+				must.EqOp(r, before, to.Revision())
+				if before > 0 {
+					must.Eq(r, snapshot.Items, withPrefix("p", to.Since(0)))
+				}
 			default:
 				from, to := copies[rapid.IntRange(0, 2).Draw(r, "from")], copies[rapid.IntRange(0, 2).Draw(r, "to")]
 				if from.Revision() > 0 {
@@ -87,3 +99,14 @@
 		}
 	})
 }
+
+// withPrefix returns the items of a batch whose keys have a prefix.
+func withPrefix(prefix string, b Batch) []Item {
+	var items []Item
+	for _, i := range b.Items {
+		if strings.HasPrefix(i.Key, prefix) {
+			items = append(items, i)
+		}
+	}
+	return items
+}
