--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -76,7 +76,7 @@
 	view atomic.Pointer[view]
 	// configConfirmedAt is the latest time at which the configuration was known to be current, in bootclock nanoseconds.
 	configConfirmedAt atomic.Int64
-	// storeProgressAt is the latest time at which bytes of a watch's response arrived, in bootclock nanoseconds.
+	// storeProgressAt is the latest time at which bytes of a response to the watcher arrived, in bootclock nanoseconds.
 	storeProgressAt atomic.Int64
 	// gatewayCount is the number of gateways among which the fleet's limits are divided.
 	gatewayCount atomic.Int64
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -35,11 +35,6 @@
 	// watchOverdue is how long after the end of its wait a watch may respond before the store is asked over another connection. A waiting watch
 	// can be lost without a sign, while the store serves new calls.
 	watchOverdue = 250 * time.Millisecond
-	// largeResponseAfter is the time from the beginning of a response after which urgent keys are asked for separately until its end.
-	largeResponseAfter = 100 * time.Millisecond
-	// urgentWait is the maximum time for which the store may hold a watch of urgent keys without changes. Each response is a contact with the
-	// store; it is well below directory.Config.OutageAfter.
-	urgentWait = time.Second
 	// watchRetry is the delay before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without a response after which the store is logged as unavailable.
@@ -89,13 +84,16 @@
 	return watchPauseFor(int(w.g.gatewayCount.Load()), w.g.fleet.Load().ConfigMS)
 }
 
+// wait returns the maximum time for which the store may hold a watch.
+func (w *watcher) wait() time.Duration { return watchWaitFor(w.pause()) }
+
 // step makes one call and passes its result to the control goroutine.
 func (w *watcher) step() error {
 	var r storeResponse
 	if w.revision == 0 {
 		r = w.snapshot()
 	} else {
-		r = w.changes(watchWaitFor(w.pause()))
+		r = w.changes(w.wait())
 	}
 	batch, err := r.batch, r.err
 	w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
@@ -199,70 +197,6 @@
 	}
 }
 
-// finish waits for the end of a call whose response has everything. If that takes long, the response holds a large value, and urgent changes are
-// asked for separately until then. An empty copy needs everything first.
-func (w *watcher) finish(c storeCall) storeResponse {
-	timer := time.NewTimer(largeResponseAfter)
-	defer timer.Stop()
-	select {
-	case r := <-c.done:
-		return r
-	case <-timer.C:
-	}
-	if w.g.revision.Load() == 0 {
-		return <-c.done
-	}
-	ctx, cancel := context.WithCancel(w.g.ctx)
-	var urgent sync.WaitGroup
-	defer urgent.Wait()
-	defer cancel()
-	for _, prefix := range w.g.decoder.UrgentPrefixes() {
-		urgent.Go(func() { w.watchUrgent(ctx, prefix) })
-	}
-	return <-c.done
-}
-
-// watchUrgent applies the changes of the keys with a prefix until ctx is done. The copy's revision stays as it is, since changes of other keys are
-// missing. Each response also shows that the store is available.
-func (w *watcher) watchUrgent(ctx context.Context, prefix string) {
-	for after := w.revision; ctx.Err() == nil; {
-		batch, err := w.urgentChanges(ctx, prefix, after)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, mirror.ErrCompacted):
-			event.Log(event.StoreHistoryLost, "prefix", prefix, "revision", after)
-			after = 0
-			continue
-		case err != nil:
-			event.LogSampled(event.WatchFailed, "prefix", prefix, "revision", after, "error", err)
-			sleep.For(ctx, watchRetry)
-			continue
-		}
-		after = batch.Revision
-		w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
-		batch.ContactAt = bootclock.Now()
-		if !batch.Full {
-			batch.Revision = 0
-		}
-		select {
-		case w.g.batches <- sourcedBatch{batch: batch, after: w.revision, source: sourceStore}:
-		case <-ctx.Done():
-		}
-		sleep.For(ctx, w.pause())
-	}
-}
-
-// urgentChanges returns the changes of the keys with a prefix after a revision; all keys with the prefix if that is zero.
-func (w *watcher) urgentChanges(ctx context.Context, prefix string, after uint64) (mirror.Batch, error) {
-	if after > 0 {
-		return w.g.store.Changes(ctx, mirror.Watch{Prefix: prefix, After: after, Wait: urgentWait})
-	}
-	batch, err := w.g.store.Snapshot(ctx, prefix, nil)
-	batch.Prefix = prefix
-	return batch, err
-}
-
 // currentAt returns the latest time at which a response of the store was certainly current. A response is made after its call was sent; a
 // watch that ended without changes was current until the end of the wait.
 func currentAt(sent, received time.Time, wait time.Duration, b mirror.Batch) time.Time {
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -29,7 +29,7 @@
 	Revision uint64
 	// Full means that the batch is a snapshot: Items are all existing items, and keys without an item were removed.
 	Full bool
-	// Prefix, if set, is the prefix of the only keys of which a full batch is a snapshot. Such a batch does not change the copy's revision.
+	// Prefix, if set, is the prefix of the only keys that the batch covers. Such a batch does not change the copy's revision.
 	Prefix string
 	// AsOf is the latest time, by the receiver's clock, at which the batch is known to have matched the store.
 	AsOf time.Time
@@ -96,9 +96,11 @@
 func (m *Mirror) ContactAt() time.Time { return m.contactAt }
 
 // Apply applies a batch and returns the items that changed, in ascending order of revision. after is the base revision of a batch that is
-// not full; such a batch is ignored if the copy's revision is lower than after or the copy is still empty, since changes would be missing.
+// not full; such a batch is ignored if the copy's revision is lower than after, since changes would be missing. An empty copy ignores all but
+// snapshots of everything.
 func (m *Mirror) Apply(after uint64, b Batch) []Item {
-	if partial := !b.Full || b.Prefix != ""; partial && (m.revision == 0 || !b.Full && after > m.revision) {
+	isSnapshot := b.Full && b.Prefix == ""
+	if m.revision == 0 && !isSnapshot || !b.Full && after > m.revision {
 		return nil
 	}
 	var changed []Item
@@ -110,7 +112,7 @@
 	if b.Full {
 		changed = append(changed, m.removeMissing(b)...)
 	}
-	if b.Full && m.revision == 0 {
+	if m.revision == 0 {
 		m.historyStart = b.Revision
 	}
 	if b.Revision >= m.revision && b.Prefix == "" {
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -76,7 +76,9 @@
 				to.Apply(to.Revision(), store.Since(to.Revision()))
 			case 2:
 				to := copies[rapid.IntRange(0, 2).Draw(r, "to")]
-				to.Apply(to.Revision(), Batch{Items: withPrefix("p", store.Since(to.Revision()))})
+				before := to.Revision()
+				to.Apply(before, Batch{Prefix: "p", Revision: store.Revision(), Items: withPrefix("p", store.Since(before))})
+				must.EqOp(r, before, to.Revision())
 			case 3:
 				snapshot := Batch{Full: true, Prefix: "p", Revision: store.Revision(), Items: withPrefix("p", store.Since(0))}
 				to := copies[rapid.IntRange(0, 2).Draw(r, "to")]
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -82,7 +82,7 @@
 guard one-question process/mirror/puller.go 's/_, waiting := p\.questions\[peer\]; waiting/false/' ./process/mirror TestPuller_OneQuestionPerPeer
 guard one-fetch process/mirror/puller.go 's/mayFetch && p\.fetch == nil/mayFetch/' ./process/mirror TestPuller_LargeValueFromOnePeer
 guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
-guard urgent-watch process/gateway/watch.go 's/urgent\.Go\(func\(\) \{ w\.watchUrgent\(ctx, prefix\) \}\)/_, _ = ctx, prefix/' ./process/gateway TestWatch_UpstreamRemovedDuringSlowResponse
+guard urgent-watch process/gateway/urgent.go 's/urgent\.Go\(func\(\) \{ w\.watchUrgent\(ctx, prefix\) \}\)/_, _ = ctx, prefix/' ./process/gateway TestWatch_UpstreamRemovedDuringSlowResponse
 guard left-upstream process/gateway/attempt.go 's/if !a\.choice\.Usable\(\)/if false/' ./process/gateway TestExchange_UpstreamLeavesAfterTheChoice
 guard kept-refusal connection/upstream/exchange.go 's/id == "" && !c\.reused/id == ""/' ./process/gateway TestServe_RefusalRepeatedOnKeptConnection
 guard refusal-id process/gateway/attempt.go 's/own := response\.HasRequestID/own := true/' ./process/gateway TestServe_RefusalWithoutID
