platform: the body of a refusal is no progress of a response

What callers saw: a gateway that the store turned away (503, 429) kept routing by an old configuration until the store served it again, although its neighbours had the new one.

Cause: large values are fetched from a neighbour only if the store's own response makes no progress, and the few bytes of each refusal, every 0.26 s, counted as progress. Class: liveness measured by any sign of activity, not by what it is needed for.

TestChanges_RefusalIsNoProgress, guard refusal-progress.

--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -79,6 +79,7 @@
 guard unreachable-elsewhere request/result/result.go 's/(Unreachable, "unreachable", NotRun, 503), true/$1, false/' ./test TestList_LagsBothWays
 guard contact-order process/directory/directory.go 's/if gap <= 0/if false/' ./process/directory TestRecordContact_OlderAfterNewer
 guard slow-response platform/transfer.go 's/r\.t\.timer\.Reset\(r\.t\.idle\)/_ = r.t.idle/' ./platform TestChanges_SlowResponse
+guard refusal-progress platform/store.go 's/t\.progress = nil/_ = t/' ./platform TestChanges_RefusalIsNoProgress
 guard one-question process/mirror/puller.go 's/_, waiting := p\.questions\[peer\]; waiting/false/' ./process/mirror TestPuller_OneQuestionPerPeer
 guard one-fetch process/mirror/puller.go 's/mayFetch && p\.fetch == nil/mayFetch/' ./process/mirror TestPuller_LargeValueFromOnePeer
 guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
