gateway: ask neighbours as soon as the store turns the gateway away

What callers saw: for up to 1.9 s longer than necessary, a gateway that the store turns away kept sending requests to upstreams that had left and by routes that had been replaced.

Cause: neighbours were asked from an age of the copy of 1.6 s on. That age tells a lost watch from one that waits, but a refusal needs no waiting: the next answer of the store may take as long as it likes. Class: a timeout where the failure is known at once.

Now neighbours are asked from the first failed call on, and large values are fetched from them at once. An outage of the whole store costs the same messages as before, from its beginning and not 1.6 s later.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -78,6 +78,8 @@
 	configConfirmedAt atomic.Int64
 	// storeProgressAt is the latest time at which bytes of a response to the watcher arrived, in bootclock nanoseconds.
 	storeProgressAt atomic.Int64
+	// storeFailing means that the watcher's latest call of the store failed.
+	storeFailing atomic.Bool
 	// gatewayCount is the number of gateways among which the fleet's limits are divided.
 	gatewayCount atomic.Int64
 	// fleet holds the current fleet-wide limits.
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -18,8 +18,8 @@
 	maxPushBytes = 900 << 10
 	// largeCopyBytes is the size of the items in a push from which it is logged.
 	largeCopyBytes = 64 << 10
-	// storeStalledAfter is the time without a byte of the store's response from which large values are fetched from neighbours. Before, they
-	// would share the link with the store's response, which has the same changes.
+	// storeStalledAfter is the time without a byte of the store's response from which large values are fetched from neighbours, unless the store
+	// turns this gateway away. Before, they would share the link with the store's response, which has the same changes.
 	storeStalledAfter = 500 * time.Millisecond
 )
 
@@ -28,10 +28,10 @@
 	return mirror.PullConfig{Period: 300 * time.Millisecond, Timeout: 2 * time.Second, MaxValueBytes: 16 << 10, ChunkBytes: 64 << 10}
 }
 
-// sendPulls asks the neighbours for the changes in their copies of the store since this gateway's revision, if the store has not confirmed the
-// own copy for a while.
+// sendPulls asks the neighbours for the changes in their copies of the store since this gateway's revision, if the store turns this gateway away or
+// has not confirmed the own copy for a while.
 func (p *peers) sendPulls() {
-	if p.g.configAge() <= pullAge {
+	if p.g.configAge() <= pullAge && !p.g.storeFailing.Load() {
 		return
 	}
 	conns := make(map[string]*link.Conn)
@@ -130,7 +130,7 @@
 		return nil
 	}
 	now := bootclock.Now()
-	storeStalled := now.Sub(time.Unix(0, p.g.storeProgressAt.Load())) > storeStalledAfter
+	storeStalled := p.g.storeFailing.Load() || now.Sub(time.Unix(0, p.g.storeProgressAt.Load())) > storeStalledAfter
 	batch, next := p.puller.HandleAnswer(now, answerOf(name, sent, m), p.g.revision.Load(), storeStalled)
 	size := batch.Bytes()
 	p.g.metrics.peerCopyBytes.Add(int64(size))
--- a/process/gateway/storepull_test.go
+++ b/process/gateway/storepull_test.go
@@ -21,3 +21,19 @@
 	must.Nil(t, p.applyPush("b", &wire.StorePush{ID: questions[0].ID, After: f.gateway.revision.Load(), Revision: revision, AgeMS: 1}))
 	f.eventually("push applied", func() bool { return f.gateway.revision.Load() == revision })
 }
+
+// A gateway that the store turns away must ask its neighbours at once, not only when its copy is old.
+func TestStorePull_StoreTurnsGatewayAway(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &partitionedStore{fakeStore: f.store}
+	g := f.startWith("two", store)
+	f.waitReady(g)
+	f.eventually("peer connected", func() bool { return len(g.peers.neighbourConns()) == 1 })
+	store.partitioned.Store(true)
+	f.eventually("call failed", func() bool { return g.metrics.storeFailures.Load() > 0 })
+	f.store.remove("upstream/a")
+	f.eventually("upstream gone", func() bool {
+		g.configConfirmedAt.Store(bootclock.Now().UnixNano()) // the copy stays young
+		return len(g.view.Load().upstreams) == 0
+	})
+}
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -223,8 +223,9 @@
 	}
 }
 
-// recordResult logs when the store becomes unavailable and available again.
+// recordResult records whether the store is failing and logs when it becomes unavailable and available again.
 func (w *watcher) recordResult(err error) {
+	w.g.storeFailing.Store(err != nil)
 	now := time.Now()
 	if err == nil {
 		if w.lossLogged {
