gateway: do not ask the store for changes that neighbours have brought

What callers saw: a gateway that had got a large configuration from a neighbour, because the store turned it away, read the same configuration from the store again when it was back. On a slow link the next version came later for it.

Cause: the watcher kept a revision of its own, which only its own responses advanced. Class: two copies of one state, of which one is not updated.

Now each watch continues from the revision of the copy, whoever brought it. After a lost history the revision is zero until everything has been read, as before.

--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -93,6 +93,7 @@
 	if w.revision == 0 {
 		r = w.snapshot()
 	} else {
+		w.revision = max(w.revision, w.g.revision.Load()) // neighbours may have brought changes
 		r = w.changes(w.wait())
 	}
 	batch, err := r.batch, r.err
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -204,3 +204,34 @@
 		})
 	}
 }
+
+// afterStore is a store that is unavailable while it is partitioned, and records the revision after which changes were asked for.
+type afterStore struct {
+	partitionedStore
+	after atomic.Uint64
+}
+
+func (s *afterStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
+	if !s.partitioned.Load() {
+		s.after.Store(w.After)
+	}
+	return s.partitionedStore.Changes(ctx, w)
+}
+
+// A gateway must not ask the store for the changes that its neighbours have brought while the store turned it away: large ones would fill its link
+// once more.
+func TestWatch_ChangesFromNeighboursAreNotRepeated(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &afterStore{partitionedStore: partitionedStore{fakeStore: f.store}}
+	g := f.startWith("two", store)
+	f.waitReady(g)
+	f.eventually("peer connected", func() bool { return len(g.peers.neighbourConns()) == 1 })
+	store.partitioned.Store(true)
+	f.store.remove("upstream/a")
+	f.eventually("change from the neighbour", func() bool { return len(g.view.Load().upstreams) == 0 })
+	reached := g.revision.Load()
+	store.after.Store(0)
+	store.partitioned.Store(false)
+	f.eventually("next watch", func() bool { return store.after.Load() > 0 })
+	must.GreaterEq(t, reached, store.after.Load())
+}
