gateway: keep idle connections on which a request has arrived

Cause: the gateway closes connections that have been idle for longer than the limit. A request that had arrived and was not read yet, since the processor was busy with a large configuration for 0.3 s, did not count. Class: a decision on what the process has read, not on what has arrived.

Now the socket is looked at before a connection is closed as idle, one system call for a connection that is about to be closed. A process that leaves waits for such requests too. The look is the one that pools of upstreams make, now package internal/socket.

Ruled out: a longer limit, which only moves the moment.

Failed before: TestCloseIdle_RequestNotReadYet (guard unread-request). TestCloseIdle_RequestDuringClose demanded that data that had arrived before the decision be dropped; it now lets it arrive between the decision and the end of the connection, which is what its name says, and no longer passes only because the socket is closed.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -2,11 +2,12 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/jayridge/jayridge/internal/socket"
 )
 
 // Conn is one connection to an upstream. It is used by one goroutine at a time; Abort may be called from any goroutine.
@@ -55,19 +56,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket, ok := c.nc.(syscall.Conn)
-	if !ok {
+	if _, ok := c.nc.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR))
-	})
-	return err == nil && reusable
+	return socket.Peek(c.nc) == socket.Empty
 }
--- /dev/null
+++ b/internal/socket/socket.go
@@ -0,0 +1,52 @@
+// Package socket looks at sockets without reading from them.
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// State is what a read from a socket would return.
+type State uint8
+
+// The states.
+const (
+	// Unknown means that the connection has no socket or the kernel did not tell.
+	Unknown State = iota
+	// Empty means that the connection is open and nothing has arrived.
+	Empty
+	// Readable means that data has arrived and has not been read.
+	Readable
+	// Ended means that the peer has closed or reset the connection.
+	Ended
+)
+
+// Peek returns the state of a connection's socket. It costs one system call and does not block.
+func Peek(conn net.Conn) State {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return Unknown
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return Unknown
+	}
+	state := Unknown
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = Readable
+		case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+			state = Empty
+		default:
+			state = Ended
+		}
+	})
+	if err != nil {
+		return Unknown
+	}
+	return state
+}
--- a/process/gateway/callers.go
+++ b/process/gateway/callers.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/internal/sleep"
+	"github.com/jayridge/jayridge/internal/socket"
 )
 
 const (
@@ -53,11 +54,16 @@
 	return n, err
 }
 
-// closeIdle closes the connection unless a request was read since it became idle.
-func (c *callerConn) closeIdle() {
+// closeIdle closes the connection unless a request has been read or has arrived since it became idle. It returns false if one has arrived that is
+// not read yet, which may take a while on a busy machine.
+func (c *callerConn) closeIdle() bool {
+	if socket.Peek(c.TCPConn) == socket.Readable {
+		return false
+	}
 	if c.state.CompareAndSwap(connIdle, connClosing) {
 		_ = c.Close() // the server's next read fails and it drops the connection
 	}
+	return true
 }
 
 // callerListener wraps accepted connections as callerConn.
@@ -98,19 +104,22 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
-func (c *callerTracker) closeIdle(limit time.Duration) {
+// closeIdle closes the connections that have been idle for longer than limit. It returns the number of those that stay open because a request has
+// arrived.
+func (c *callerTracker) closeIdle(limit time.Duration) (unread int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.idle {
 		if time.Since(since) <= limit {
 			continue
 		}
-		delete(c.idle, conn)
-		if caller, ok := conn.(*callerConn); ok {
-			caller.closeIdle()
+		if caller, ok := conn.(*callerConn); ok && !caller.closeIdle() {
+			unread++
+			continue
 		}
+		delete(c.idle, conn)
 	}
+	return unread
 }
 
 // drain closes the listeners and idle connections and waits for the requests in progress. It does not use http.Server.Shutdown, which may
@@ -119,7 +128,7 @@
 	for _, l := range listeners {
 		_ = l.Close() // an error does not keep it open
 	}
-	for c.closeIdle(0); c.requests.Load() > 0; c.closeIdle(0) {
+	for c.closeIdle(0)+int(c.requests.Load()) > 0 {
 		if err := ctx.Err(); err != nil {
 			return trace.Wrap(err, "%d requests in progress", c.requests.Load())
 		}
--- a/process/gateway/callers_test.go
+++ b/process/gateway/callers_test.go
@@ -4,8 +4,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/jayridge/jayridge/internal/socket"
 )
 
 // connections returns both ends of a caller's connection. The gateway's end is tracked by calls.
@@ -47,11 +51,29 @@
 func TestCloseIdle_RequestDuringClose(t *testing.T) {
 	calls := newCallerTracker()
 	caller, ours := connections(t, calls)
+	ours.(*callerConn).state.Store(connClosing) // between the decision and the end of the connection
 	_, err := caller.Write([]byte("GET"))
 	must.NoError(t, err)
-	calls.closeIdle(-1)
 	var b [8]byte
 	n, err := ours.Read(b[:])
 	must.EqOp(t, 0, n)
 	must.Error(t, err)
 }
+
+// A connection on which a request has arrived must not be closed as idle although the server has not read it yet: the caller would get no answer.
+func TestCloseIdle_RequestNotReadYet(t *testing.T) {
+	calls := newCallerTracker()
+	caller, ours := connections(t, calls)
+	_, err := caller.Write([]byte("GET"))
+	must.NoError(t, err)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return socket.Peek(ours.(*callerConn).TCPConn) == socket.Readable }),
+		wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+	must.EqOp(t, 1, calls.closeIdle(-1))
+	var b [8]byte
+	n, err := ours.Read(b[:])
+	must.NoError(t, err)
+	must.EqOp(t, 3, n)
+	must.Zero(t, calls.closeIdle(-1), must.Sprint("its handler counts a request that has been read"))
+	_, err = ours.Write([]byte("HTTP"))
+	must.NoError(t, err)
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -82,6 +82,7 @@
 guard refusal-progress platform/store.go 's/t\.progress = nil/_ = t/' ./platform TestChanges_RefusalIsNoProgress
 guard pull-when-refused process/gateway/storepull.go 's/ && !p\.g\.storeFailing\.Load\(\)//' ./process/gateway TestStorePull_StoreTurnsGatewayAway
 guard brought-changes process/gateway/watch.go 's/w\.revision = max\(w\.revision, w\.g\.revision\.Load\(\)\)/_ = w/' ./process/gateway TestWatch_ChangesFromNeighboursAreNotRepeated
+guard unread-request process/gateway/callers.go 's/if socket\.Peek\(c\.TCPConn\) == socket\.Readable/if socket.Peek(c.TCPConn) == 255/' ./process/gateway TestCloseIdle_RequestNotReadYet
 guard one-question process/mirror/puller.go 's/_, waiting := p\.questions\[peer\]; waiting/false/' ./process/mirror TestPuller_OneQuestionPerPeer
 guard one-fetch process/mirror/puller.go 's/mayFetch && p\.fetch == nil/mayFetch/' ./process/mirror TestPuller_LargeValueFromOnePeer
 guard one-transfer process/gateway/watch.go 's/\tcase <-first\.begun:\n\t\treturn w\.finish\(first\)\n\tcase <-overdue/\tcase <-overdue/' ./process/gateway TestWatch_SlowResponseNotRepeated
