gateway: read the store's content if the missed changes are larger

What callers saw: a gateway that had missed several versions of a large configuration kept routing by the old one. Behind a link of 10 Mbit/s, six versions of 0.7 MB take 3.4 s, and all but the newest are thrown away. From 8 MB on, the response was cut off without a word, its JSON was invalid, and the gateway asked for the same 8 MB again until the store dropped its history.

Cause: the store sends each version of a key that a watch has missed, and nothing bounded their sum. Class: work for what is behind grows with how far it is behind.

Now a watch accepts changes that are 512 KB larger than the whole copy at most (mirror.Watch.MaxBytes); beyond that everything is read, in which each key has one value.

Ruled out: to watch the configuration by calls of its own, which would double the reads of the store; to fetch it from neighbours, which a small fleet or a cut off data centre may not have.

--- a/process/event/event.go
+++ b/process/event/event.go
@@ -125,7 +125,7 @@
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
 	{ConfigWatchFailed, "configuration watch failed", Warning, "check the platform's key-value service"},
 	{StoreItemInvalid, "an item of the platform's store cannot be used", Warning, "look at who wrote the key"},
-	{StoreHistoryLost, "the store's history is gone, everything is read again", Info, ""},
+	{StoreHistoryLost, "the store's history is gone or larger than its content, everything is read again", Info, ""},
 
 	{PeerConnected, "peer connected", Info, ""},
 	{PeerLost, "peer connection lost", Info, ""},
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -109,6 +109,7 @@
 		s.g.configConfirmedAt.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
+	s.g.storeCopyBytes.Store(int64(s.mirror.Bytes()))
 	membersChanged := false
 	for _, item := range items {
 		membersChanged = s.applyMember(item) || membersChanged
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -86,7 +86,9 @@
 	fleet atomic.Pointer[settings.Fleet]
 	// revision is the revision of the local copy of the store.
 	revision atomic.Uint64
-	batches  chan sourcedBatch
+	// storeCopyBytes is the size of the local copy of the store.
+	storeCopyBytes atomic.Int64
+	batches        chan sourcedBatch
 	// mirrorQueries are functions to run on the control goroutine with the copy of the store. They must not block.
 	mirrorQueries chan func(*mirror.Mirror)
 	// tasks are functions to run on the control goroutine.
--- a/process/gateway/urgent.go
+++ b/process/gateway/urgent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -46,8 +45,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, mirror.ErrCompacted):
-			event.Log(event.StoreHistoryLost, "prefix", prefix, "revision", after)
+		case mustReadAll(err):
+			event.LogSampled(event.StoreHistoryLost, "prefix", prefix, "revision", after, "error", err)
 			after = 0
 			continue
 		case err != nil:
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -35,6 +35,9 @@
 	// watchOverdue is how long after the end of its wait a watch may respond before the store is asked over another connection. A waiting watch
 	// can be lost without a sign, while the store serves new calls.
 	watchOverdue = 250 * time.Millisecond
+	// maxChangesOverCopy is the number of bytes by which the changes in a response may be larger than the whole copy. Beyond it, the store's
+	// content is read instead: many versions of a large value take longer on a slow link than the newest one.
+	maxChangesOverCopy = 512 << 10
 	// watchRetry is the delay before the next call after a failed one.
 	watchRetry = 250 * time.Millisecond
 	// storeDownAfter is the time without a response after which the store is logged as unavailable.
@@ -98,10 +101,10 @@
 	}
 	batch, err := r.batch, r.err
 	w.g.metrics.storeBytes.Add(int64(batch.Bytes()))
-	if errors.Is(err, mirror.ErrCompacted) {
-		event.Log(event.StoreHistoryLost, "revision", w.revision)
+	if mustReadAll(err) {
+		event.LogSampled(event.StoreHistoryLost, "revision", w.revision, "error", err)
 		w.revision = 0
-		return w.step() // reads everything
+		return w.step()
 	}
 	if err != nil {
 		event.LogSampled(event.WatchFailed, "ms", bootclock.Now().Sub(r.sent).Milliseconds(), "revision", w.revision, "error", err)
@@ -112,6 +115,11 @@
 	return w.deliver(batch)
 }
 
+// mustReadAll reports whether the changes that a call asked for cannot be had, so that everything must be read.
+func mustReadAll(err error) bool {
+	return errors.Is(err, mirror.ErrCompacted) || errors.Is(err, mirror.ErrTooManyChanges)
+}
+
 // storeResponse is the result of one call of the store.
 type storeResponse struct {
 	batch mirror.Batch
@@ -163,8 +171,9 @@
 func (w *watcher) changes(wait time.Duration) storeResponse {
 	var calls sync.WaitGroup
 	defer calls.Wait()
+	maxBytes := int(w.g.storeCopyBytes.Load()) + maxChangesOverCopy
 	ask := func(watch mirror.Watch) storeCall {
-		watch.Prefix, watch.After = allKeys, w.revision
+		watch.Prefix, watch.After, watch.MaxBytes = allKeys, w.revision, maxBytes
 		return w.start(&calls, watch.Wait, func(ctx context.Context, progress func(int)) (mirror.Batch, error) {
 			watch.Progress = progress
 			return w.g.store.Changes(ctx, watch)
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -235,3 +236,39 @@
 	f.eventually("next watch", func() bool { return store.after.Load() > 0 })
 	must.GreaterEq(t, reached, store.after.Load())
 }
+
+// longHistoryStore is a store whose changes since any revision have a given size.
+type longHistoryStore struct {
+	*fakeStore
+	changes, snapshots atomic.Int64
+}
+
+func (s *longHistoryStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
+	if int(s.changes.Load()) > w.MaxBytes {
+		return mirror.Batch{}, mirror.ErrTooManyChanges
+	}
+	return s.fakeStore.Changes(ctx, w)
+}
+
+func (s *longHistoryStore) Snapshot(ctx context.Context, prefix string, progress func(int)) (mirror.Batch, error) {
+	s.snapshots.Add(1)
+	return s.fakeStore.Snapshot(ctx, prefix, progress)
+}
+
+// A gateway that has missed more changes than its link can carry must read the store's content, which is smaller, and not ask for them for ever.
+func TestWatch_ChangesLargerThanContent(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	store := &longHistoryStore{fakeStore: f.store}
+	g := f.startWith("behind", store)
+	f.waitReady(g)
+	f.gateway.Stop(context.Background()) // it would pass the removal on
+	read := store.snapshots.Load()
+	store.changes.Store(maxChangesOverCopy)
+	f.store.put("other", strings.Repeat("x", maxChangesOverCopy))
+	f.eventually("changes read", func() bool { return g.storeCopyBytes.Load() > maxChangesOverCopy })
+	must.EqOp(t, read, store.snapshots.Load())
+	store.changes.Store(3 * maxChangesOverCopy)
+	f.store.remove("upstream/a")
+	f.eventually("upstream gone", func() bool { return len(g.view.Load().upstreams) == 0 })
+	must.Greater(t, read, store.snapshots.Load())
+}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -22,6 +22,9 @@
 	Deleted bool
 }
 
+// bytes returns the size of the key and the value.
+func (i Item) bytes() int { return len(i.Key) + len(i.Value) }
+
 // Batch is a snapshot of the store, or the changes after a base revision.
 type Batch struct {
 	Items []Item
@@ -42,7 +45,7 @@
 func (b Batch) Bytes() int {
 	size := 0
 	for _, i := range b.Items {
-		size += len(i.Key) + len(i.Value)
+		size += i.bytes()
 	}
 	return size
 }
@@ -56,6 +59,9 @@
 	Wait time.Duration
 	// NewConnection makes the call over a connection of its own, for when open ones may be silent.
 	NewConnection bool
+	// MaxBytes is about the maximum size of the keys and values of all changes. If they are larger, the call returns ErrTooManyChanges, if it can
+	// without reading them. Zero means no maximum.
+	MaxBytes int
 	// Progress, if set, is called with the number of bytes of the response that have just arrived. It must not block.
 	Progress func(bytes int)
 }
@@ -63,6 +69,9 @@
 // ErrCompacted means that the store has discarded the changes after the requested revision. The copy must be updated with a full batch.
 var ErrCompacted = errors.New("history lost")
 
+// ErrTooManyChanges means that the changes after the requested revision are too large to be read. The copy must be updated with a full batch.
+var ErrTooManyChanges = errors.New("too many changes")
+
 // maxTombstones is the maximum number of tombstones kept. A tombstone is needed only for batches to copies with a lower revision.
 const maxTombstones = 4096
 
@@ -70,7 +79,9 @@
 type Mirror struct {
 	items      map[string]Item
 	tombstones int
-	revision   uint64
+	// bytes is the size of all keys and values, those of tombstones included.
+	bytes    int
+	revision uint64
 	// historyStart is the lowest base revision, other than zero, for which Since lists the changes; below it, Since returns all items.
 	historyStart uint64
 	asOf         time.Time
@@ -92,6 +103,9 @@
 	return i, found
 }
 
+// Bytes returns the size of all keys and values, in bytes.
+func (m *Mirror) Bytes() int { return m.bytes }
+
 // ContactAt returns the latest time at which the store is known to have responded; zero before the first full batch.
 func (m *Mirror) ContactAt() time.Time { return m.contactAt }
 
@@ -144,10 +158,19 @@
 	if item.Deleted {
 		m.tombstones++
 	}
-	m.items[item.Key] = item
+	m.set(item)
 	return !item.Deleted || found && !known.Deleted
 }
 
+// set replaces the item of a key.
+func (m *Mirror) set(item Item) {
+	if known, found := m.items[item.Key]; found {
+		m.bytes -= known.bytes()
+	}
+	m.items[item.Key] = item
+	m.bytes += item.bytes()
+}
+
 // removeMissing marks the keys that are missing in a full batch as removed. The removals get the batch's revision, since their exact
 // revisions are unknown but not higher.
 func (m *Mirror) removeMissing(b Batch) []Item {
@@ -161,7 +184,7 @@
 			continue
 		}
 		tombstone := Item{Key: key, Revision: b.Revision, Deleted: true}
-		m.items[key] = tombstone
+		m.set(tombstone)
 		m.tombstones++
 		removed = append(removed, tombstone)
 	}
@@ -175,6 +198,7 @@
 	}
 	for key, item := range m.items {
 		if item.Deleted {
+			m.bytes -= item.bytes()
 			delete(m.items, key)
 		}
 	}
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -98,6 +98,11 @@
 		for _, c := range copies {
 			c.Apply(c.Revision(), store.Since(c.Revision()))
 			must.Eq(r, store.Since(0).Items, c.Since(0).Items)
+			size := 0
+			for key, item := range c.items {
+				size += len(key) + len(item.Value)
+			}
+			must.EqOp(r, size, c.Bytes())
 		}
 	})
 }
