--- a/process/gateway/foreign_test.go
+++ b/process/gateway/foreign_test.go
@@ -24,6 +24,8 @@
 	runs map[string]int
 	// refusals are the latest refusals by connection.
 	refusals map[net.Conn]string
+	// splits counts the refusals that arrived in two parts. Each is split at another byte.
+	splits int
 }
 
 // repeatedRefusal describes the copy of a refusal.
@@ -33,7 +35,7 @@
 	id func(request string) []string
 	// lineEnd is the end of the lines of its head.
 	lineEnd string
-	// split makes it arrive in two parts, the first of which ends within a line.
+	// split makes it arrive in two parts, the first of which mostly ends within a line.
 	split bool
 	// instead means that it takes the place of the true answer; otherwise it precedes it.
 	instead bool
@@ -52,17 +54,20 @@
 	if refused {
 		delete(u.refusals, conn)
 		u.runs[id]++
+		u.splits++
 	} else {
 		lines := slices.Concat([]string{fmt.Sprintf("HTTP/1.1 %d X", how.status), "Test-Not-Run: 1"}, how.id(id), []string{"Content-Length: 0", "", ""})
 		u.refusals[conn] = strings.Join(lines, how.lineEnd)
 	}
+	splits := u.splits
 	u.mu.Unlock()
 	if !refused {
 		return refuseNotRun(conn, r, "")
 	}
 	first, second := refusal, ""
 	if how.split {
-		first, second = refusal[:len(refusal)/2], refusal[len(refusal)/2:]
+		at := splits * 7 % len(refusal)
+		first, second = refusal[:at], refusal[at:]
 	}
 	_, _ = io.WriteString(conn, first)
 	time.Sleep(20 * time.Millisecond) // the request runs; a second part of the refusal arrives separately
@@ -117,6 +122,54 @@
 	}
 }
 
+// A refusal that an upstream writes once more while its connection is idle must not be taken for the answer to the request that is sent there next,
+// also if the connection is kept for longer than the upstream keeps it.
+func TestServe_RefusalOnIdleConnection(t *testing.T) {
+	const requests = 40
+	for name, how := range map[string]struct {
+		keepAlive string
+		pause     time.Duration
+	}{
+		"soon":                {"", 10 * time.Millisecond},
+		"past its keep-alive": {"Keep-Alive: timeout=1\r\n", 350 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			runs, refused := make(map[string]int), make(map[net.Conn]bool)
+			late := 0
+			serve := func(conn net.Conn, r *http.Request, _ string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				id := r.Header.Get("Test-Id")
+				if refused[conn] = !refused[conn]; !refused[conn] {
+					runs[id]++
+					return respond(conn, id, http.StatusOK, how.keepAlive, "done")
+				}
+				late++
+				delay := how.pause * time.Duration(late%8) / 2
+				time.AfterFunc(delay, func() { _, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") })
+				return respond(conn, id, http.StatusServiceUnavailable, "Test-Not-Run: 1\r\n"+how.keepAlive, "")
+			}
+			f := newFixture(t, newUpstream(t, "a", serve), newUpstream(t, "b", refuseNotRun))
+			for i := range requests {
+				got := f.send(f.gateway, http.MethodPost, fmt.Sprintf("/book/%d", i), nil)
+				mu.Lock()
+				ran := runs[fmt.Sprintf("id-book-%d", i)]
+				mu.Unlock()
+				want := http.StatusServiceUnavailable
+				if ran > 0 {
+					want = http.StatusOK
+				}
+				must.EqOp(t, want, got.status, must.Sprintf("request %d, which ran %d times", i, ran))
+				must.LessEq(t, 1, ran)
+				time.Sleep(how.pause * time.Duration(i%3) / 2) // the refusal arrives before, while or after the next request is sent
+			}
+			must.Positive(t, len(runs))
+		})
+	}
+}
+
 // A refusal without the request's ID does not show that the request did not run, also as the first response on a connection.
 func TestServe_RefusalWithoutID(t *testing.T) {
 	for _, status := range []int{421, 429, 503} {
