gateway: a first copy that takes long to arrive is no outage of the store

Cause: the directory of upstreams counts time without contact to the store from the start of the process. The first copy, 7,251 routes over 10 Mbit/s beside other traffic, took 2.5 s, which looked like an outage (event 704, gap_ms 2525), and upstreams that are removed just after an outage stay in use for two seconds. Trace: front-suva-5 starts at 22.72 s, has its copy at 25.457 s, hears of the removal from a neighbour at 25.714 s ("missing") and drops the upstream at 27.474 s; the request is sent at 27.364 s.

Now bytes of a successful response are a contact with the store. The same cause elsewhere: a first copy that comes from neighbours; what they tell of contacts was ignored until there was a copy, and now counts.

Ruled out: no outages before the first copy. A store that really is away while a gateway starts loses entries as well.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -99,13 +99,10 @@
 func (s *state) apply(r sourcedBatch) {
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
+	if at := s.mirror.ContactAt(); !at.IsZero() {
+		s.recordContact(at, r.source)
+	}
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
-		contact := s.mirror.ContactAt()
-		if gap := s.directory.RecordContact(contact); gap > 0 {
-			event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", r.source, "contact_before_from", s.contactSource,
-				"age_ms", now.Sub(contact).Milliseconds())
-		}
-		s.contactSource = r.source
 		s.g.configConfirmedAt.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
@@ -130,6 +127,15 @@
 	}
 }
 
+// recordContact records that the store was available at a time, as told by a source.
+func (s *state) recordContact(at time.Time, source string) {
+	if gap := s.directory.RecordContact(at); gap > 0 {
+		event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", source, "contact_before_from", s.contactSource,
+			"age_ms", bootclock.Now().Sub(at).Milliseconds())
+	}
+	s.contactSource = source
+}
+
 // applyItem updates the state with one changed item.
 func (s *state) applyItem(now time.Time, item mirror.Item, source string) {
 	decoded, err := s.g.decoder.Decode(item)
@@ -247,7 +253,11 @@
 	event.Log(id, "data_centre", decoded.Name, "revision", revision, "source", source)
 }
 
+// tick applies the passing of time. A response of the store that is arriving shows that the store is available, however long it takes.
 func (s *state) tick() {
+	if at := s.g.storeProgressAt.Load(); at > 0 {
+		s.recordContact(time.Unix(0, at), sourceStore)
+	}
 	for _, change := range s.directory.Tick(bootclock.Now()) {
 		s.viewStale = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -77,6 +77,39 @@
 	must.SliceEmpty(t, s.directory.Usable())
 }
 
+// An upstream that is removed just after the first copy of a gateway that starts must be gone, not missing, however long that copy took: the store
+// was available while it arrived, or told neighbours so.
+func TestApply_RemovalAfterSlowFirstCopy(t *testing.T) {
+	for name, whileArriving := range map[string]func(s *state, at time.Time){
+		"from the store": func(s *state, at time.Time) {
+			s.g.storeProgressAt.Store(at.UnixNano())
+			s.tick()
+		},
+		"from a neighbour": func(s *state, at time.Time) {
+			s.apply(sourcedBatch{source: "neighbour", batch: mirror.Batch{ContactAt: at}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			now := bootclock.Now()
+			s := &state{
+				g: f.gateway, mirror: mirror.New(), directory: directory.New(now.Add(-4*time.Second), directory.DefaultConfig()),
+				evacuated: make(map[string]struct{}), members: make(map[string]member),
+			}
+			whileArriving(s, now.Add(-2*time.Second))
+			whileArriving(s, now.Add(-100*time.Millisecond))
+			text, err := json.Marshal(newUpstream(t, "a", succeed).entry())
+			must.NoError(t, err)
+			s.apply(sourcedBatch{source: "any", batch: mirror.Batch{
+				Full: true, Revision: 1, AsOf: now.Add(-2 * time.Second), ContactAt: now, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
+			}})
+			must.Len(t, 1, s.directory.Usable())
+			s.apply(removal(sourceStore, now))
+			must.SliceEmpty(t, s.directory.Usable())
+		})
+	}
+}
+
 // stateWithUpstream returns a control state to which the store has just listed one upstream, as of the returned time. That is longer ago
 // than OutageAfter, as after a long watch.
 func stateWithUpstream(t *testing.T) (*state, time.Time) {
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -106,13 +106,18 @@
 // Bytes returns the size of all keys and values, in bytes.
 func (m *Mirror) Bytes() int { return m.bytes }
 
-// ContactAt returns the latest time at which the store is known to have responded; zero before the first full batch.
+// ContactAt returns the latest time at which the store is known to have responded; zero if it is not known to.
 func (m *Mirror) ContactAt() time.Time { return m.contactAt }
 
 // Apply applies a batch and returns the items that changed, in ascending order of revision. after is the base revision of a batch that is
 // not full; such a batch is ignored if the copy's revision is lower than after, since changes would be missing. An empty copy ignores all but
-// snapshots of everything.
+// snapshots of everything. The times at which the store responded count also if the changes are ignored.
 func (m *Mirror) Apply(after uint64, b Batch) []Item {
+	for _, at := range []time.Time{b.AsOf, b.ContactAt} {
+		if at.After(m.contactAt) {
+			m.contactAt = at
+		}
+	}
 	isSnapshot := b.Full && b.Prefix == ""
 	if m.revision == 0 && !isSnapshot || !b.Full && after > m.revision {
 		return nil
@@ -135,11 +140,6 @@
 			m.asOf = b.AsOf
 		}
 	}
-	for _, at := range []time.Time{b.AsOf, b.ContactAt} {
-		if at.After(m.contactAt) {
-			m.contactAt = at
-		}
-	}
 	m.pruneTombstones()
 	slices.SortFunc(changed, func(a, b Item) int { return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key)) })
 	return changed
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -82,6 +82,7 @@
 guard refusal-progress platform/store.go 's/t\.progress = nil/_ = t/' ./platform TestChanges_RefusalIsNoProgress
 guard many-versions process/gateway/watch.go 's/int\(w\.g\.storeCopyBytes\.Load\(\)\) \+ maxChangesOverCopy/0*maxChangesOverCopy/' ./process/gateway TestWatch_ChangesLargerThanContent
 guard response-limit platform/store.go 's/limit = min\(limit, c\.maxBytes\)/_ = limit/' ./platform TestChanges_TooMany
+guard contact-progress process/gateway/control.go 's/if at := s\.g\.storeProgressAt\.Load\(\); at > 0/if at := s.g.storeProgressAt.Load(); false/' ./process/gateway TestApply_RemovalAfterSlowFirstCopy
 guard pull-when-refused process/gateway/storepull.go 's/ && !p\.g\.storeFailing\.Load\(\)//' ./process/gateway TestStorePull_StoreTurnsGatewayAway
 guard brought-changes process/gateway/watch.go 's/w\.revision = max\(w\.revision, w\.g\.revision\.Load\(\)\)/_ = w/' ./process/gateway TestWatch_ChangesFromNeighboursAreNotRepeated
 guard unread-request process/gateway/callers.go 's/if socket\.Peek\(c\.TCPConn\) == socket\.Readable/if socket.Peek(c.TCPConn) == 255/' ./process/gateway TestCloseIdle_RequestNotReadYet
