gateway: name the source of the latest contact in the log of outages

Event 704 tells which source reported the contact before a gap. The source was that of the latest batch, also of one with an older contact, and, since responses count while they arrive, "store" at each tick. Now it changes with the contact. No decision depends on it.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -52,7 +52,8 @@
 	evacuated map[string]struct{}
 	// members are the registered gateways.
 	members map[string]member
-	// contactSource is the source of the latest contact that the directory recorded.
+	// contactAt is the latest time at which the store is known to have been available, contactSource the source that told of it.
+	contactAt     time.Time
 	contactSource string
 	// trimmedAt is the time of the latest trim of idle connections.
 	trimmedAt time.Time
@@ -99,9 +100,7 @@
 func (s *state) apply(r sourcedBatch) {
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
-	if at := s.mirror.ContactAt(); !at.IsZero() {
-		s.recordContact(at, r.source)
-	}
+	s.recordContact(s.mirror.ContactAt(), r.source)
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
 		s.g.configConfirmedAt.Store(asOf.UnixNano())
 	}
@@ -129,11 +128,14 @@
 
 // recordContact records that the store was available at a time, as told by a source.
 func (s *state) recordContact(at time.Time, source string) {
+	if !at.After(s.contactAt) {
+		return
+	}
 	if gap := s.directory.RecordContact(at); gap > 0 {
 		event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", source, "contact_before_from", s.contactSource,
 			"age_ms", bootclock.Now().Sub(at).Milliseconds())
 	}
-	s.contactSource = source
+	s.contactAt, s.contactSource = at, source
 }
 
 // applyItem updates the state with one changed item.
