--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -59,8 +59,8 @@
 	Wait time.Duration
 	// NewConnection makes the call over a connection of its own, for when open ones may be silent.
 	NewConnection bool
-	// MaxBytes is about the maximum size of the keys and values of all changes. If they are larger, the call returns ErrTooManyChanges, if it can
-	// without reading them. Zero means no maximum.
+	// MaxBytes is the approximate maximum size of the keys and values of all changes together. The call returns ErrTooManyChanges as soon as it is
+	// exceeded, without reading the rest. Zero means no maximum.
 	MaxBytes int
 	// Progress, if set, is called with the number of bytes of the response that have just arrived. It must not block.
 	Progress func(bytes int)
