--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	bash scripts/fuzz.sh
 
 soak:
-	bash scripts/soak.sh $(SEEDS) $(SECONDS)
+	bash scripts/soak.sh $(SEEDS) $(SECONDS) $(GATEWAYS)
 
 fmt:
 	gofmt -w $$(git ls-files '*.go')
