gateway: in the test of repeated refusals, the copy follows the original

Cause, in the test: a copy without delay was written by a goroutine of its own and could come before the refusal that it copies, as the first response on a new connection. Without an ID it is then an answer of which nobody can say whose it is (TestServe_RefusalWithoutID requires the 502).

--- a/process/gateway/foreign_test.go
+++ b/process/gateway/foreign_test.go
@@ -146,10 +146,10 @@
 					runs[id]++
 					return respond(conn, id, http.StatusOK, how.keepAlive, "done")
 				}
+				kept := respond(conn, id, http.StatusServiceUnavailable, "Test-Not-Run: 1\r\n"+how.keepAlive, "")
 				late++
-				delay := how.pause * time.Duration(late%8) / 2
-				time.AfterFunc(delay, func() { _, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") })
-				return respond(conn, id, http.StatusServiceUnavailable, "Test-Not-Run: 1\r\n"+how.keepAlive, "")
+				time.AfterFunc(how.pause*time.Duration(late%8)/2, func() { _, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") })
+				return kept
 			}
 			f := newFixture(t, newUpstream(t, "a", serve), newUpstream(t, "b", refuseNotRun))
 			for i := range requests {
