--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -31,7 +31,8 @@
 	services.KV
 	// Snapshot reads all items with a key prefix. progress is called with the number of bytes that have just arrived and must not block.
 	Snapshot(ctx context.Context, prefix string, progress func(bytes int)) (mirror.Batch, error)
-	// Changes makes one long poll. It returns mirror.ErrCompacted if the store no longer has the changes.
+	// Changes makes one long poll. It returns mirror.ErrCompacted if the store no longer has the changes, and mirror.ErrTooManyChanges if they are
+	// too large to be read.
 	Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error)
 }
 
