gateway: keep the time of the latest contact in one place

The control state had a copy of the directory's time, only to tell which source to name in the log. It asks the directory now. The tests of removals share one state and one first copy; their assertions are the same.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -100,6 +100,9 @@
 	return &Directory{config: config, upstreams: make(map[string]*trackedUpstream), contactAt: now}
 }
 
+// ContactAt returns the latest time at which the store is known to have been available, or that of New.
+func (d *Directory) ContactAt() time.Time { return d.contactAt }
+
 // RecordContact records that the store was available at the given time. Contacts come from several sources and may arrive out of order; one
 // that is older than the latest changes nothing. If the contact ends an outage, RecordContact returns the time without contact, else zero.
 func (d *Directory) RecordContact(at time.Time) time.Duration {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -52,8 +52,7 @@
 	evacuated map[string]struct{}
 	// members are the registered gateways.
 	members map[string]member
-	// contactAt is the latest time at which the store is known to have been available, contactSource the source that told of it.
-	contactAt     time.Time
+	// contactSource is the source of the latest contact that the directory recorded.
 	contactSource string
 	// trimmedAt is the time of the latest trim of idle connections.
 	trimmedAt time.Time
@@ -128,14 +127,14 @@
 
 // recordContact records that the store was available at a time, as told by a source.
 func (s *state) recordContact(at time.Time, source string) {
-	if !at.After(s.contactAt) {
+	if !at.After(s.directory.ContactAt()) {
 		return
 	}
 	if gap := s.directory.RecordContact(at); gap > 0 {
 		event.Log(event.ListOutageEnded, "gap_ms", gap.Milliseconds(), "source", source, "contact_before_from", s.contactSource,
 			"age_ms", bootclock.Now().Sub(at).Milliseconds())
 	}
-	s.contactAt, s.contactSource = at, source
+	s.contactSource = source
 }
 
 // applyItem updates the state with one changed item.
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -90,19 +90,11 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
 			now := bootclock.Now()
-			s := &state{
-				g: f.gateway, mirror: mirror.New(), directory: directory.New(now.Add(-4*time.Second), directory.DefaultConfig()),
-				evacuated: make(map[string]struct{}), members: make(map[string]member),
-			}
+			s := newState(t, now.Add(-4*time.Second))
 			whileArriving(s, now.Add(-2*time.Second))
 			whileArriving(s, now.Add(-100*time.Millisecond))
-			text, err := json.Marshal(newUpstream(t, "a", succeed).entry())
-			must.NoError(t, err)
-			s.apply(sourcedBatch{source: "any", batch: mirror.Batch{
-				Full: true, Revision: 1, AsOf: now.Add(-2 * time.Second), ContactAt: now, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
-			}})
+			s.apply(firstCopy(t, now.Add(-2*time.Second), now))
 			must.Len(t, 1, s.directory.Usable())
 			s.apply(removal(sourceStore, now))
 			must.SliceEmpty(t, s.directory.Usable())
@@ -113,19 +105,28 @@
 // stateWithUpstream returns a control state to which the store has just listed one upstream, as of the returned time. That is longer ago
 // than OutageAfter, as after a long watch.
 func stateWithUpstream(t *testing.T) (*state, time.Time) {
-	f := newFixture(t)
 	now := bootclock.Now()
-	s := &state{
-		g: f.gateway, mirror: mirror.New(), directory: directory.New(now.Add(-time.Second), directory.DefaultConfig()),
+	s := newState(t, now.Add(-time.Second))
+	old := now.Add(-2300 * time.Millisecond)
+	s.apply(firstCopy(t, old, now))
+	return s, old
+}
+
+// newState returns the control state of a gateway that started at the given time and has no copy of the store.
+func newState(t *testing.T, started time.Time) *state {
+	return &state{
+		g: newFixture(t).gateway, mirror: mirror.New(), directory: directory.New(started, directory.DefaultConfig()),
 		evacuated: make(map[string]struct{}), members: make(map[string]member),
 	}
+}
+
+// firstCopy returns a snapshot that lists one upstream.
+func firstCopy(t *testing.T, asOf, contactAt time.Time) sourcedBatch {
 	text, err := json.Marshal(newUpstream(t, "a", succeed).entry())
 	must.NoError(t, err)
-	old := now.Add(-2300 * time.Millisecond)
-	s.apply(sourcedBatch{source: sourceStore, batch: mirror.Batch{
-		Full: true, Revision: 1, AsOf: old, ContactAt: now, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
-	}})
-	return s, old
+	return sourcedBatch{source: sourceStore, batch: mirror.Batch{
+		Full: true, Revision: 1, AsOf: asOf, ContactAt: contactAt, Items: []mirror.Item{{Key: "upstream/a", Value: text, Revision: 1}},
+	}}
 }
 
 // removal returns a batch that removes the upstream of stateWithUpstream.
