--- a/process/mirror/puller_test.go
+++ b/process/mirror/puller_test.go
@@ -86,18 +86,23 @@
 			written[string(value)] = true
 			store.Apply(revision-1, Batch{Revision: revision, Items: []Item{{Key: fmt.Sprint(rapid.IntRange(0, 2).Draw(r, "key")), Revision: revision, Value: value}}})
 		}
-		answer := func(q Question) {
+		answer := func(q Question, mayFail bool) {
 			small, large := store.Since(q.Revision).SplitLarge(testPullConfig.MaxValueBytes)
 			small.AsOf = now
 			b, next := p.HandleAnswer(now, Answer{ID: q.ID, Peer: q.Peer, After: q.Revision, Batch: small, Large: large}, copied.Revision(), true)
 			copied.Apply(q.Revision, b)
 			for next != nil {
-				if faulty := rapid.IntRange(0, 9).Draw(r, "fault"); faulty == 0 {
+				fault := -1
+				if mayFail {
+					fault = rapid.IntRange(0, 9).Draw(r, "fault")
+				}
+				switch fault {
+				case 0:
 					p.RemovePeer(now, q.Peer)
 					return
-				} else if faulty == 1 {
+				case 1:
 					return // silent
-				} else if faulty == 2 {
+				case 2:
 					write()
 				}
 				item, _ := store.Item(next.Key)
@@ -115,7 +120,7 @@
 		for range rapid.IntRange(1, 20).Draw(r, "rounds") {
 			write()
 			for _, q := range p.Ask(now, copied.Revision(), peers) {
-				answer(q)
+				answer(q, true)
 			}
 			p.Expire(now)
 			now = now.Add(time.Second)
@@ -128,17 +133,7 @@
 		for range 10 {
 			p.Expire(now)
 			for _, q := range p.Ask(now, copied.Revision(), peers) {
-				small, large := store.Since(q.Revision).SplitLarge(testPullConfig.MaxValueBytes)
-				b, next := p.HandleAnswer(now, Answer{ID: q.ID, Peer: q.Peer, After: q.Revision, Batch: small, Large: large}, copied.Revision(), true)
-				copied.Apply(q.Revision, b)
-				for next != nil {
-					item, _ := store.Item(next.Key)
-					var complete *Answer
-					next, complete = p.HandleChunk(now, q.Peer, next.ID, Chunk(item.Value, next.Offset, testPullConfig.ChunkBytes), copied.Revision())
-					if complete != nil {
-						copied.Apply(complete.After, complete.Batch)
-					}
-				}
+				answer(q, false)
 			}
 			now = now.Add(time.Second)
 		}
