Reproduce requests to upstreams beyond the load bound, and log the limit of each choice

The lines of requests get load_limit and load_age_ms, which tell a wrong limit from a wrong load. The message of a gateway to its neighbours is built and applied by functions of the balancer alone, so that the simulation uses the same ones.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -221,6 +221,10 @@
 	// could take the request.
 	Load       int
 	Candidates int
+	// LoadLimit is the number of requests from which an upstream took no more at the time of the decision. TotalAge is the age of the latest answer
+	// to any entry in which the upstream told its load, negative if there was none.
+	LoadLimit float64
+	TotalAge  time.Duration
 	// FetchFrom is the address of an upstream from which this one should copy Fetched tokens of the prompt, "" if it should process
 	// all of them itself.
 	FetchFrom string
@@ -263,6 +267,7 @@
 	}
 	c := &Choice{
 		Upstream: e.Upstream, Cached: b.scratch[index].CachedTokens, Load: int(b.scratch[index].Load), Candidates: candidates,
+		LoadLimit: b.config.Placement.LoadLimit(b.scratch), TotalAge: e.totalAge(now),
 		balancer: b, backend: e, pendingTokens: max(0, q.Placement.Tokens-b.scratch[index].CachedTokens),
 	}
 	if source >= 0 {
@@ -336,6 +341,14 @@
 	return requests, pending
 }
 
+// totalAge returns the time since the upstream told its load in an answer to any entry, negative if it has not.
+func (e *backend) totalAge(now time.Time) time.Duration {
+	if e.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(e.reportedAt)
+}
+
 // SetPeerLoad records another entry's loads, which are keyed by the short hash of the upstream's ID.
 func (b *Balancer) SetPeerLoad(now time.Time, peer string, loads map[uint32]Load) {
 	b.mu.Lock()
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -64,6 +64,7 @@
 	}
 	p := &c.progress
 	p.upstream, p.cached, p.load = choice.ID, choice.Cached, choice.Load
+	p.loadLimit, p.totalAge = choice.LoadLimit, choice.TotalAge
 	p.passedOver, p.passedOverLoad, p.passedOverPending = choice.PassedOver, choice.PassedLoad, choice.PassedPending
 	p.fetched = choice.Fetched
 	p.tried = append(p.tried, choice.ID)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -35,6 +35,10 @@
 	upstream     string
 	first        time.Duration
 	cached, load int
+	// loadLimit and totalAge are for the log: the load from which upstreams took no more requests when the latest one was chosen, and the age of the
+	// answer in which it had told its load.
+	loadLimit float64
+	totalAge  time.Duration
 	// answering is how long the latest upstream had been answering when the attempt ended, zero if it sent no response headers.
 	answering time.Duration
 	// fetched is the number of prompt tokens whose cache entries the upstream copies from another upstream.
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -18,27 +18,28 @@
 	partialMeshStatePeriod = 400 * time.Millisecond
 )
 
-// partialMesh reports whether the neighbours are only some of the gateways.
-func (p *peers) partialMesh() bool {
+// fleetSize returns the number of registered gateways.
+func (p *peers) fleetSize() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.members) > maxFullMesh
+	return len(p.members)
 }
 
-// statePeriod returns the interval of FleetState messages.
-func (p *peers) statePeriod() time.Duration {
-	if p.partialMesh() {
+// statePeriod returns the interval of FleetState messages in a fleet of the given size.
+func statePeriod(gateways int) time.Duration {
+	if isPartialMesh(gateways) {
 		return partialMeshStatePeriod
 	}
 	return fullMeshStatePeriod
 }
 
+// isPartialMesh reports whether the neighbours are only some of the gateways in a fleet of the given size.
+func isPartialMesh(gateways int) bool { return gateways > maxFullMesh }
+
 // applyFleetState applies a neighbour's loads, crashes and cached prompts.
 func (p *peers) applyFleetState(name string, m *wire.FleetState) {
 	now := bootclock.Now()
-	if !m.Partial {
-		p.g.balancer.SetPeerLoad(now, name, loadsOf(m))
-	}
+	applyBalancerState(p.g.balancer, now, name, m)
 	if len(m.Crashes) > 0 {
 		p.g.crashes.recordFromPeer(now, m.Crashes)
 	}
@@ -50,12 +51,19 @@
 			event.LogSampled(event.UpstreamLimitChanged, "upstream", id, "per_second", l.PerSecond, "source", "peer", "peer", name)
 		}
 	}
+}
+
+// applyBalancerState applies a neighbour's loads and cached prompts.
+func applyBalancerState(b *balancer.Balancer, now time.Time, name string, m *wire.FleetState) {
+	if !m.Partial {
+		b.SetPeerLoad(now, name, loadsOf(m))
+	}
 	for _, h := range m.Holders {
 		holder := balancer.Holder{Upstream: h.Upstream}
 		for _, part := range h.Parts {
 			holder.Parts = append(holder.Parts, placement.Part{ID: part.ID, Tokens: int(part.Tokens)})
 		}
-		p.g.balancer.AddHolder(now, holder)
+		b.AddHolder(now, holder)
 	}
 }
 
@@ -71,16 +79,21 @@
 
 // sendState sends this gateway's loads, its new prompts and the changed rate limits to all neighbours.
 func (p *peers) sendState() {
+	p.broadcast(takeFleetState(p.g.balancer, bootclock.Now()))
+}
+
+// takeFleetState returns the periodic message of a gateway, with what has changed since the last call.
+func takeFleetState(b *balancer.Balancer, now time.Time) *wire.FleetState {
 	m := &wire.FleetState{}
-	for hash, l := range p.g.balancer.Loads(bootclock.Now()) {
+	for hash, l := range b.Loads(now) {
 		m.Loads = append(m.Loads, wire.UpstreamLoad{
 			Upstream: hash, Requests: uint32(l.Requests), PendingTokens: uint32(l.PendingTokens), TotalRequests: uint32(l.Total),
 			AgeMS: uint32(l.Age.Milliseconds()),
 		})
 	}
-	m.Holders = promptHolders(p.g.balancer.TakeHolderUpdates())
-	m.Limits = wireLimits(bootclock.Now(), p.g.balancer.TakeRateLimits())
-	p.broadcast(m)
+	m.Holders = promptHolders(b.TakeHolderUpdates())
+	m.Limits = wireLimits(now, b.TakeRateLimits())
+	return m
 }
 
 func wireLimits(now time.Time, limits []balancer.RateLimit) []wire.UpstreamLimit {
--- /dev/null
+++ b/process/gateway/loadfleet_test.go
@@ -0,0 +1,354 @@
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/health"
+	"github.com/jayridge/jayridge/request/placement"
+	"github.com/jayridge/jayridge/version/routing"
+)
+
+// loadSim simulates a fleet in virtual time: the balancers of the gateways, the messages between neighbours, and model upstreams.
+type loadSim struct {
+	random    *rand.Rand
+	now       time.Time
+	gateways  []*loadGateway
+	upstreams []*loadUpstream
+	events    simEvents
+	scheduled int
+	period    time.Duration
+	// versions limits the versions that requests may run, nil permits all.
+	versions balancer.Versions
+	// rate multiplies the rate of requests.
+	rate     float64
+	arrivals []loadArrival
+	refused  int
+}
+
+type loadGateway struct {
+	name       string
+	balancer   *balancer.Balancer
+	neighbours []int
+}
+
+type loadUpstream struct {
+	directory.Upstream
+	listed   bool
+	draining bool
+	inFlight int
+	// readUntil is when all prompts that were sent to the upstream have been read.
+	readUntil time.Time
+	cache     *placement.Cache
+}
+
+// loadArrival is a request that reached an upstream.
+type loadArrival struct {
+	at time.Time
+	// over means that the upstream held more than the load bound before the request arrived.
+	over bool
+}
+
+// loadKind is a kind of chat: the first shared part is one of firsts, the second belongs to one of chats.
+type loadKind struct {
+	perSecond                float64
+	firsts, chats            int
+	firstTokens, chatTokens  float64
+	ownTokens, answerSeconds float64
+}
+
+func loadKinds() []loadKind {
+	return []loadKind{
+		{perSecond: 45, firsts: 1, chats: 100, firstTokens: 500, chatTokens: 5000, ownTokens: 1300, answerSeconds: 1.6},
+		{perSecond: 155, firsts: 10, chats: 500, firstTokens: 120, chatTokens: 80, ownTokens: 130, answerSeconds: 1.25},
+		{perSecond: 90, firsts: 20, chats: 280, firstTokens: 340, chatTokens: 230, ownTokens: 360, answerSeconds: 0.1},
+	}
+}
+
+const (
+	loadSimTick = 5 * time.Millisecond
+	// simPrefillTokensPerMS is the speed at which upstreams read prompts.
+	simPrefillTokensPerMS = 64
+	// simCacheTokens is the cache of an upstream in tokens.
+	simCacheTokens = 400_000
+)
+
+func newLoadSim(seed uint64, gateways, upstreams int) *loadSim {
+	s := &loadSim{random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), rate: float64(upstreams) / 44, period: statePeriod(gateways)}
+	var names []string
+	for i := range gateways {
+		names = append(names, fmt.Sprint("g", i))
+	}
+	for i := range gateways {
+		config := balancer.DefaultConfig(dataCentre(i))
+		config.Seed = seed<<8 + uint64(i)
+		config.Placement.LoadFactor = loadFactorShare * simLoadFactor
+		g := &loadGateway{name: names[i], balancer: balancer.New(config)}
+		for _, n := range neighbours(names[i], names) {
+			g.neighbours = append(g.neighbours, slices.Index(names, n))
+		}
+		g.balancer.SetEntries(gateways)
+		s.gateways = append(s.gateways, g)
+		s.after(time.Duration(s.random.Int64N(int64(s.period))), func() { s.sendState(g) })
+	}
+	for range upstreams {
+		s.addUpstream("v1")
+	}
+	s.list()
+	return s
+}
+
+// simLoadFactor and simLoadSlack are the load bound: no upstream gets requests while it holds more than this multiple of the mean of its service,
+// plus the slack.
+const simLoadFactor, simLoadSlack = 2, 3
+
+func dataCentre(i int) string { return string(rune('a' + i%4)) }
+
+func (s *loadSim) addUpstream(version string) {
+	n := len(s.upstreams)
+	u := &loadUpstream{listed: true, cache: placement.NewCache(simCacheTokens)}
+	u.Entry = directory.Entry{ID: fmt.Sprint("u", n), Service: "model", Address: fmt.Sprint("u", n, ":80"), DataCentre: dataCentre(n), Version: version, Slots: 64}
+	s.upstreams = append(s.upstreams, u)
+}
+
+// list tells all gateways which upstreams are listed.
+func (s *loadSim) list() {
+	var ready, leaving []directory.Upstream
+	for _, u := range s.upstreams {
+		switch {
+		case u.listed && u.draining:
+			leaving = append(leaving, u.Upstream)
+		case u.listed:
+			ready = append(ready, u.Upstream)
+		}
+	}
+	service := &routing.Service{Name: "model", Slots: 64, CacheTokens: simCacheTokens, FetchTokensPerMS: 200}
+	for _, g := range s.gateways {
+		g.balancer.SetUpstreams(ready, leaving, func(string) *routing.Service { return service })
+	}
+}
+
+func (s *loadSim) after(d time.Duration, do func()) {
+	s.scheduled++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.scheduled, do})
+}
+
+func (s *loadSim) sendState(g *loadGateway) {
+	m := takeFleetState(g.balancer, s.now)
+	slices.SortFunc(m.Loads, func(a, b wire.UpstreamLoad) int { return int(int64(a.Upstream) - int64(b.Upstream)) })
+	for _, n := range g.neighbours {
+		to := s.gateways[n]
+		s.after(time.Duration(1+s.random.IntN(3))*time.Millisecond, func() { applyBalancerState(to.balancer, s.now, g.name, m) })
+	}
+	s.after(s.period, func() { s.sendState(g) })
+}
+
+// run advances the time by d.
+func (s *loadSim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(loadSimTick)
+		for len(s.events) > 0 && !s.events[0].at.After(s.now) {
+			heap.Pop(&s.events).(simEvent).do()
+		}
+		for i, k := range loadKinds() {
+			for range s.times(k.perSecond * s.rate) {
+				s.send(uint64(i), k)
+			}
+		}
+	}
+}
+
+// times returns how often an event with the given rate per second occurs in a tick.
+func (s *loadSim) times(perSecond float64) int {
+	n := 0
+	for limit, product := math.Exp(-perSecond*loadSimTick.Seconds()), s.random.Float64(); product > limit; product *= s.random.Float64() {
+		n++
+	}
+	return n
+}
+
+// send sends a request of a random chat through a random gateway. Some chats are more popular than others.
+func (s *loadSim) send(kind uint64, k loadKind) {
+	chat := int(float64(k.chats) * math.Pow(s.random.Float64(), 1.4))
+	shared := []placement.Part{
+		{ID: kind<<32 + uint64(chat%k.firsts), Tokens: int(k.firstTokens)},
+		{ID: kind<<32 + 1<<20 + uint64(chat), Tokens: int(k.chatTokens * (0.5 + float64(chat%7)/6))},
+	}
+	tokens := placement.TotalTokens(shared)
+	g := s.gateways[s.random.IntN(len(s.gateways))]
+	choice := g.balancer.Pick(s.now, balancer.Query{
+		Service: "model", Versions: s.versions, Parts: shared,
+		Placement: placement.Request{Session: shared[1].ID, SharedTokens: tokens, Tokens: tokens + int(k.ownTokens)},
+	})
+	if choice == nil {
+		s.refused++
+		return
+	}
+	u := s.upstreams[slices.IndexFunc(s.upstreams, func(u *loadUpstream) bool { return u.ID == choice.ID })]
+	s.arrivals = append(s.arrivals, loadArrival{s.now, float64(u.inFlight) > simLoadFactor*s.meanLoad()+simLoadSlack})
+	u.inFlight++
+	unread := tokens - max(u.cache.CachedTokens(shared), choice.Fetched) + int(k.ownTokens)
+	u.cache.Record(shared)
+	if u.readUntil.Before(s.now) {
+		u.readUntil = s.now
+	}
+	u.readUntil = u.readUntil.Add(time.Duration(unread) * time.Millisecond / simPrefillTokensPerMS)
+	first := u.readUntil.Sub(s.now) + 10*time.Millisecond
+	answer := time.Duration(k.answerSeconds * (0.5 + s.random.Float64()) * (1 + float64(u.inFlight)/64) * float64(time.Second))
+	var total int
+	s.after(first, func() { total = u.inFlight })
+	s.after(first+2*time.Millisecond, func() { choice.AnswerStarted(s.now, total) })
+	s.after(first+answer, func() {
+		u.inFlight--
+		choice.Done(s.now, health.Answered)
+	})
+}
+
+// meanLoad returns the mean number of requests on the upstreams that are not shutting down.
+func (s *loadSim) meanLoad() float64 {
+	sum, n := 0, 0
+	for _, u := range s.upstreams {
+		if u.listed && !u.draining {
+			sum += u.inFlight
+			n++
+		}
+	}
+	return float64(sum) / float64(n)
+}
+
+// worstWindow returns the highest share of requests over the load bound in any five seconds since a time.
+func (s *loadSim) worstWindow(since time.Time) (over, all int) {
+	const window = 5 * time.Second
+	from, bad := 0, 0
+	for i, a := range s.arrivals {
+		if a.over {
+			bad++
+		}
+		for s.arrivals[from].at.Before(since) || a.at.Sub(s.arrivals[from].at) > window {
+			if s.arrivals[from].over {
+				bad--
+			}
+			if from++; from > i {
+				break
+			}
+		}
+		if n := i + 1 - from; a.at.Sub(since) >= window && (all == 0 || bad*all > over*n) {
+			over, all = bad, n
+		}
+	}
+	return over, all
+}
+
+// requireLoadBound plays a day on fleets of several sizes. In any five seconds since the returned time, at most 3 in 100 requests may reach upstreams
+// that hold more than the load bound.
+func requireLoadBound(t *testing.T, play func(s *loadSim) time.Time) {
+	for _, size := range []struct{ gateways, upstreams int }{{5, 12}, {24, 44}, {31, 57}} {
+		t.Run(fmt.Sprintf("%d gateways, %d upstreams", size.gateways, size.upstreams), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				s := newLoadSim(seed, size.gateways, size.upstreams)
+				over, all := s.worstWindow(play(s))
+				t.Logf("seed %d: %d of %d requests over the bound, %d of %d refused", seed, over, all, s.refused, len(s.arrivals))
+				must.True(t, over < 20 || over*100 <= 3*all, must.Sprintf("seed %d: %d of %d requests", seed, over, all))
+				must.LessEq(t, len(s.arrivals)/100, s.refused)
+			}
+		})
+	}
+}
+
+// Gateways that have just started must not all send new chats to the upstream that seems to have the fewest.
+func TestLoadFleet_Start(t *testing.T) { requireLoadBound(t, playStart) }
+
+// The idle upstreams of a new version lower the mean: the old ones must be kept below the bound all the same.
+func TestLoadFleet_RolloutWithIdleUpstreams(t *testing.T) { requireLoadBound(t, playRollout) }
+
+// Gateways must not all send new chats to an upstream that has just been added.
+func TestLoadFleet_UpstreamsReplaced(t *testing.T) { requireLoadBound(t, playRelease) }
+
+// The same under three times the usual rate.
+func TestLoadFleet_UpstreamsReplacedInBurst(t *testing.T) {
+	requireLoadBound(t, func(s *loadSim) time.Time {
+		s.rate *= 3
+		return playRelease(s)
+	})
+}
+
+func TestLoadFleet_DataCentreReturns(t *testing.T) { requireLoadBound(t, playReturn) }
+
+func TestLoadFleet_HalfOfUpstreamsLeave(t *testing.T) { requireLoadBound(t, playLeave) }
+
+// playStart starts all gateways with upstreams that have nothing cached. It returns the time from which the bound is checked.
+func playStart(s *loadSim) time.Time {
+	s.run(time.Second)
+	since := s.now
+	s.run(7 * time.Second)
+	return since
+}
+
+// playRollout adds as many idle upstreams of a new version.
+func playRollout(s *loadSim) time.Time {
+	s.run(4 * time.Second)
+	since := s.now
+	for range len(s.upstreams) {
+		s.addUpstream("v2")
+	}
+	s.versions = func(version string) bool { return version == "v1" }
+	s.list()
+	s.run(9 * time.Second)
+	return since
+}
+
+// playRelease replaces most upstreams one after the other.
+func playRelease(s *loadSim) time.Time {
+	s.run(4 * time.Second)
+	since := s.now
+	for i := range len(s.upstreams) * 4 / 5 {
+		s.addUpstream("v1")
+		s.list()
+		s.run(200 * time.Millisecond)
+		s.upstreams[i].draining = true
+		s.list()
+		s.run(200 * time.Millisecond)
+	}
+	s.run(2 * time.Second)
+	return since
+}
+
+// playReturn takes a quarter of the upstreams out and adds empty ones after a while.
+func playReturn(s *loadSim) time.Time {
+	s.run(4 * time.Second)
+	since := s.now
+	for i := 0; i < len(s.upstreams); i += 4 {
+		s.upstreams[i].draining = true
+	}
+	s.list()
+	s.run(5 * time.Second)
+	for range (len(s.upstreams) + 3) / 4 {
+		s.addUpstream("v1")
+	}
+	s.list()
+	s.run(6 * time.Second)
+	return since
+}
+
+// playLeave takes half of the upstreams out.
+func playLeave(s *loadSim) time.Time {
+	s.run(4 * time.Second)
+	since := s.now
+	for i := range len(s.upstreams) / 2 {
+		s.upstreams[i].draining = true
+	}
+	s.list()
+	s.run(6 * time.Second)
+	return since
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -208,7 +208,7 @@
 		p.maintain()
 		now := time.Now()
 		if !now.Before(sendAt) {
-			sendAt = now.Add(p.statePeriod())
+			sendAt = now.Add(statePeriod(p.fleetSize()))
 			p.sendState()
 		}
 		if !now.Before(reportAt) {
--- a/process/gateway/prompts.go
+++ b/process/gateway/prompts.go
@@ -56,7 +56,7 @@
 		return
 	}
 	total := len(parts)
-	if g.peers.partialMesh() {
+	if isPartialMesh(g.peers.fleetSize()) {
 		parts = slices.DeleteFunc(parts, func(p placement.Part) bool { return p.Tokens < minGossipPartTokens })
 	}
 	if len(parts) > 0 {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -97,7 +98,8 @@
 		fields = append(fields, "route", c.route.Name, "kind", c.route.Kind.String(), "team", c.team, "service", c.service)
 	}
 	if p := &c.progress; p.sends > 0 {
-		fields = append(fields, "upstream", p.upstream, "attempts", p.sends, "first_ms", milliseconds(p.first), "load", p.load)
+		fields = append(fields, "upstream", p.upstream, "attempts", p.sends, "first_ms", milliseconds(p.first), "load", p.load,
+			"load_limit", math.Round(p.loadLimit*10)/10, "load_age_ms", p.totalAge.Milliseconds())
 	}
 	if c.prompt.Tokens > 0 {
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -147,7 +147,7 @@
 
 // cheapest returns the index of the upstream with the lowest cost, or -1. available is the number of the prompt's tokens that can be fetched.
 func (c *Config) cheapest(r Request, upstreams []Upstream, available int, tie float64) int {
-	limit := c.loadLimit(upstreams)
+	limit := c.LoadLimit(upstreams)
 	initial := needsInitialPlacement(r, upstreams)
 	preferred := -1
 	if initial {
@@ -195,8 +195,8 @@
 	return true
 }
 
-// loadLimit returns the maximum number of requests on one upstream. Excluded upstreams are left out, so that they do not lower the mean.
-func (c *Config) loadLimit(upstreams []Upstream) float64 {
+// LoadLimit returns the maximum number of requests on one upstream. Excluded upstreams are left out, so that they do not lower the mean.
+func (c *Config) LoadLimit(upstreams []Upstream) float64 {
 	sum, n := 0.0, 0
 	for i := range upstreams {
 		if upstreams[i].Excluded {
