placement: choose among few upstreams for each chat, so that gateways do not all pick the same one

What callers saw: while gateways start, upstreams are replaced or the load rises, one upstream after the other got a burst of new chats and let them wait: 14 gateways sent their next new chats to the same upstream within 0.22 s, which held 20 requests where the mean was 3.8.

Cause: each gateway looked for the cheapest of all upstreams for every chat that no upstream holds. All have nearly the same view, there is one upstream with the fewest chats at a time, and its first answers come 0.4 to 0.9 s later. The class is a decision by many on the same outdated view.

Change: a chat goes to an upstream that has it cached or to one of the four that rank highest for it by rendezvous hash. A burst of new chats spreads over all upstreams by hash, concurrent choices for the same chat still agree, and overflow of a popular chat goes to the same next upstream everywhere.

--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -1,10 +1,10 @@
 // Package placement selects the upstream that serves a request.
 //
-// Every eligible upstream gets an expected cost in time: prefill of the prompt tokens that it has not cached, prefill already queued there,
-// the requests that share its engine steps, the network hop between data centres, and its failure rate. The upstream with the lowest cost
-// gets the request. If no eligible upstream is known to have a chat's prompt cached, the cost also includes a charge for each chat that an
-// upstream already has cached, and the upstream with the highest rendezvous hash gets a small bonus, so that entries that decide
-// concurrently choose the same one.
+// A chat is served by an upstream that has its prompt cached, or by one of the few that rank highest for it by rendezvous hash. Each of these gets
+// an expected cost in time: prefill of the prompt tokens that it has not cached, prefill already queued there, the requests that share its engine
+// steps, the network hop between data centres, and its failure rate. The upstream with the lowest cost gets the request. If no eligible upstream is
+// known to have a chat's prompt cached, the cost also includes a charge for each chat that an upstream already has cached, and the highest ranked
+// upstream gets a small bonus, so that entries that decide concurrently choose the same one for a chat, and different ones for different chats.
 //
 // A decision is a pure function of its inputs; it uses no clock and no I/O.
 package placement
@@ -146,28 +146,32 @@
 }
 
 // cheapest returns the index of the upstream with the lowest cost, or -1. available is the number of the prompt's tokens that can be fetched.
+//
+// A request of a chat goes to an upstream that has the chat cached or to one of those that rank highest by rendezvous hash. Entries learn of each
+// other's requests late; if each of them looked for the best of all upstreams, all would choose the same one until then.
 func (c *Config) cheapest(r Request, upstreams []Upstream, available int, tie float64) int {
 	limit := c.LoadLimit(upstreams)
-	initial := needsInitialPlacement(r, upstreams)
-	preferred := -1
-	if initial {
-		preferred = rendezvousWinner(r.Session, upstreams)
-	}
 	tolerated := lowestFailureRate(upstreams) + c.FailureRateTolerance
+	takes := func(i int) bool {
+		u := &upstreams[i]
+		return !u.Excluded && u.Load+1 <= limit && !c.isFull(r, u)
+	}
+	ranked := rank(r.Session, upstreams, func(i int) bool { return takes(i) && upstreams[i].FailureRate <= tolerated })
+	initial := needsInitialPlacement(r, upstreams)
 	best, bestCost := -1, math.Inf(1)
 	start := int(tie * float64(len(upstreams)))
 	for offset := range upstreams {
 		// The scan starts at a random index, which spreads requests over upstreams of equal cost.
 		i := (start + offset) % len(upstreams)
 		u := &upstreams[i]
-		if u.Excluded || u.Load+1 > limit || c.isFull(r, u) {
+		if !takes(i) || !ranked.contains(i) && !holdsChat(r, u) {
 			continue
 		}
 		cost := c.cost(r, u, available) + max(0, u.FailureRate-tolerated)*milliseconds(c.FailurePenalty)
 		if initial {
 			cost += float64(u.Chats) * milliseconds(c.CachedChatCost)
 		}
-		if i == preferred {
+		if initial && ranked.first() == i {
 			cost -= milliseconds(c.RendezvousBonus)
 		}
 		if cost < bestCost {
@@ -177,6 +181,11 @@
 	return best
 }
 
+// holdsChat reports whether an upstream has the shared prefix of the request's chat cached.
+func holdsChat(r Request, u *Upstream) bool {
+	return r.SharedTokens > 0 && u.CachedTokens >= r.SharedTokens
+}
+
 // isFull reports whether a model upstream has so many requests that another one would not start in time.
 func (c *Config) isFull(r Request, u *Upstream) bool {
 	return r.Tokens > 0 && u.Slots > 0 && u.Load >= c.SlotFactor*float64(u.Slots)
@@ -188,7 +197,7 @@
 		return false
 	}
 	for i := range upstreams {
-		if !upstreams[i].Excluded && upstreams[i].CachedTokens >= r.SharedTokens {
+		if !upstreams[i].Excluded && holdsChat(r, &upstreams[i]) {
 			return false
 		}
 	}
@@ -211,21 +220,64 @@
 	return c.LoadFactor*(sum+1)/float64(n) + c.LoadSlack
 }
 
-// rendezvousWinner returns the index of the eligible upstream with the highest rendezvous score for the chat, or -1.
-func rendezvousWinner(session uint64, upstreams []Upstream) int {
-	if session == 0 {
-		return -1
+// rankedUpstreams is the number of upstreams that are considered for a chat by their rendezvous scores.
+const rankedUpstreams = 4
+
+// ranking holds the indices of the upstreams with the highest rendezvous scores for a chat, in descending order of score.
+type ranking struct {
+	indices [rankedUpstreams]int
+	scores  [rankedUpstreams]uint64
+	n       int
+	// all means that every upstream is considered.
+	all bool
+}
+
+// rank returns the highest ranked of the eligible upstreams for a chat. Requests without a chat have no ranking, and without an eligible upstream
+// all are considered.
+func rank(session uint64, upstreams []Upstream, eligible func(i int) bool) ranking {
+	r := ranking{all: session == 0}
+	if r.all {
+		return r
 	}
-	winner, highest := -1, uint64(0)
 	for i := range upstreams {
-		if upstreams[i].Excluded {
-			continue
+		if eligible(i) {
+			r.insert(i, rendezvousScore(session, upstreams[i].Hash))
 		}
-		if h := rendezvousScore(session, upstreams[i].Hash); winner < 0 || h > highest {
-			winner, highest = i, h
+	}
+	r.all = r.n == 0
+	return r
+}
+
+// insert adds an upstream if it is among the highest so far.
+func (r *ranking) insert(index int, score uint64) {
+	at := r.n
+	for at > 0 && r.scores[at-1] < score {
+		at--
+	}
+	if at == rankedUpstreams {
+		return
+	}
+	r.n = min(r.n+1, rankedUpstreams)
+	copy(r.indices[at+1:r.n], r.indices[at:])
+	copy(r.scores[at+1:r.n], r.scores[at:])
+	r.indices[at], r.scores[at] = index, score
+}
+
+func (r *ranking) contains(index int) bool {
+	for _, i := range r.indices[:r.n] {
+		if i == index {
+			return true
 		}
 	}
-	return winner
+	return r.all
+}
+
+// first returns the index of the highest ranked upstream, or -1 if there is none.
+func (r *ranking) first() int {
+	if r.n == 0 {
+		return -1
+	}
+	return r.indices[0]
 }
 
 // rendezvousScore hashes the pair of a chat and an upstream.
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -164,3 +164,18 @@
 	chosen, _ = Choose(DefaultConfig(), model, upstreams, 0)
 	must.EqOp(t, 0, chosen)
 }
+
+// Entries that know nothing of each other's latest requests must not all send new chats to the upstream that seems best, such as one that has just
+// been added.
+func TestChoose_NewUpstreamIsNotChosenForAllChats(t *testing.T) {
+	ups, counts := newUpstreams(40), make([]int, 40)
+	for i := range ups {
+		ups[i].Chats, ups[i].Load = 20, 6
+	}
+	ups[39].Chats, ups[39].Load = 0, 0
+	const chats = 4000
+	for session := uint64(1); session <= chats; session++ {
+		counts[choose(DefaultConfig(), Request{Session: session, SharedTokens: 700, Tokens: 800}, ups, 0.5)]++
+	}
+	must.Between(t, chats/40, counts[39], chats/8)
+}
