gateway: all gateways tell each other their requests in flight, up to 40 of them

What callers saw: upstreams got requests beyond the load bound on fleets of 24 and 31 gateways, and let them wait.

Cause: beyond ten gateways each knew the requests of six others, and of the rest what upstreams had told in their latest answers. The class is a limit of the whole fleet that is judged by a sample.

Change: up to 40 gateways have links to all others, over which only the requests in flight go, every 200 ms. Copies of the store, prompts and crashes still go to six neighbours, so that no more than before is sent when gateways start or fall behind. The sums of the peers' loads are computed when a request is placed, not for each upstream.

Totals of upstreams that are relayed between neighbours were tried first and did not help: all gateways act on the same old totals.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -59,6 +59,7 @@
 	entries, position int
 	timeOfDay         time.Duration
 	peers             map[string]peerLoad
+	remote            remoteLoads
 	// limitUpdates are the changed rate limits that the peers have not been told.
 	limitUpdates []RateLimit
 	updates      holderUpdates
@@ -322,20 +323,47 @@
 	return u
 }
 
-// remoteLoad returns the load of other entries on an upstream. It is the sum of their reports if those of all entries are recent
-// enough. Otherwise the total in the upstream's latest answer to any entry is used if it is higher and recent enough.
-func (b *Balancer) remoteLoad(now time.Time, e *backend) (requests, pending int) {
-	heard := 0
+// remoteLoads holds the sums of the peers' loads. They are computed when they are needed, since peers report more often than requests are placed.
+type remoteLoads struct {
+	sums map[uint32]Load
+	// heard is the number of peers whose reports are in the sums.
+	heard int
+	// outdated is set if a peer has reported since, validUntil is when the first report in the sums becomes too old.
+	outdated   bool
+	validUntil time.Time
+}
+
+func (b *Balancer) updateRemoteLoads(now time.Time) {
+	r := &b.remote
+	if r.sums != nil && !r.outdated && !now.After(r.validUntil) {
+		return
+	}
+	*r = remoteLoads{sums: make(map[uint32]Load, len(r.sums)), validUntil: now.Add(b.config.PeerLoadMaxAge)}
 	for _, p := range b.peers {
-		if now.Sub(p.at) > b.config.PeerLoadMaxAge {
+		expires := p.at.Add(b.config.PeerLoadMaxAge)
+		if now.After(expires) {
 			continue
 		}
-		heard++
-		l := p.loads[e.shortHash()]
-		requests += l.Requests
-		pending += l.PendingTokens
+		if expires.Before(r.validUntil) {
+			r.validUntil = expires
+		}
+		r.heard++
+		for hash, l := range p.loads {
+			sum := r.sums[hash]
+			sum.Requests += l.Requests
+			sum.PendingTokens += l.PendingTokens
+			r.sums[hash] = sum
+		}
 	}
-	if heard < b.entries-1 && now.Sub(e.reportedAt) <= b.config.ReportedTotalMaxAge {
+}
+
+// remoteLoad returns the load of other entries on an upstream. It is the sum of their reports if those of all entries are recent
+// enough. Otherwise the total in the upstream's latest answer to any entry is used if it is higher and recent enough.
+func (b *Balancer) remoteLoad(now time.Time, e *backend) (requests, pending int) {
+	b.updateRemoteLoads(now)
+	sum := b.remote.sums[e.shortHash()]
+	requests, pending = sum.Requests, sum.PendingTokens
+	if b.remote.heard < b.entries-1 && now.Sub(e.reportedAt) <= b.config.ReportedTotalMaxAge {
 		return max(requests, e.reportedTotal-e.inFlight), pending
 	}
 	return requests, pending
@@ -354,6 +382,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[peer] = peerLoad{loads, now}
+	b.remote.outdated = true
 	for _, e := range b.backends {
 		l, found := loads[e.shortHash()]
 		if !found || l.Total == 0 && l.Age == 0 {
@@ -370,6 +399,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.peers, peer)
+	b.remote.outdated = true
 }
 
 // Loads returns the load of each upstream that has requests of this entry in flight or has answered one since the last call.
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// fullMeshStatePeriod is the interval of FleetState messages to each neighbour. Loads change within tenths of a second.
-	fullMeshStatePeriod = 200 * time.Millisecond
-	// partialMeshStatePeriod is the interval in a fleet in which neighbours are only some of the gateways, and their loads a sample.
-	partialMeshStatePeriod = 400 * time.Millisecond
+	// loadMeshStatePeriod is the interval of FleetState messages while all gateways tell each other their loads, which change within tenths of a
+	// second.
+	loadMeshStatePeriod = 200 * time.Millisecond
+	// largeFleetStatePeriod is the interval in a fleet in which the known loads are a sample.
+	largeFleetStatePeriod = 400 * time.Millisecond
 )
 
 // fleetSize returns the number of registered gateways.
@@ -27,10 +28,10 @@
 
 // statePeriod returns the interval of FleetState messages in a fleet of the given size.
 func statePeriod(gateways int) time.Duration {
-	if isPartialMesh(gateways) {
-		return partialMeshStatePeriod
+	if gateways > maxLoadMesh {
+		return largeFleetStatePeriod
 	}
-	return fullMeshStatePeriod
+	return loadMeshStatePeriod
 }
 
 // isPartialMesh reports whether the neighbours are only some of the gateways in a fleet of the given size.
@@ -77,11 +78,19 @@
 	return loads
 }
 
-// sendState sends this gateway's loads, its new prompts and the changed rate limits to all neighbours.
+// sendState sends this gateway's loads to all gateways that it is connected to, and its new prompts and the changed rate limits to the neighbours.
 func (p *peers) sendState() {
-	p.broadcast(takeFleetState(p.g.balancer, bootclock.Now()))
+	m := takeFleetState(p.g.balancer, bootclock.Now())
+	p.broadcast(m)
+	loads := loadsOnly(m)
+	for _, c := range p.loadPeerConns() {
+		_ = c.Send(loads) // a dead peer is detected by its silence
+	}
 }
 
+// loadsOnly returns the part of the periodic message that goes to gateways that are not neighbours.
+func loadsOnly(m *wire.FleetState) *wire.FleetState { return &wire.FleetState{Loads: m.Loads} }
+
 // takeFleetState returns the periodic message of a gateway, with what has changed since the last call.
 func takeFleetState(b *balancer.Balancer, now time.Time) *wire.FleetState {
 	m := &wire.FleetState{}
--- a/process/gateway/neighbours.go
+++ b/process/gateway/neighbours.go
@@ -11,8 +11,11 @@
 const (
 	// maxFullMesh is the fleet size up to which every gateway is connected to every other.
 	maxFullMesh = 10
+	// maxLoadMesh is the fleet size up to which every gateway tells every other its requests in flight, in small messages. In a larger fleet only
+	// the neighbours do, and the known loads are a sample.
+	maxLoadMesh = 40
 	// maxNeighbours is the maximum number of neighbours in a larger fleet, where the control traffic of a gateway must not grow with the
-	// fleet. The known loads are then a sample, and updates are forwarded from neighbour to neighbour.
+	// fleet. Updates are then forwarded from neighbour to neighbour.
 	maxNeighbours = 6
 )
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -44,7 +44,7 @@
 
 	mu      sync.Mutex
 	members map[string]member
-	// links are the connections to neighbours by name.
+	// links are the connections to neighbours and load peers by name.
 	links map[string]*peerLink
 	// directConns are the connections dialled by connTo, by name.
 	directConns map[string]*link.Conn
@@ -62,12 +62,14 @@
 	deregisteredAt map[string]time.Time
 }
 
-// peerLink is the connection to one neighbour. Of two neighbours the one with the smaller name dials first.
+// peerLink is the connection to one neighbour or load peer. Of two gateways the one with the smaller name dials first.
 type peerLink struct {
-	conn    *link.Conn
-	address string
-	dialing bool
-	retryAt time.Time
+	// loadPeer means that the other gateway is not a neighbour: only loads are exchanged.
+	loadPeer bool
+	conn     *link.Conn
+	address  string
+	dialing  bool
+	retryAt  time.Time
 	// lostAt is the time at which the connection ended, or at which the link was created.
 	lostAt        time.Time
 	lastMessageAt time.Time
@@ -128,7 +130,11 @@
 		names = append(names, self)
 	}
 	near := neighbours(self, names)
-	for _, name := range near {
+	linked := near
+	if len(names) <= maxLoadMesh {
+		linked = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self })
+	}
+	for _, name := range linked {
 		l := p.links[name]
 		if l == nil {
 			l = &peerLink{lostAt: time.Now()}
@@ -139,9 +145,10 @@
 			}
 		}
 		l.address = members[name].PeerAddress
+		l.loadPeer = !slices.Contains(near, name)
 	}
 	for name, l := range p.links {
-		if slices.Contains(near, name) {
+		if slices.Contains(linked, name) {
 			continue
 		}
 		// The registration may have expired in an outage of the store although the gateway runs: the connection is kept while messages arrive.
@@ -301,7 +308,7 @@
 	l := p.links[name]
 	if l == nil {
 		// The peer may know of this gateway's registration before this gateway knows of the peer's.
-		l = &peerLink{}
+		l = &peerLink{loadPeer: !p.wouldBeNeighbour(name)}
 		p.links[name] = l
 	}
 	if l.conn != nil && l.conn != conn {
@@ -310,13 +317,23 @@
 	l.conn = conn
 	l.address = conn.Remote().Address
 	l.lastMessageAt = time.Now()
-	// A neighbour that reconnects without a restart still has the prompts that it was sent.
-	if start := conn.Remote().Version; start != l.startID {
-		l.startID = start
-		p.sendKnownPrompts(conn)
+	if !l.loadPeer {
+		// A neighbour that reconnects without a restart still has the prompts that it was sent.
+		if start := conn.Remote().Version; start != l.startID {
+			l.startID = start
+			p.sendKnownPrompts(conn)
+		}
+		p.sendKnownFaults(conn)
 	}
-	p.sendKnownFaults(conn)
-	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String())
+	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String(), "load_peer", l.loadPeer)
+}
+
+// wouldBeNeighbour reports whether a gateway that is not registered yet would be a neighbour. The caller holds p.mu.
+func (p *peers) wouldBeNeighbour(name string) bool {
+	self := p.g.settings.Instance
+	names := append(slices.Collect(maps.Keys(p.members)), self, name)
+	slices.Sort(names)
+	return slices.Contains(neighbours(self, slices.Compact(names)), name)
 }
 
 // HandleConnect implements link.ConnectHandler.
@@ -388,12 +405,22 @@
 	return conn, nil
 }
 
+// neighbourConns returns the connections to the neighbours.
 func (p *peers) neighbourConns() []*link.Conn {
+	return p.conns(func(l *peerLink) bool { return !l.loadPeer })
+}
+
+// loadPeerConns returns the connections to the gateways with which only loads are exchanged.
+func (p *peers) loadPeerConns() []*link.Conn {
+	return p.conns(func(l *peerLink) bool { return l.loadPeer })
+}
+
+func (p *peers) conns(match func(*peerLink) bool) []*link.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var conns []*link.Conn
 	for _, l := range p.links {
-		if l.conn != nil {
+		if l.conn != nil && match(l) {
 			conns = append(conns, l.conn)
 		}
 	}
