placement: limit requests by the mean of the service, idle upstreams included

Cause: the limit was a multiple of the mean of the upstreams that may run the request. Those of another version, cold ones whose rate is used up and those of an evacuated data centre were left out, though they belong to the service and lower its mean: the bound was 9.6 requests, the limit 13.9. The class is a limit that is computed over another set than the one that it is stated for.

Change: all upstreams that are up and not shutting down count. The limit is never below 1.1 times the mean of those that can take the request, so that these can carry all of it.

--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -1,10 +1,10 @@
 // Package placement selects the upstream that serves a request.
 //
-// A chat is served by an upstream that has its prompt cached, or by one of the few that rank highest for it by rendezvous hash. Each of these gets
-// an expected cost in time: prefill of the prompt tokens that it has not cached, prefill already queued there, the requests that share its engine
-// steps, the network hop between data centres, and its failure rate. The upstream with the lowest cost gets the request. If no eligible upstream is
-// known to have a chat's prompt cached, the cost also includes a charge for each chat that an upstream already has cached, and the highest ranked
-// upstream gets a small bonus, so that entries that decide concurrently choose the same one for a chat, and different ones for different chats.
+// Every eligible upstream gets an expected cost in time: prefill of the prompt tokens that it has not cached, prefill already queued there,
+// the requests that share its engine steps, the network hop between data centres, and its failure rate. The upstream with the lowest cost
+// gets the request. If no eligible upstream is known to have a chat's prompt cached, the cost also includes a charge for each chat that an
+// upstream already has cached, and the upstream with the highest rendezvous hash gets a small bonus, so that entries that decide
+// concurrently choose the same one.
 //
 // A decision is a pure function of its inputs; it uses no clock and no I/O.
 package placement
@@ -43,8 +43,9 @@
 	// more than FailureRateTolerance: failures that all upstreams have in common are no reason to choose another one.
 	FailurePenalty       time.Duration
 	FailureRateTolerance float64
-	// LoadFactor limits the requests on an upstream to a multiple of the mean of its service. LoadSlack is added to that limit.
-	LoadFactor, LoadSlack float64
+	// LoadFactor limits the requests on an upstream to a multiple of the mean of its service. EligibleLoadFactor is the lowest limit, as a multiple of
+	// the mean of the upstreams that can take the request: it applies if many others are idle. LoadSlack is added to both.
+	LoadFactor, EligibleLoadFactor, LoadSlack float64
 	// SlotFactor limits the requests on a model upstream to a multiple of its slots. A request beyond the slots waits until others end, and
 	// callers leave when that takes seconds.
 	SlotFactor float64
@@ -65,6 +66,7 @@
 		FailurePenalty:       2 * time.Second,
 		FailureRateTolerance: 0.15, // allows for a single failure among the most recent requests
 		LoadFactor:           1.5,  // three quarters of the load bound of 2, since entries see different loads
+		EligibleLoadFactor:   1.1,
 		LoadSlack:            2,
 		SlotFactor:           1.25,
 	}
@@ -93,6 +95,8 @@
 	// Excluded reports that the upstream cannot take the request: it is down, full, cold with its cold-start rate exhausted, or has already
 	// been tried.
 	Excluded bool
+	// Serving reports that an excluded upstream nevertheless counts towards the mean load of its service: it is up and not shutting down.
+	Serving bool
 }
 
 // Request holds the properties of a request that placement depends on.
@@ -204,20 +208,26 @@
 	return true
 }
 
-// LoadLimit returns the maximum number of requests on one upstream. Excluded upstreams are left out, so that they do not lower the mean.
+// LoadLimit returns the maximum number of requests on one upstream: a multiple of the mean of the service. It is never so low that the eligible
+// upstreams could not take all requests.
 func (c *Config) LoadLimit(upstreams []Upstream) float64 {
-	sum, n := 0.0, 0
+	var sum, eligibleSum float64
+	var n, eligible int
 	for i := range upstreams {
-		if upstreams[i].Excluded {
-			continue
+		u := &upstreams[i]
+		if !u.Excluded {
+			eligibleSum += u.Load
+			eligible++
+		}
+		if !u.Excluded || u.Serving {
+			sum += u.Load
+			n++
 		}
-		sum += upstreams[i].Load
-		n++
 	}
-	if n == 0 {
+	if eligible == 0 {
 		return 0
 	}
-	return c.LoadFactor*(sum+1)/float64(n) + c.LoadSlack
+	return max(c.LoadFactor*(sum+1)/float64(n), c.EligibleLoadFactor*(eligibleSum+1)/float64(eligible)) + c.LoadSlack
 }
 
 // rankedUpstreams is the number of upstreams that are considered for a chat by their rendezvous scores.
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -179,3 +179,22 @@
 	}
 	must.Between(t, chats/40, counts[39], chats/8)
 }
+
+// Idle upstreams that a request may not use, such as those of a new version, must lower the limit of the others, but not below what these need.
+func TestLoadLimit_CountsIdleUpstreams(t *testing.T) {
+	c, ups := DefaultConfig(), newUpstreams(20)
+	for i := range ups {
+		ups[i].Load = 8
+	}
+	alone := c.LoadLimit(ups[:10])
+	for i := range ups[10:] {
+		ups[10+i].Load, ups[10+i].Excluded, ups[10+i].Serving = 0, true, true
+	}
+	const bound = 2*4 + 3
+	must.Less(t, bound, c.LoadLimit(ups))
+	must.Greater(t, 8+1, c.LoadLimit(ups))
+	for i := range ups[10:] {
+		ups[10+i].Serving = false
+	}
+	must.EqOp(t, alone, c.LoadLimit(ups))
+}
