platform, mirror: follow a store that is restored from an older copy

Cause: the number of a revision is unique only until the store is restored, and was used as if it were unique for ever. The class is an identifier without its scope.

Change: a revision holds the epoch of the store in its upper bits, so that every comparison of revisions is right as it stands. What a restored store lacks is taken as removed after two seconds, in which operators and upstreams write it again. Registrations and quarantined prompt parts are written again at once. Gateways of an earlier minor version exchange no copies with newer ones.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -7,12 +7,15 @@
 // Protocol version of this build. Peers with a different major version are rejected.
 const (
 	MajorVersion = 1
-	MinorVersion = 1
+	MinorVersion = 2
 )
 
 // MinorEvidenceColumns is the first minor version that supports Evidence.Columns.
 const MinorEvidenceColumns = 1
 
+// MinorRevisionEpochs is the first minor version in which the revisions of StorePull and StorePush contain the store's epoch.
+const MinorRevisionEpochs = 2
+
 // MaxFrameBytes is the largest value of a frame's length field.
 const MaxFrameBytes = 1 << 20
 
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -1,8 +1,8 @@
 // Package directory tracks the state of the registered upstreams: ready, draining, missing or gone.
 //
 // Upstreams register themselves under leases in the platform's store. While the store is unreachable, entries can expire although their
-// upstreams run. An upstream whose entry disappears during or just after an outage therefore stays usable until it has had time to register
-// again. A Directory does no I/O and does not read the clock. It must be used by one goroutine only.
+// upstreams run, and a store that is restored from an older copy lacks the entries written since. An upstream whose entry disappears during or just
+// after either therefore stays usable until it has had time to register again. A Directory does no I/O and does not read the clock. It must be used by one goroutine only.
 package directory
 
 import (
@@ -118,6 +118,9 @@
 	return gap
 }
 
+// RecordRestore records that the store was restored from an older copy, which may lack entries of upstreams that run.
+func (d *Directory) RecordRestore(now time.Time) { d.outageEndedAt = now }
+
 // Change is a change of an upstream's state, for the log.
 type Change struct {
 	ID       string
@@ -130,7 +133,7 @@
 // address.
 func (d *Directory) ApplyEntry(now time.Time, e Entry) (Change, bool) {
 	m := d.upstreams[e.ID]
-	if m != nil && stale(m.Entry, e) {
+	if m != nil && (stale(m.Entry, e) || m.State == Gone && repeated(m.Entry, e)) {
 		return Change{}, false
 	}
 	change := Change{ID: e.ID, From: Gone, To: Ready}
@@ -162,6 +165,12 @@
 	return e.Sequence < known.Sequence
 }
 
+// repeated reports whether an entry is the known one once more. A restored store may list an upstream that has been removed since; a running one
+// writes entries with new numbers.
+func repeated(known, e Entry) bool {
+	return e.Sequence != 0 && e.Sequence == known.Sequence && e.Started == known.Started
+}
+
 // RemoveEntry records that an upstream's entry was removed or is invalid. It returns the change of state and whether there was one.
 func (d *Directory) RemoveEntry(now time.Time, id string) (Change, bool) {
 	m := d.upstreams[id]
--- a/process/directory/directory_test.go
+++ b/process/directory/directory_test.go
@@ -100,3 +100,26 @@
 	must.Len(t, 1, left)
 	must.EqOp(t, "draining", left[0].ID)
 }
+
+// After the store was restored from an older copy, entries that it lacks may be written again, and entries that it has again must bring back no
+// upstream that has left since.
+func TestRecordRestore(t *testing.T) {
+	d := New(start, DefaultConfig())
+	for _, id := range []string{"new", "left", "draining"} {
+		d.ApplyEntry(at(0), Entry{ID: id, Sequence: 5})
+	}
+	d.RecordContact(at(900))
+	d.RemoveEntry(at(1000), "left")
+	d.ApplyEntry(at(1000), Entry{ID: "draining", Sequence: 6, Draining: true})
+	d.RecordRestore(at(1100))
+	d.RemoveEntry(at(1100), "new")
+	d.ApplyEntry(at(1100), Entry{ID: "left", Sequence: 5})
+	d.ApplyEntry(at(1100), Entry{ID: "draining", Sequence: 5})
+	must.Eq(t, []string{"new"}, usableIDs(d))
+	d.ApplyEntry(at(1500), Entry{ID: "left", Sequence: 6})
+	must.Eq(t, []string{"left", "new"}, usableIDs(d))
+	d.RecordContact(at(2000))
+	must.SliceEmpty(t, d.Tick(at(2000)))
+	d.RecordContact(at(3101))
+	must.Eq(t, []Change{{ID: "new", From: Missing, To: Gone}}, d.Tick(at(3101)))
+}
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -31,6 +31,7 @@
 	ConfigWatchFailed ID = 204
 	StoreItemInvalid  ID = 205
 	StoreHistoryLost  ID = 206
+	StoreRestored     ID = 207
 
 	PeerConnected           ID = 300
 	PeerLost                ID = 301
@@ -125,6 +126,7 @@
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
 	{ConfigWatchFailed, "configuration watch failed", Warning, "check the platform's key-value service"},
 	{StoreItemInvalid, "an item of the platform's store cannot be used", Warning, "look at who wrote the key"},
+	{StoreRestored, "the store was restored from an older copy, its content is read again", Warning, "check that all changes since last_revision are written again"},
 	{StoreHistoryLost, "the store's history is gone or larger than its content, everything is read again", Info, ""},
 
 	{PeerConnected, "peer connected", Info, ""},
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -58,6 +58,8 @@
 	trimmedAt time.Time
 	// leavingCount is the number of leaving upstreams at the latest publish.
 	leavingCount int
+	// restored holds what a restored store lacks until it may have been written again.
+	restored restoration
 	// ordersChanged is set when rollout orders changed and the driver has not been updated.
 	ordersChanged bool
 	// viewStale is set when the published view is out of date.
@@ -97,19 +99,35 @@
 
 // apply applies a batch to the copy of the store and its changed items to the state.
 func (s *state) apply(r sourcedBatch) {
+	epoch, revision := s.mirror.Epoch(), s.mirror.Revision()
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
+	if revision > 0 && s.mirror.Epoch() != epoch {
+		items = s.restored.begin(now, items)
+		s.directory.RecordRestore(now)
+		s.g.writeAgain()
+		event.Log(event.StoreRestored, "epoch", s.mirror.Epoch(), "revision", s.mirror.Revision(), "last_epoch", epoch, "last_revision", revision,
+			"changed", len(items), "kept", len(s.restored.removals), "source", r.source)
+	}
 	s.recordContact(s.mirror.ContactAt(), r.source)
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
 		s.g.configConfirmedAt.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
 	s.g.storeCopyBytes.Store(int64(s.mirror.Bytes()))
+	s.applyItems(now, items, r.source)
+	if r.applied != nil {
+		close(r.applied)
+	}
+}
+
+// applyItems updates the state with changed items.
+func (s *state) applyItems(now time.Time, items []mirror.Item, source string) {
 	membersChanged := false
 	for _, item := range items {
 		membersChanged = s.applyMember(item) || membersChanged
 		s.g.crashes.applyStored(now, item)
-		s.applyItem(now, item, r.source)
+		s.applyItem(now, item, source)
 		s.g.rollouts.applyRecord(time.Now(), item)
 	}
 	if s.ordersChanged {
@@ -120,9 +138,6 @@
 		s.g.peers.setMembers(s.members)
 		s.viewStale = true // the shares of limits depend on the number of members
 	}
-	if r.applied != nil {
-		close(r.applied)
-	}
 }
 
 // recordContact records that the store was available at a time, as told by a source.
@@ -259,6 +274,7 @@
 	if at := s.g.storeProgressAt.Load(); at > 0 {
 		s.recordContact(time.Unix(0, at), sourceStore)
 	}
+	s.applyItems(bootclock.Now(), s.restored.due(bootclock.Now(), s.mirror), sourceStore)
 	for _, change := range s.directory.Tick(bootclock.Now()) {
 		s.viewStale = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -92,6 +92,8 @@
 	batches        chan sourcedBatch
 	// mirrorQueries are functions to run on the control goroutine with the copy of the store. They must not block.
 	mirrorQueries chan func(*mirror.Mirror)
+	// registerNow wakes the registration, which a restored store may lack.
+	registerNow chan struct{}
 	// tasks are functions to run on the control goroutine.
 	tasks   chan func()
 	leaving atomic.Bool
@@ -128,6 +130,7 @@
 		batches:       make(chan sourcedBatch, maxQueuedBatches),
 		mirrorQueries: make(chan func(*mirror.Mirror), maxQueuedBatches),
 		tasks:         make(chan func(), maxQueuedTasks),
+		registerNow:   make(chan struct{}, 1),
 	}
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
--- a/process/gateway/member.go
+++ b/process/gateway/member.go
@@ -9,7 +9,6 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
@@ -47,11 +46,22 @@
 			event.LogSampled(event.RegistrationFailed, "error", err)
 			pause = watchRetry
 		}
-		sleep.For(g.ctx, pause)
+		g.waitToRegister(pause)
 	}
 	r.revoke()
 }
 
+// waitToRegister returns after d, or earlier if the store was restored or the gateway stops.
+func (g *Gateway) waitToRegister(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.registerNow:
+	case <-g.ctx.Done():
+	}
+}
+
 // registration is the state of the gateway's registration: the lease and the key under it.
 type registration struct {
 	g     *Gateway
@@ -61,25 +71,28 @@
 	keyWritten bool
 }
 
-// step grants or renews the lease and writes the key if it is missing.
+// step renews the lease. It grants a new one and writes the key if the lease has ended.
 func (r *registration) step() error {
-	ctx := r.g.ctx
+	if r.keyWritten {
+		err := r.g.store.Renew(r.g.ctx, r.lease)
+		if !errors.Is(err, services.ErrNotFound) {
+			return err
+		}
+		r.lease = 0
+	}
+	return r.grantAndWrite(r.g.ctx)
+}
+
+func (r *registration) grantAndWrite(ctx context.Context) error {
 	if r.lease == 0 {
 		lease, err := r.g.store.Grant(ctx, r.ttl)
 		if err != nil {
 			return err
 		}
-		r.lease, r.keyWritten = lease, false
-	}
-	if !r.keyWritten {
-		return r.write(ctx)
-	}
-	err := r.g.store.Renew(ctx, r.lease)
-	if errors.Is(err, services.ErrNotFound) {
-		r.lease = 0
-		return nil
+		r.lease = lease
 	}
-	return err
+	r.keyWritten = false
+	return r.write(ctx)
 }
 
 // write writes the key and replaces a value that an earlier process of the instance wrote.
--- a/process/gateway/quarantinestore.go
+++ b/process/gateway/quarantinestore.go
@@ -35,6 +35,14 @@
 	part     quarantine.Part
 	entry    quarantine.QuarantinedPart
 	released bool
+	// restored means that the store was restored from an older copy, and all that this gateway stored is to be stored again. part is not set.
+	restored bool
+}
+
+// ownQuarantine is a quarantine that this gateway stored, and its lease.
+type ownQuarantine struct {
+	entry quarantine.QuarantinedPart
+	lease services.LeaseID
 }
 
 // storedQuarantine is the value of a stored quarantine.
@@ -55,23 +63,32 @@
 
 // saveQuarantines writes changes of the list of quarantined parts to the store until the gateway stops.
 func (g *Gateway) saveQuarantines() {
-	// leases are the leases of the quarantines that this gateway stored.
-	leases := make(map[quarantine.Part]services.LeaseID)
+	own := make(map[quarantine.Part]ownQuarantine)
 	for {
 		select {
 		case <-g.ctx.Done():
 			return
 		case c := <-g.crashes.quarantineChanges:
-			if err := g.saveQuarantine(leases, c); err != nil && g.ctx.Err() == nil {
-				event.LogSampled(event.QuarantineNotSaved, "part", formatPart(c.part.ID), "released", c.released, "error", err)
+			changes := []quarantineChange{c}
+			if c.restored {
+				changes = changes[:0]
+				for part, q := range own {
+					changes = append(changes, quarantineChange{part: part, entry: q.entry})
+				}
+			}
+			for _, c := range changes {
+				if err := g.saveQuarantine(own, c); err != nil && g.ctx.Err() == nil {
+					event.LogSampled(event.QuarantineNotSaved, "part", formatPart(c.part.ID), "released", c.released, "error", err)
+				}
 			}
 		}
 	}
 }
 
 // saveQuarantine writes one change. A release is written only by the gateway that stored the quarantine.
-func (g *Gateway) saveQuarantine(leases map[quarantine.Part]services.LeaseID, c quarantineChange) error {
-	lease, stored := leases[c.part]
+func (g *Gateway) saveQuarantine(own map[quarantine.Part]ownQuarantine, c quarantineChange) error {
+	q, stored := own[c.part]
+	lease := q.lease
 	if c.released && !stored {
 		return nil
 	}
@@ -87,9 +104,9 @@
 		}
 		sleep.For(g.ctx, saveRetry)
 	}
-	delete(leases, c.part)
+	delete(own, c.part)
 	if err == nil && !c.released {
-		leases[c.part] = lease
+		own[c.part] = ownQuarantine{c.entry, lease}
 	}
 	if errors.Is(err, services.ErrConflict) {
 		return nil // another gateway stored it
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -90,7 +90,8 @@
 // rolloutOrder is an order with its identity and deadline.
 type rolloutOrder struct {
 	RolloutOrder
-	// id identifies the order. It contains the item's revision, so that a repeated order has a new one.
+	// id identifies the order. It contains the number of the item's revision, so that a repeated order has a new one, and one that a restored store
+	// still holds keeps its own.
 	id       string
 	deadline time.Time
 }
@@ -137,7 +138,7 @@
 		delete(r.orders, f.Name)
 		return
 	}
-	id := f.Name + "-" + strconv.FormatUint(revision, 10)
+	id := f.Name + "-" + strconv.FormatUint(services.Revision(revision).Number(), 10)
 	if r.orders[f.Name].id != id {
 		r.orders[f.Name] = rolloutOrder{f.Rollout, id, now.Add(f.Rollout.TimeLimit)}
 	}
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -37,6 +37,9 @@
 	conns := make(map[string]*link.Conn)
 	var names []string
 	for _, c := range p.neighbourConns() {
+		if !knowsEpochs(c) {
+			continue
+		}
 		conns[c.Remote().Instance] = c
 		names = append(names, c.Remote().Instance)
 	}
@@ -57,8 +60,14 @@
 	}
 }
 
+// knowsEpochs reports whether the revisions of a neighbour contain the store's epoch, without which they cannot be compared.
+func knowsEpochs(c *link.Conn) bool { return c.Remote().Minor >= wire.MinorRevisionEpochs }
+
 // answerPull sends a neighbour the changes that it lacks.
 func (p *peers) answerPull(c *link.Conn, m *wire.StorePull) {
+	if !knowsEpochs(c) {
+		return
+	}
 	p.queryMirror(func(copied *mirror.Mirror) { p.sendPush(c, m, copied.Since(m.Revision)) })
 }
 
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -1,8 +1,9 @@
 // Package mirror keeps a local copy of a part of the platform's store, updated with changes from the store or from peers.
 //
 // The store numbers all changes with a single revision counter. For each key the change with the highest revision is kept, so changes may
-// arrive from several sources, late, repeated or out of order, and no key reverts to an older value. A Mirror does no I/O and does not read
-// the clock. It must be used by one goroutine only.
+// arrive from several sources, late, repeated or out of order, and no key reverts to an older value. If the store is restored from an older copy,
+// which starts a new epoch (services.Revision), only a complete snapshot leads from the old content to the new one. A Mirror does no I/O and does not
+// read the clock. It must be used by one goroutine only.
 package mirror
 
 import (
@@ -11,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // Item is the latest change of one key.
@@ -94,6 +97,11 @@
 // Revision returns the store's revision up to which the copy is complete; zero before the first full batch.
 func (m *Mirror) Revision() uint64 { return m.revision }
 
+// Epoch returns the store's epoch that the copy is of.
+func (m *Mirror) Epoch() uint64 { return epoch(m.revision) }
+
+func epoch(revision uint64) uint64 { return services.Revision(revision).Epoch() }
+
 // AsOf returns the latest time at which the copy was known to be current; zero before the first full batch.
 func (m *Mirror) AsOf() time.Time { return m.asOf }
 
@@ -110,8 +118,8 @@
 func (m *Mirror) ContactAt() time.Time { return m.contactAt }
 
 // Apply applies a batch and returns the items that changed, in ascending order of revision. after is the base revision of a batch that is
-// not full; such a batch is ignored if the copy's revision is lower than after, since changes would be missing. An empty copy ignores all but
-// snapshots of everything. The times at which the store responded count also if the changes are ignored.
+// not full; such a batch is ignored if the copy's revision is lower than after, since changes would be missing. An empty copy, and one of an earlier
+// epoch, ignores all but snapshots of everything. The times at which the store responded count also if the changes are ignored.
 func (m *Mirror) Apply(after uint64, b Batch) []Item {
 	for _, at := range []time.Time{b.AsOf, b.ContactAt} {
 		if at.After(m.contactAt) {
@@ -119,19 +127,20 @@
 		}
 	}
 	isSnapshot := b.Full && b.Prefix == ""
-	if m.revision == 0 && !isSnapshot || !b.Full && after > m.revision {
+	newEpoch := epoch(b.Revision) > m.Epoch()
+	if (m.revision == 0 || newEpoch) && !isSnapshot || !b.Full && after > m.revision {
 		return nil
 	}
 	var changed []Item
 	for _, item := range b.Items {
-		if m.putIfNewer(item) {
+		if epoch(item.Revision) == max(m.Epoch(), epoch(b.Revision)) && m.putIfNewer(item) {
 			changed = append(changed, item)
 		}
 	}
 	if b.Full {
 		changed = append(changed, m.removeMissing(b)...)
 	}
-	if m.revision == 0 {
+	if m.revision == 0 || newEpoch {
 		m.historyStart = b.Revision
 	}
 	if b.Revision >= m.revision && b.Prefix == "" {
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/jayridge/jayridge/process/services"
 )
 
 func putItem(key string, revision uint64) Item {
@@ -117,3 +119,39 @@
 	}
 	return items
 }
+
+// inEpoch returns an item of a later epoch of the store.
+func inEpoch(t *testing.T, epoch uint64, i Item) Item {
+	r, err := services.NewRevision(epoch, i.Revision)
+	must.NoError(t, err)
+	i.Revision = uint64(r)
+	return i
+}
+
+// After a restoration only a snapshot may lead to the new content. It must replace all older content, though the numbers of its revisions are lower, and
+// nothing of an earlier epoch may come back.
+func TestApply_StoreRestored(t *testing.T) {
+	m := New()
+	m.Apply(0, Batch{Full: true, Revision: 20, Items: []Item{putItem("a", 3), putItem("b", 18)}})
+	revision := inEpoch(t, 1, Item{Revision: 9}).Revision
+	a, c := inEpoch(t, 1, putItem("a", 4)), inEpoch(t, 1, putItem("c", 8))
+	must.SliceEmpty(t, m.Apply(20, Batch{Revision: revision, Items: []Item{c}}))
+	must.SliceEmpty(t, m.Apply(20, Batch{Full: true, Prefix: "c", Revision: revision, Items: []Item{c}}))
+	must.EqOp(t, 20, m.Revision())
+	changed := m.Apply(0, Batch{Full: true, Revision: revision, Items: []Item{a, c}})
+	must.Eq(t, []Item{a, c, {Key: "b", Revision: revision, Deleted: true}}, changed)
+	must.EqOp(t, 1, m.Epoch())
+	must.SliceEmpty(t, m.Apply(20, Batch{Revision: 30, Items: []Item{putItem("b", 25), putItem("d", 30)}}))
+	must.SliceEmpty(t, m.Apply(0, Batch{Full: true, Revision: 30, Items: []Item{putItem("d", 30)}}))
+	must.SliceEmpty(t, m.Apply(20, Batch{Items: []Item{putItem("d", 30)}}))
+	must.Eq(t, Batch{Full: true, Revision: revision, Items: []Item{a, c}}, m.Since(0))
+}
+
+// A neighbour whose copy is of an earlier epoch must get everything: it may have keys that this copy never had.
+func TestSince_EarlierEpoch(t *testing.T) {
+	m := New()
+	m.Apply(0, Batch{Full: true, Revision: 5, Items: []Item{putItem("a", 3)}})
+	a := inEpoch(t, 1, putItem("a", 4))
+	m.Apply(0, Batch{Full: true, Revision: a.Revision, Items: []Item{a}})
+	must.Eq(t, Batch{Full: true, Revision: a.Revision, Items: []Item{a}}, m.Since(30))
+}
--- a/process/services/services.go
+++ b/process/services/services.go
@@ -11,6 +11,8 @@
 	"io"
 	"strconv"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // Errors of the platform's services. Adapters wrap them; test with errors.Is.
@@ -43,9 +45,28 @@
 // MaxValueBytes is the maximum size of a value in the key-value service.
 const MaxValueBytes = 1 << 20
 
-// Revision is the version number of one key. It increases with each write; zero means that the key does not exist.
+// Revision is the version number of one key. It increases with each write; zero means that the key does not exist. A store that is restored from an
+// older copy starts a new epoch, in which it may give out numbers a second time: the upper bits of a revision hold the epoch, so that all revisions of
+// an epoch are higher than those of earlier ones.
 type Revision uint64
 
+// epochShift is the number of bits for the number of a revision within its epoch.
+const epochShift = 40
+
+// NewRevision returns the revision with a number in an epoch. It returns an error if one of them is too large.
+func NewRevision(epoch, number uint64) (Revision, error) {
+	if epoch >= 1<<(64-epochShift) || number >= 1<<epochShift {
+		return 0, trace.LimitExceeded("revision %d of epoch %d is out of range", number, epoch)
+	}
+	return Revision(epoch<<epochShift | number), nil
+}
+
+// Epoch returns how often the store has been restored from an older copy.
+func (r Revision) Epoch() uint64 { return uint64(r) >> epochShift }
+
+// Number returns the number that the store gave out in the revision's epoch.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<epochShift - 1) }
+
 // LeaseID identifies a lease; zero means none.
 type LeaseID uint64
 
