--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -309,7 +309,7 @@
 		Chats:         e.cache.Len(),
 		FailureRate:   e.monitor.FailureRate(now),
 		Excluded:      e.leaving || e.monitor.Down(),
-		Serving:       !e.monitor.Down() && (e.State == directory.Ready || e.State == directory.Missing),
+		Serving:       !e.monitor.Down(),
 		FetchSource:   !e.monitor.Down(),
 	}
 	for _, id := range q.Tried {
--- a/process/balancer/balancer_test.go
+++ b/process/balancer/balancer_test.go
@@ -170,3 +170,34 @@
 	b.SetUpstreams(nil, []directory.Upstream{upstream("a"), upstream("b")}, service)
 	must.Nil(t, b.Pick(at(2), q))
 }
+
+// Idle upstreams that shut down belong to their service until they are gone, and must lower the limit of the others.
+func TestPick_LimitCountsUpstreamsThatShutDown(t *testing.T) {
+	b := New(DefaultConfig("here"))
+	var ready, leaving []directory.Upstream
+	for i := range 8 {
+		u := directory.Upstream{Entry: directory.Entry{ID: string(rune('a' + i)), Service: "model", DataCentre: "here", Slots: 64}}
+		if i < 4 {
+			ready = append(ready, u)
+			continue
+		}
+		u.State = directory.Draining
+		leaving = append(leaving, u)
+	}
+	service := func(string) *routing.Service { return &routing.Service{Name: "model"} }
+	limit := func() float64 {
+		c := b.Pick(at(0), Query{Service: "model", Placement: placement.Request{Tokens: 100}})
+		c.Release()
+		return c.LoadLimit
+	}
+	b.SetUpstreams(ready, leaving, service)
+	loads := make(map[uint32]Load)
+	for _, u := range ready {
+		loads[uint32(upstreamHash(u.ID))] = Load{Requests: 6}
+	}
+	b.SetPeerLoad(at(0), "peer", loads)
+	const bound = 2*3 + 3
+	must.Less(t, bound, limit())
+	b.SetUpstreams(ready, nil, service)
+	must.Greater(t, bound, limit())
+}
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -95,7 +95,7 @@
 	// Excluded reports that the upstream cannot take the request: it is down, full, cold with its cold-start rate exhausted, or has already
 	// been tried.
 	Excluded bool
-	// Serving reports that an excluded upstream nevertheless counts towards the mean load of its service: it is up and not shutting down.
+	// Serving reports that an excluded upstream nevertheless counts towards the mean load of its service: it is up.
 	Serving bool
 }
 
