gateway: while stopping, refuse requests that may be cut and must not be repeated

Cause: a stopping gateway took every request in the first 0.35 of its time, whatever time the request may take, and closed the connections of those that were left at the end. The class is a promise to finish that nothing compares with the time left.

Change: from the signal on, a request that must not be repeated is refused as not run if its deadline is after the end; its caller can send it to another gateway at once. What is left at the end, for instance a repeatable request, gets an error response before the connection closes. Streams that have begun still end visibly incomplete: their deadlines are several times what they take, and refusing all of them while several gateways stop would serve callers worse.

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -69,9 +69,10 @@
 	go watchSettings(watchCtx, path, g.Reload)
 	<-signals
 	shutdownTime := time.Duration(s.Fleet.ShutdownS * float64(time.Second))
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime-stopReserve)
+	abortAt := time.Now().Add(shutdownTime - stopReserve)
+	ctx, cancel := context.WithDeadline(context.Background(), abortAt)
 	defer cancel()
-	g.Leave()
+	g.Leave(abortAt)
 	select {
 	case <-time.After(time.Duration(leaveShare * float64(shutdownTime))):
 	case <-signals:
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -81,6 +81,9 @@
 		return code
 	}
 	c.setDeadline()
+	if c.mayBeCut() {
+		return result.Leaving
+	}
 	if code := c.readBody(); code != result.OK {
 		return code
 	}
@@ -119,6 +122,13 @@
 	return result.OK
 }
 
+// mayBeCut reports whether a request that must not be repeated may take longer than the gateway still runs. Its caller can send it to another gateway
+// now, but cannot when it was passed on and its answer is lost.
+func (c *call) mayBeCut() bool {
+	abortAt := c.g.abortAt.Load()
+	return abortAt != nil && c.route.Kind == routing.NonIdempotent && c.deadline.After(*abortAt)
+}
+
 func (c *call) setDeadline() {
 	wait, stated := forward.ParseMilliseconds(c.request.Header, c.g.headers.Deadline)
 	if !stated {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -101,12 +103,21 @@
 	return c.g.budgets.decide(bootclock.Now(), c.service, c.route.MaxAttempts, r)
 }
 
-// canceledCode returns the result of a request whose caller disconnected, given the result that it would have otherwise.
+// canceledCode returns the result of a request whose caller disconnected or that was aborted because the gateway stops, given the result that it
+// would have otherwise.
 func (c *call) canceledCode(code result.Code) result.Code {
-	if code.Outcome() == result.NotRun {
+	notRun := code.Outcome() == result.NotRun
+	aborted := errors.Is(context.Cause(c.request.Context()), errStopping)
+	switch {
+	case aborted && notRun:
+		return result.Leaving
+	case aborted:
+		return result.ConnectionLost
+	case notRun:
 		return result.CanceledBeforeRun
+	default:
+		return result.Canceled
 	}
-	return result.Canceled
 }
 
 // giveUp ends a request without a successful response. An upstream's own error response is forwarded.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -97,6 +98,11 @@
 	// tasks are functions to run on the control goroutine.
 	tasks   chan func()
 	leaving atomic.Bool
+	// abortAt is the time at which requests in progress are aborted because the gateway stops, nil before Leave.
+	abortAt atomic.Pointer[time.Time]
+	// callers' requests end with abortCalls, with errStopping as the cause.
+	callsCtx   context.Context
+	abortCalls context.CancelCauseFunc
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -137,6 +143,7 @@
 	g.crashes = newCrashTracker(g.peers.isAssigned)
 	g.rollouts = newRollouts(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.callsCtx, g.abortCalls = context.WithCancelCause(context.Background())
 	return g, nil
 }
 
@@ -171,20 +178,40 @@
 	}()
 }
 
-// Leave makes the readiness check fail and closes each caller's connection after its next response. The gateway keeps serving.
-func (g *Gateway) Leave() {
+// Leave makes the readiness check fail and closes each caller's connection after its next response. The gateway keeps serving, except for requests
+// that must not be repeated and may take longer than until abortAt, the time at which Drain will abort them.
+func (g *Gateway) Leave(abortAt time.Time) {
+	g.abortAt.Store(&abortAt)
 	g.leaving.Store(true)
 	event.Log(event.ProcessLeaving)
 }
 
-// Drain closes the listeners and waits until the requests in progress have ended or ctx is done.
+// errStopping is the cancellation cause of requests that are aborted because the gateway stops.
+var errStopping = errors.New("the gateway stops")
+
+// abortTime is the time that aborted requests have to tell their callers.
+const abortTime = 150 * time.Millisecond
+
+// Drain closes the listeners and waits until the requests in progress have ended or ctx is done. It then aborts the remaining ones, whose callers get
+// an error response unless their response has begun.
 func (g *Gateway) Drain(ctx context.Context) error {
-	return trace.Wrap(g.callers.drain(ctx, g.listeners))
+	err := g.callers.drain(ctx, g.listeners)
+	if err == nil {
+		return nil
+	}
+	g.abortCalls(errStopping)
+	abortCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+	defer cancel()
+	if g.callers.drain(abortCtx, g.listeners) != nil {
+		event.Log(event.ShutdownTimedOut, "requests", g.callers.requests.Load())
+	}
+	return trace.Wrap(err)
 }
 
 // Stop stops all workers and closes the remaining connections.
 func (g *Gateway) Stop(context.Context) {
 	g.cancel()
+	g.abortCalls(errStopping)
 	for _, s := range g.servers {
 		_ = s.Close() // aborts the requests that Drain did not wait for
 	}
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"log"
 	"net"
@@ -50,6 +51,7 @@
 			ReadHeaderTimeout: defaultHeaderTimeout,
 			MaxHeaderBytes:    defaultHeaderBytes,
 			ConnState:         g.callers.track,
+			BaseContext:       func(net.Listener) context.Context { return g.callsCtx },
 			ErrorLog:          log.New(serverLog{}, "", 0),
 		}
 		listener := callerListener{inner}
