--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -340,7 +340,6 @@
 	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodGet, "/look/long", nil).status)
 }
 
-
 // A gateway that shuts down must respond to all requests that it has read, and must serve new callers until its listeners are closed, so that
 // the load balancer has time to see that it is not ready.
 func TestLeave_CompletesReadRequests(t *testing.T) {
