--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"os"
 	"reflect"
 	"slices"
@@ -129,7 +130,16 @@
 	return slices.Equal(g.DataCentres, other.DataCentres) && reflect.DeepEqual(same, *other)
 }
 
-// FractionalMilliseconds converts the value of a float64 field whose name ends in MS.
+// FractionalMilliseconds converts the value of a float64 field whose name ends in MS. Values beyond the range of durations become the longest one,
+// since the conversion of such a number is not defined.
 func FractionalMilliseconds(ms float64) time.Duration {
-	return time.Duration(ms * float64(time.Millisecond))
+	ns := ms * float64(time.Millisecond)
+	switch {
+	case ns >= math.MaxInt64:
+		return math.MaxInt64
+	case ns <= math.MinInt64:
+		return math.MinInt64
+	default:
+		return time.Duration(ns)
+	}
 }
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -80,7 +80,7 @@
 	Local bool
 	// Load is the number of requests on the upstream, from all entries.
 	Load float64
-	// Slots is the number of requests that the upstream runs concurrently; zero means unknown.
+	// Slots is the number of requests that the upstream runs concurrently; zero or less means unknown.
 	Slots int
 	// PendingTokens is the number of prompt tokens that wait for prefill.
 	PendingTokens float64
@@ -335,7 +335,7 @@
 // queueingDelay returns the expected wait for a slot of a plain service, in milliseconds. Half a request's time is added for each running
 // request, since entries see the load from other entries with a delay.
 func queueingDelay(u *Upstream) float64 {
-	if u.Slots == 0 {
+	if u.Slots <= 0 {
 		return u.Load * milliseconds(plainServiceTime)
 	}
 	waiting := max(0, u.Load+1-float64(u.Slots))
