gateway: a load peer that becomes a neighbour is told what the neighbours know

What callers would have seen: after gateways join or leave, one that becomes a neighbour over an existing connection knew no rate limits, quarantined prompt parts and cached prompts until they changed again.

Cause: these are sent when a neighbour connects; the load mesh keeps connections over changes of the neighbourhood.

TestPeers_LoadPeerBecomesNeighbour failed before.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -145,7 +145,11 @@
 			}
 		}
 		l.address = members[name].PeerAddress
+		wasLoadPeer := l.loadPeer
 		l.loadPeer = !slices.Contains(near, name)
+		if wasLoadPeer && !l.loadPeer && l.conn != nil {
+			p.sendKnown(l)
+		}
 	}
 	for name, l := range p.links {
 		if slices.Contains(linked, name) {
@@ -318,16 +322,21 @@
 	l.address = conn.Remote().Address
 	l.lastMessageAt = time.Now()
 	if !l.loadPeer {
-		// A neighbour that reconnects without a restart still has the prompts that it was sent.
-		if start := conn.Remote().Version; start != l.startID {
-			l.startID = start
-			p.sendKnownPrompts(conn)
-		}
-		p.sendKnownFaults(conn)
+		p.sendKnown(l)
 	}
 	event.Log(event.PeerConnected, "peer", name, "address", conn.RemoteAddr().String(), "load_peer", l.loadPeer)
 }
 
+// sendKnown sends a new neighbour what the earlier messages to neighbours contained. The caller holds p.mu.
+func (p *peers) sendKnown(l *peerLink) {
+	// A neighbour that reconnects without a restart still has the prompts that it was sent.
+	if start := l.conn.Remote().Version; start != l.startID {
+		l.startID = start
+		p.sendKnownPrompts(l.conn)
+	}
+	p.sendKnownFaults(l.conn)
+}
+
 // wouldBeNeighbour reports whether a gateway that is not registered yet would be a neighbour. The caller holds p.mu.
 func (p *peers) wouldBeNeighbour(name string) bool {
 	self := p.g.settings.Instance
