--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -66,7 +66,7 @@
 		FailurePenalty:       2 * time.Second,
 		FailureRateTolerance: 0.15, // allows for a single failure among the most recent requests
 		LoadFactor:           1.5,  // three quarters of the load bound of 2, since entries see different loads
-		EligibleLoadFactor:   1.1,
+		EligibleLoadFactor:   1.1,  // room for an uneven distribution
 		LoadSlack:            2,
 		SlotFactor:           1.25,
 	}
