guards: rate-peers finds the line that it removes again

The message of a gateway is built in takeFleetState since, and the expression of the guard matched nothing. With it, TestServe_NamedRateLimitOfOtherGateway notices that changed rate limits are not told.

--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -106,5 +106,5 @@
 guard request-answers process/gateway/crashes.go 's/s\.partReport\.answers = append\(s\.partReport\.answers, answer\)//' ./process/gateway TestCrashTracker_RequestAnsweredElsewhere
 guard rate-share process/balancer/ratelimit.go 's/rate\.Limit\(perSecond \/ float64\(b\.entries\)\)/rate.Limit(perSecond)/' ./process/balancer TestPick_NamedRateLimit
 guard rate-turns process/balancer/ratelimit.go 's/return \(time\.Duration\(now.*/return true || phase > 0/' ./process/balancer TestPick_NamedRateLimit
-guard rate-peers process/gateway/fleetstate.go 's/m\.Limits = wireLimits\(bootclock\.Now\(\), p\.g\.balancer\.TakeRateLimits\(\)\)//' ./process/gateway TestServe_NamedRateLimitOfOtherGateway
+guard rate-peers process/gateway/fleetstate.go 's/m\.Limits = wireLimits\(now, b\.TakeRateLimits\(\)\)//' ./process/gateway TestServe_NamedRateLimitOfOtherGateway
 exit $missed
