--- a/process/gateway/crashfleet_test.go
+++ b/process/gateway/crashfleet_test.go
@@ -24,15 +24,13 @@
 
 // crashSim simulates the crash trackers of a fleet in virtual time: their reports to neighbours, the upstreams, and the requests.
 type crashSim struct {
+	simClock
 	random   *rand.Rand
-	now      time.Time
 	gateways []*simGateway
 	// stored are the quarantines in the store, which all gateways follow.
 	stored    map[quarantine.Part]quarantine.QuarantinedPart
 	storeDown bool
 	upstreams []*simUpstream
-	events    simEvents
-	scheduled int
 	processes uint64
 
 	crashes []time.Time
@@ -45,6 +43,27 @@
 	window time.Duration
 }
 
+// simClock is virtual time with scheduled events.
+type simClock struct {
+	now       time.Time
+	events    simEvents
+	scheduled int
+}
+
+// after schedules an event.
+func (c *simClock) after(d time.Duration, do func()) {
+	c.scheduled++
+	heap.Push(&c.events, simEvent{c.now.Add(d), c.scheduled, do})
+}
+
+// advance advances the time by a tick and runs the events that are due.
+func (c *simClock) advance(tick time.Duration) {
+	c.now = c.now.Add(tick)
+	for len(c.events) > 0 && !c.events[0].at.After(c.now) {
+		heap.Pop(&c.events).(simEvent).do()
+	}
+}
+
 type simEvent struct {
 	at     time.Time
 	number int
@@ -105,7 +124,7 @@
 
 func newCrashSim(seed uint64, gateways, upstreams int) *crashSim {
 	s := &crashSim{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), window: stableWindow,
+		random: rand.New(rand.NewPCG(seed, 1)), simClock: simClock{now: time.Unix(1000, 0)}, window: stableWindow,
 		stored: make(map[quarantine.Part]quarantine.QuarantinedPart), late: make(map[string]int),
 	}
 	var names []string
@@ -165,11 +184,6 @@
 	u.process, u.inFlight = s.processes, nil
 }
 
-func (s *crashSim) after(d time.Duration, do func()) {
-	s.scheduled++
-	heap.Push(&s.events, simEvent{s.now.Add(d), s.scheduled, do})
-}
-
 func (s *crashSim) deliver(g *simGateway, report *wire.PartReport) {
 	if report == nil || s.now.Before(g.cutUntil) {
 		return
@@ -183,10 +197,7 @@
 
 // step advances the time by one tick.
 func (s *crashSim) step() {
-	s.now = s.now.Add(simTick)
-	for len(s.events) > 0 && !s.events[0].at.After(s.now) {
-		heap.Pop(&s.events).(simEvent).do()
-	}
+	s.advance(simTick)
 	for _, g := range s.gateways {
 		if s.now.Before(g.frozenUntil) {
 			continue
--- a/process/gateway/loadfleet_test.go
+++ b/process/gateway/loadfleet_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -21,12 +20,10 @@
 
 // loadSim simulates a fleet in virtual time: the balancers of the gateways, the messages between neighbours, and model upstreams.
 type loadSim struct {
+	simClock
 	random    *rand.Rand
-	now       time.Time
 	gateways  []*loadGateway
 	upstreams []*loadUpstream
-	events    simEvents
-	scheduled int
 	period    time.Duration
 	// versions limits the versions that requests may run, nil permits all.
 	versions balancer.Versions
@@ -87,7 +84,9 @@
 )
 
 func newLoadSim(seed uint64, gateways, upstreams int) *loadSim {
-	s := &loadSim{random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), rate: float64(upstreams) / 44, period: statePeriod(gateways)}
+	s := &loadSim{
+		random: rand.New(rand.NewPCG(seed, 2)), simClock: simClock{now: time.Unix(1000, 0)}, rate: float64(upstreams) / 44, period: statePeriod(gateways),
+	}
 	var names []string
 	for i := range gateways {
 		names = append(names, fmt.Sprint("g", i))
@@ -158,11 +157,6 @@
 	}
 }
 
-func (s *loadSim) after(d time.Duration, do func()) {
-	s.scheduled++
-	heap.Push(&s.events, simEvent{s.now.Add(d), s.scheduled, do})
-}
-
 func (s *loadSim) sendState(g *loadGateway) {
 	m := takeFleetState(g.balancer, s.now)
 	slices.SortFunc(m.Loads, func(a, b wire.UpstreamLoad) int { return int(int64(a.Upstream) - int64(b.Upstream)) })
@@ -185,10 +179,7 @@
 // run advances the time by d.
 func (s *loadSim) run(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); {
-		s.now = s.now.Add(loadSimTick)
-		for len(s.events) > 0 && !s.events[0].at.After(s.now) {
-			heap.Pop(&s.events).(simEvent).do()
-		}
+		s.advance(loadSimTick)
 		for i, k := range loadKinds() {
 			for range s.times(k.perSecond * s.rate) {
 				s.send(uint64(i), k)
--- a/process/gateway/restore.go
+++ b/process/gateway/restore.go
@@ -20,7 +20,7 @@
 	until time.Time
 }
 
-// begin takes the changes to a restored copy and returns those that take effect at once. Upstreams have a grace of their own in the directory.
+// begin takes the changes to a restored copy and returns those that take effect at once.
 func (r *restoration) begin(now time.Time, changes []mirror.Item) []mirror.Item {
 	r.until = now.Add(rewriteWithin)
 	return slices.DeleteFunc(changes, func(item mirror.Item) bool {
