gateway: one memory budget for buffered messages, and times for stalled transfers

Cause: each body, head and event had a bound of its own, all of them together had none, and nothing bounded the time of a write to a caller. 100 callers that stopped after 3.9 MB of a body of 4 MB made the process of a 184 MB machine grow to 391 MB (chunked: 590 MB); four upstreams that stopped 3.9 MB into their answers to 599 to 679 MB. Requests whose callers did not read were still in progress two seconds after their deadline. A body that was not read before a denial could hold its request without end, since net/http reads the rest of it.

Change: - bufferbudget: one budget for bodies, answers, long heads and long events, a share of memory_mb. Bytes are reserved as they arrive. Under pressure a team that holds less than its fair share gets room: the largest body of the team that holds most is evicted. Bodies that were passed on stay. - A body without room is refused (no-memory, not run, Retry-After). An answer without room is forwarded as it arrives. - stall: patience that only bytes at a rate restore, for bodies of callers, answers of upstreams and writes to callers. The latter count what the caller has acknowledged, since the kernel reports room only when much of its buffer is free. Results caller-stalled and caller-not-reading. - The upstream is released before its complete answer is delivered. - An answer that arrives slowly but steadily is no longer given up after the response timeout of a repeatable request; half of the time left is kept for a retry. - Comments, and events without an ID among others with one, no longer extend the time for the next event, and the time for the second event of a stream is that of the route (it was the time until the deadline).

--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -40,7 +39,11 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the content of the request, of BodyLength bytes. It may be nil if that is zero.
+	Body       io.Reader
+	BodyLength int
+	// Reserve, if not nil, is called before a long head of the response takes more memory. An error ends the exchange.
+	Reserve func(bytes int) error
 	// IDHeader is the name of the header that carries the request id in both directions.
 	IDHeader string
 	ID       string
@@ -104,7 +107,7 @@
 		Method:        r.Method,
 		Host:          r.Host,
 		Header:        r.Header,
-		ContentLength: int64(len(r.Body)),
+		ContentLength: int64(r.BodyLength),
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	target, err := parseTarget(r.Target)
@@ -112,10 +115,10 @@
 		return trace.BadParameter("%v: %v", ErrNotSent, err)
 	}
 	request.URL = target
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+	if r.BodyLength > 0 {
+		request.Body = io.NopCloser(r.Body)
 	}
-	if len(r.Body) > syncBodyBytes {
+	if r.BodyLength > syncBodyBytes {
 		go func() {
 			w := bufio.NewWriterSize(c.nc, syncBodyBytes)
 			// A failed write becomes visible as a missing response.
@@ -146,7 +149,7 @@
 func receive(c *Conn, r *Request) (*Response, error) {
 	defer c.limited.allowAll()
 	for range maxMismatchedResponses + 1 {
-		c.limited.allow(maxHeadBytes)
+		c.limited.allowHead(r.Reserve)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -173,6 +176,9 @@
 	return nil, ErrMismatchedResponse
 }
 
+// Length returns the length of the body, negative if it is not known.
+func (a *Response) Length() int { return int(a.response.ContentLength) }
+
 // MarkBodyRead records that the body was read to its end, so that the connection can be reused.
 func (a *Response) MarkBodyRead() { a.bodyRead = true }
 
--- a/connection/upstream/limit.go
+++ b/connection/upstream/limit.go
@@ -18,15 +18,27 @@
 type limitedReader struct {
 	source io.Reader
 	left   int64
+	// reserve is called before more than unreservedHeadBytes of a head are kept, nil if nothing is reserved.
+	reserve func(bytes int) error
 }
 
-func newLimitedReader(source io.Reader) *limitedReader { return &limitedReader{source, math.MaxInt64} }
+// unreservedHeadBytes is the size up to which a head takes no reserved memory.
+const unreservedHeadBytes = 4 << 10
 
-// allow sets the number of bytes that may be read from now on.
-func (r *limitedReader) allow(bytes int64) { r.left = bytes }
+func newLimitedReader(source io.Reader) *limitedReader {
+	return &limitedReader{source: source, left: math.MaxInt64}
+}
+
+// allow sets the number of bytes that may be read from now on. They take no reserved memory.
+func (r *limitedReader) allow(bytes int64) { r.left, r.reserve = bytes, nil }
+
+// allowHead allows the bytes of one head, which are reserved with reserve unless it is nil.
+func (r *limitedReader) allowHead(reserve func(bytes int) error) {
+	r.left, r.reserve = maxHeadBytes, reserve
+}
 
 // allowAll removes the limit.
-func (r *limitedReader) allowAll() { r.left = math.MaxInt64 }
+func (r *limitedReader) allowAll() { r.allow(math.MaxInt64) }
 
 // Read implements io.Reader.
 func (r *limitedReader) Read(p []byte) (int, error) {
@@ -35,5 +47,10 @@
 	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if r.reserve != nil && r.left < maxHeadBytes-unreservedHeadBytes {
+		if reserveErr := r.reserve(n); reserveErr != nil {
+			return 0, reserveErr
+		}
+	}
 	return n, err
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a read from a socket would return.
@@ -50,3 +52,16 @@
 	}
 	return state
 }
+
+// Unsent returns the number of bytes that were written to a connection and that its peer has not acknowledged. It returns false if the kernel did not
+// tell.
+func Unsent(conn syscall.Conn) (int, bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	n := 0
+	var queryErr error
+	err = raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return n, err == nil && queryErr == nil
+}
--- /dev/null
+++ b/process/bufferbudget/ledger.go
@@ -0,0 +1,196 @@
+package bufferbudget
+
+import (
+	"math"
+	"slices"
+)
+
+// ledger decides who may reserve bytes and who has to give some back. It does no I/O and has no clock and no locks.
+type ledger struct {
+	limit  int64
+	total  int64
+	byUse  [uses]int64
+	owners [uses]map[string]*owner
+	// promised is the number of bytes that evicted reservations still hold, promised to the reservations that wait for them.
+	promised int64
+	// waiting is the number of reservations that wait for promised bytes.
+	waiting int
+}
+
+// owner is the sum of the reservations of one team, caller or upstream for one use.
+type owner struct {
+	bytes int64
+	// promised is the part of bytes that evicted reservations hold.
+	promised     int64
+	reservations map[*Reservation]struct{}
+}
+
+// decision is the answer to a request for more bytes.
+type decision uint8
+
+const (
+	// granted means that the bytes are reserved.
+	granted decision = iota
+	// refused means that there is no room, and that none is being made.
+	refused
+	// pending means that evicted reservations will make room.
+	pending
+)
+
+func newLedger(limit int64) *ledger {
+	l := &ledger{limit: limit}
+	for i := range l.owners {
+		l.owners[i] = make(map[string]*owner)
+	}
+	return l
+}
+
+// maxUseShare is the largest part of the limit for one use. The rest is left for the others, so that bodies of requests that wait for their answers
+// leave room for the answers.
+const maxUseShare = 0.75
+
+// maxUpstreamShare is the largest part of the room for answers that one upstream may take: its answers are never evicted.
+const maxUpstreamShare = 0.5
+
+// capacity returns how many bytes all reservations for a use may hold together now.
+func (l *ledger) capacity(u Use) int64 {
+	return min(int64(maxUseShare*float64(l.limit)), l.limit-(l.total-l.byUse[u]))
+}
+
+// fairShare returns the part of the capacity to which each owner that holds or wants bytes is entitled.
+func (l *ledger) fairShare(r *Reservation) int64 {
+	active := 1
+	for name, o := range l.owners[r.use] {
+		if o.bytes > 0 && name != r.owner {
+			active++
+		}
+	}
+	return l.capacity(r.use) / int64(active)
+}
+
+// open adds a reservation without bytes.
+func (l *ledger) open(r *Reservation) {
+	o := l.owners[r.use][r.owner]
+	if o == nil {
+		o = &owner{reservations: make(map[*Reservation]struct{})}
+		l.owners[r.use][r.owner] = o
+	}
+	o.reservations[r] = struct{}{}
+}
+
+// reserve adds n bytes to a reservation if there is room. Otherwise an owner within its fair share gets room from those that exceed theirs: the
+// returned reservations are to be evicted. An owner that exceeds its share grows only while nobody waits for room.
+func (l *ledger) reserve(r *Reservation, n int64) (decision, []*Reservation) {
+	if r.evicted || n > l.limit {
+		return refused, nil
+	}
+	o := l.owners[r.use][r.owner]
+	free := l.capacity(r.use) - l.byUse[r.use]
+	if r.use == Answering && float64(o.bytes+n) > maxUpstreamShare*float64(l.capacity(r.use)) {
+		return refused, nil
+	}
+	fair := o.bytes+n <= l.fairShare(r)
+	if n <= free && (fair || l.waiting == 0) {
+		l.add(r, o, n)
+		return granted, nil
+	}
+	if !fair || r.use != Receiving {
+		return refused, nil
+	}
+	if victims := l.victims(r, n-free-l.promised); victims != nil || n-free <= l.promised {
+		return pending, victims
+	}
+	return refused, nil
+}
+
+func (l *ledger) add(r *Reservation, o *owner, n int64) {
+	r.bytes += n
+	o.bytes += n
+	l.byUse[r.use] += n
+	l.total += n
+}
+
+// victims marks reservations as evicted that hold at least the missing bytes, or returns nil if there are not enough. The largest reservation of the
+// owner that holds most goes first, as long as that owner exceeds its fair share.
+func (l *ledger) victims(r *Reservation, missing int64) []*Reservation {
+	share := l.fairShare(r)
+	var chosen []*Reservation
+	for missing > 0 {
+		victim, from := l.victim(r, share, chosen)
+		if victim == nil {
+			for _, c := range chosen {
+				l.unmark(c)
+			}
+			return nil
+		}
+		l.mark(victim, from)
+		chosen = append(chosen, victim)
+		missing -= victim.bytes
+	}
+	return chosen
+}
+
+// victim returns the reservation that is evicted next and its owner, or nil.
+func (l *ledger) victim(r *Reservation, share int64, chosen []*Reservation) (*Reservation, *owner) {
+	most, victim, from := int64(math.MinInt64), (*Reservation)(nil), (*owner)(nil)
+	for _, o := range l.owners[r.use] {
+		held := o.bytes - o.promised
+		if held <= share || held <= most {
+			continue
+		}
+		if v := o.largest(chosen); v != nil {
+			most, victim, from = held, v, o
+		}
+	}
+	return victim, from
+}
+
+// largest returns the largest reservation that may be evicted, or nil.
+func (o *owner) largest(except []*Reservation) *Reservation {
+	var largest *Reservation
+	for r := range o.reservations {
+		evictable := r.evict != nil && !r.evicted && r.bytes > 0 && !slices.Contains(except, r)
+		if evictable && (largest == nil || r.bytes > largest.bytes) {
+			largest = r
+		}
+	}
+	return largest
+}
+
+func (l *ledger) mark(r *Reservation, o *owner) {
+	r.evicted = true
+	o.promised += r.bytes
+	l.promised += r.bytes
+}
+
+func (l *ledger) unmark(r *Reservation) {
+	r.evicted = false
+	l.owners[r.use][r.owner].promised -= r.bytes
+	l.promised -= r.bytes
+}
+
+// assign moves a reservation to another owner.
+func (l *ledger) assign(r *Reservation, name string) {
+	bytes, evicted := r.bytes, r.evicted
+	l.close(r)
+	r.owner = name
+	l.open(r)
+	o := l.owners[r.use][name]
+	l.add(r, o, bytes)
+	if evicted {
+		l.mark(r, o)
+	}
+}
+
+// close removes a reservation with its bytes.
+func (l *ledger) close(r *Reservation) {
+	o := l.owners[r.use][r.owner]
+	if r.evicted {
+		l.unmark(r)
+	}
+	l.add(r, o, -r.bytes)
+	delete(o.reservations, r)
+	if len(o.reservations) == 0 {
+		delete(l.owners[r.use], r.owner)
+	}
+}
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -1,15 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/settings"
+	"github.com/jayridge/jayridge/request/buffer"
 	"github.com/jayridge/jayridge/request/forward"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
@@ -44,6 +46,8 @@
 type call struct {
 	g       *Gateway
 	writer  http.ResponseWriter
+	control *http.ResponseController
+	conn    *callerConn
 	request *http.Request
 	started time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
@@ -54,11 +58,14 @@
 	team     string
 	keyed    bool
 	id       string
-	body     []byte
-	prompt   forward.Prompt
-	partIDs  forward.PartIDs
-	header   http.Header
-	progress progress
+	body     buffer.Buffer
+	// bodyRead means that the body was read to its end.
+	bodyRead   bool
+	bodyMemory *bufferbudget.Reservation
+	prompt     forward.Prompt
+	partIDs    forward.PartIDs
+	header     http.Header
+	progress   progress
 	// quarantinedFor is the remaining time of the quarantine of the request's fingerprint or of one of its prompt parts, quarantinedPart the
 	// hash of that part.
 	quarantinedFor  time.Duration
@@ -138,6 +145,7 @@
 		wait = min(wait, c.route.Timeout)
 	}
 	c.deadline = c.started.Add(wait)
+	c.conn.writes.deadline = c.deadline
 }
 
 // readBody buffers the complete body, so that the request can be sent more than once.
@@ -149,23 +157,35 @@
 	if c.request.ContentLength == 0 {
 		return result.OK
 	}
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.deadline) // always supported by the net/http server's writer
-	body := http.MaxBytesReader(c.writer, c.request.Body, int64(limit))
-	var err error
-	if n := c.request.ContentLength; n > 0 && n <= int64(limit) {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(body, c.body)
-	} else {
-		c.body, err = io.ReadAll(body)
-	}
-	_ = control.SetReadDeadline(time.Time{})
+	ctx, cancel := context.WithCancelCause(c.request.Context())
+	defer cancel(nil)
+	control := c.control
+	c.bodyMemory = c.g.buffers.Open(bufferbudget.Receiving, teamOwner(c.team), func() {
+		cancel(errEvicted)
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // always supported by the net/http server's writer
+	})
+	body := &callerBody{
+		body: http.MaxBytesReader(c.writer, c.request.Body, int64(limit)), control: control, deadline: c.deadline, ctx: ctx,
+		patience: c.conn.writes.patience,
+	}
+	err := c.body.Fill(body, int(c.request.ContentLength), limit, reserveFor(ctx, c.bodyMemory))
+	if err == nil {
+		err = c.bodyMemory.Keep()
+	}
+	_ = control.SetReadDeadline(time.Time{}) // always supported by the net/http server's writer
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		c.bodyRead = true
 		return result.OK
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge), errors.Is(err, buffer.ErrTooLong):
 		return result.BodyTooLarge
+	case errors.Is(err, bufferbudget.ErrNoRoom):
+		return result.NoMemory
+	case errors.Is(err, errCallerStalled):
+		return result.CallerStalled
+	case errors.Is(err, context.DeadlineExceeded):
+		return result.DeadlineBeforeRun
 	case c.request.Context().Err() != nil:
 		return result.CanceledBeforeRun
 	default:
@@ -173,6 +193,14 @@
 	}
 }
 
+// releaseMemory releases the memory that the request holds at its end.
+func (c *call) releaseMemory() {
+	c.bodyMemory.Release()
+	if c.progress.failure != nil {
+		c.progress.failure.memory.Release()
+	}
+}
+
 // allowedIn reports whether the route's regions allow the request to run in a data centre.
 func (c *call) allowedIn(dataCentre string) bool {
 	if len(c.route.Regions) == 0 {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,9 +12,12 @@
 	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/health"
+	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/shift"
+	"github.com/jayridge/jayridge/request/buffer"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
 )
@@ -43,12 +46,12 @@
 type bufferedResponse struct {
 	status    int
 	header    http.Header
-	body      []byte
+	body      buffer.Buffer
 	hasLength bool
+	// memory is what the body holds.
+	memory *bufferbudget.Reservation
 }
 
-func (r *bufferedResponse) length() string { return strconv.Itoa(len(r.body)) }
-
 // attempt sends the request to one upstream. accepted reports whether it may have run there.
 func (c *call) attempt() (code result.Code, accepted bool) {
 	if c.keyed && !c.g.keysCurrent() {
@@ -82,10 +85,21 @@
 		cancel(context.DeadlineExceeded)
 	})
 	defer a.timeoutTimer.Stop()
+	a.cancel = cancel
+	a.memory = c.g.buffers.Open(bufferbudget.Answering, upstreamOwner(choice.ID), nil)
 	code, accepted = a.do()
 	p.answering = a.answeringFor()
 	a.release(code, accepted)
 	a.reportToRollout(code)
+	switch {
+	case a.complete != nil:
+		// The upstream is free for other requests while the caller reads.
+		a.memory.Assign(teamOwner(c.team))
+		code = c.writeResponse(a.complete)
+		a.memory.Release()
+	case c.progress.failure == nil || c.progress.failure.memory != a.memory:
+		a.memory.Release()
+	}
 	return code, accepted
 }
 
@@ -103,8 +117,13 @@
 	call   *call
 	choice *balancer.Choice
 	// plan is the plan of the rollout by which the upstream was chosen, nil if there is none.
-	plan *shift.Plan
-	ctx  context.Context
+	plan   *shift.Plan
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// memory is what the parts of the response hold that are not delivered yet.
+	memory *bufferbudget.Reservation
+	// complete is the response to deliver, nil unless the upstream answered with a complete one.
+	complete *bufferedResponse
 	// timeoutTimer cancels the attempt unless it is stopped or reset. It never runs past the deadline.
 	timeoutTimer *time.Timer
 	// outcome is the outcome of the attempt for the health check of the upstream.
@@ -217,11 +236,13 @@
 		header.Set(c.g.headers.LastEventID, c.progress.lastEvent)
 	}
 	response, err := upstream.Exchange(a.ctx, conn, &upstream.Request{
-		Method:   c.request.Method,
-		Target:   c.request.RequestURI,
-		Host:     c.request.Host,
-		Header:   header,
-		Body:     c.body,
+		Method: c.request.Method,
+		Target: c.request.RequestURI,
+		Host:   c.request.Host,
+		Header: header,
+
+		Body: c.body.Reader(), BodyLength: c.body.Len(),
+		Reserve:  a.reserve,
 		IDHeader: c.g.headers.RequestID,
 		ID:       c.id,
 	})
@@ -283,7 +304,7 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		a.inconclusive = true
 		return result.DeadlineBeforeRun, false
-	case errors.Is(err, upstream.ErrHeadTooLong):
+	case errors.Is(err, upstream.ErrHeadTooLong), errors.Is(err, bufferbudget.ErrNoRoom):
 		a.outcome = health.Broken
 		return result.BadAnswer, true
 	default:
@@ -298,7 +319,7 @@
 	case a.call.request.Context().Err() != nil:
 		a.inconclusive = true
 		return result.Canceled
-	case errors.Is(cause, errResponseTimeout):
+	case errors.Is(cause, errResponseTimeout), errors.Is(cause, errUpstreamStalled):
 		a.outcome = health.Unanswered
 		return result.ConnectionLost
 	case cause != nil:
@@ -320,41 +341,108 @@
 // maxDrainBytes is the maximum size of a body that is read only to keep the connection reusable.
 const maxDrainBytes = 64 << 10
 
-// forwardComplete reads a response that is not a stream, validates it and forwards it.
+// reserve reserves memory for a part of the response.
+func (a *attempt) reserve(bytes int) error { return reserveFor(a.ctx, a.memory)(bytes) }
+
+// forwardComplete reads a response that is not a stream, validates it and forwards it. If there is no memory to hold all of it, it is forwarded as it
+// arrives.
 func (a *attempt) forwardComplete(response *upstream.Response) result.Code {
 	c := a.call
-	limit := int64(c.g.settings.MaxResponseMB * (1 << 20))
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return a.interrupted()
+	if !a.isAuthentic(response) {
+		a.outcome = health.Broken
+		return result.BadAnswer
+	}
+	// From here on, the upstream may take the time that its rate requires, but another upstream must have time for a retry.
+	retryAfter, left := c.responseTimeout(a.choice), time.Until(c.deadline)
+	stallLimit := min(settings.FractionalMilliseconds(c.g.settings.UpstreamStallMS), retryAfter)
+	if retryAfter < left {
+		a.timeoutTimer.Reset(max(retryAfter, left/2))
 	}
-	if int64(len(body)) > limit || !a.isAuthentic(response) {
+	body := newUpstreamBody(response.Body, stallLimit, a.cancel)
+	defer body.timer.Stop()
+	r := &bufferedResponse{status: response.Status, header: response.Header, hasLength: c.request.Method != http.MethodHead, memory: a.memory}
+	known := response.Length()
+	if !r.hasLength {
+		known = -1 // the response to HEAD has no body
+	}
+	err := r.body.Fill(body, known, a.maxBodyBytes(), a.reserve)
+	switch {
+	case errors.Is(err, buffer.ErrTooLong):
 		a.outcome = health.Broken
 		return result.BadAnswer
+	case errors.Is(err, bufferbudget.ErrNoRoom) && mayForwardEarly(response.Status):
+		return a.forwardAsItArrives(response, body, r)
+	case errors.Is(err, bufferbudget.ErrNoRoom):
+		a.outcome = health.Failed
+		return result.UpstreamBroken
+	case err != nil:
+		return a.interrupted()
 	}
 	response.MarkBodyRead()
-	r := &bufferedResponse{status: response.Status, header: response.Header, body: body, hasLength: c.request.Method != http.MethodHead}
 	if response.Status >= http.StatusInternalServerError {
 		a.outcome = health.Failed
 		if impliesNotRun(response.Status) {
 			// Without the not-run header the request must be assumed to have run, and this status would tell the caller otherwise.
 			return result.UpstreamBroken
 		}
-		c.progress.failure = r
+		c.setFailure(r)
 		return result.UpstreamError
 	}
 	a.outcome = health.Answered
 	if impliesNotRun(response.Status) {
 		return result.UpstreamBroken
 	}
-	if a.mayBeTruncated = response.IsCloseDelimited(); response.Status < http.StatusMultipleChoices && len(body) > 0 && !a.mayBeTruncated {
+	if a.mayBeTruncated = response.IsCloseDelimited(); response.Status < http.StatusMultipleChoices && r.body.Len() > 0 && !a.mayBeTruncated {
 		a.proveSound()
 	}
-	c.writeResponse(r)
-	c.g.metrics.record(c.g.metrics.latency, time.Since(c.started))
+	a.complete = r
 	return result.OK
 }
 
+func (a *attempt) maxBodyBytes() int { return int(a.call.g.settings.MaxResponseMB * (1 << 20)) }
+
+// mayForwardEarly reports whether a response with this status is final, so that it can be forwarded before it is complete.
+func mayForwardEarly(status int) bool {
+	return status < http.StatusInternalServerError && !impliesNotRun(status)
+}
+
+// forwardPieceBytes is the size of the parts in which a response is forwarded for which there is no memory.
+const forwardPieceBytes = 8 << 10
+
+// forwardAsItArrives forwards a response of which the first part has been read into r. If the rest is lost, the caller's connection is aborted.
+func (a *attempt) forwardAsItArrives(response *upstream.Response, rest io.Reader, r *bufferedResponse) result.Code {
+	c := a.call
+	if n := response.Length(); n >= 0 {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(n))
+	}
+	c.writeHead(r)
+	forwarded := r.body.Len()
+	err := c.writeBody(&r.body)
+	r.body.Drop()
+	a.memory.Release()
+	piece := make([]byte, forwardPieceBytes)
+	for err == nil {
+		n, readErr := rest.Read(piece)
+		if forwarded += n; forwarded > a.maxBodyBytes() {
+			a.outcome = health.Broken
+			return result.BadAnswer
+		}
+		_, err = c.writer.Write(piece[:n])
+		switch {
+		case err != nil:
+		case errors.Is(readErr, io.EOF):
+			response.MarkBodyRead()
+			a.outcome = health.Answered
+			a.mayBeTruncated = response.IsCloseDelimited()
+			return result.OK
+		case readErr != nil:
+			return a.interrupted()
+		}
+	}
+	a.inconclusive = true
+	return callerGoneCode(err)
+}
+
 // isAuthentic reports whether the response was made by the upstream itself, unmodified, for this request: it contains the request ID and
 // the upstream's signature, and its body is not re-encoded.
 func (a *attempt) isAuthentic(response *upstream.Response) bool {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"os"
+	"strconv"
 	"time"
 
 	"github.com/jayridge/jayridge/internal/sleep"
@@ -11,6 +12,7 @@
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/shift"
+	"github.com/jayridge/jayridge/request/buffer"
 	"github.com/jayridge/jayridge/request/placement"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/request/retry"
@@ -94,6 +96,9 @@
 	if p.answered {
 		r.Delivered = 1
 	}
+	if last := p.attempts[len(p.attempts)-1].Code; last == result.CallerNotReading {
+		return retry.Decision{Action: retry.GiveUp, Code: last}
+	}
 	if c.request.Context().Err() != nil {
 		return retry.Decision{Action: retry.GiveUp, Code: c.canceledCode(retry.FinalCode(r))}
 	}
@@ -128,7 +133,10 @@
 		return code
 	}
 	if p.failure != nil && code == result.UpstreamError {
-		c.writeResponse(p.failure)
+		if written := c.writeResponse(p.failure); written != result.OK {
+			p.broken = true
+			return written
+		}
 	}
 	return code
 }
@@ -155,18 +163,52 @@
 	return nil
 }
 
-// writeResponse writes an upstream's response to the caller.
-func (c *call) writeResponse(r *bufferedResponse) {
+// setFailure sets the error response that the caller gets if no other upstream succeeds.
+func (c *call) setFailure(r *bufferedResponse) {
+	if old := c.progress.failure; old != nil {
+		old.memory.Release()
+	}
+	c.progress.failure = r
+}
+
+// writeResponse writes an upstream's complete response to the caller.
+func (c *call) writeResponse(r *bufferedResponse) result.Code {
+	if r.hasLength {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
+	}
+	c.writeHead(r)
+	if r.hasLength {
+		if err := c.writeBody(&r.body); err != nil {
+			return callerGoneCode(err)
+		}
+	}
+	c.g.metrics.record(c.g.metrics.latency, time.Since(c.started))
+	return result.OK
+}
+
+// writeHead writes the head of a response.
+func (c *call) writeHead(r *bufferedResponse) {
 	h := c.writer.Header()
 	for name, values := range c.g.headers.CallerHeaders(r.header) {
 		h[name] = values
 	}
-	if r.hasLength {
-		h.Set("Content-Length", r.length())
-	}
 	c.progress.answered = true
 	c.writer.WriteHeader(r.status)
-	if c.request.Method != http.MethodHead {
-		_, _ = c.writer.Write(r.body) // fails only if the caller has disconnected
+}
+
+func (c *call) writeBody(b *buffer.Buffer) error {
+	for _, segment := range b.Segments() {
+		if _, err := c.writer.Write(segment); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// callerGoneCode returns the result of a request whose response could not be written.
+func callerGoneCode(err error) result.Code {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return result.CallerNotReading
 	}
+	return result.Canceled
 }
--- a/process/gateway/callers.go
+++ b/process/gateway/callers.go
@@ -12,6 +12,8 @@
 
 	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/internal/socket"
+	"github.com/jayridge/jayridge/process/bufferbudget"
+	"github.com/jayridge/jayridge/process/settings"
 )
 
 const (
@@ -43,6 +45,23 @@
 type callerConn struct {
 	*net.TCPConn
 	state atomic.Int32
+	head  headMemory
+	// writes belongs to the goroutine that serves the connection.
+	writes callerWrites
+}
+
+// callerConnKey is the key of the callerConn in the context of a request.
+type callerConnKey struct{}
+
+// withCallerConn is the http.Server.ConnContext hook.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// callerConnOf returns the connection of a request. It is nil if that is not a TCP connection.
+func callerConnOf(r *http.Request) *callerConn {
+	conn, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+	return conn
 }
 
 // Read implements net.Conn. Data that arrives while the connection is being closed is dropped, so that the request is not forwarded.
@@ -51,6 +70,11 @@
 	if n > 0 && !c.state.CompareAndSwap(connIdle, connInUse) && c.state.Load() == connClosing {
 		return 0, net.ErrClosed
 	}
+	if n > 0 {
+		if headErr := c.head.add(c, n); headErr != nil {
+			return 0, headErr
+		}
+	}
 	return n, err
 }
 
@@ -67,13 +91,21 @@
 }
 
 // callerListener wraps accepted connections as callerConn.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	buffers  *bufferbudget.Budget
+	settings *settings.Gateway
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp}, err
+		c := &callerConn{TCPConn: tcp}
+		c.head.budget = l.buffers
+		c.head.begin()
+		c.writes.begin(l.settings)
+		return c, err
 	}
 	return conn, err
 }
@@ -82,12 +114,17 @@
 func (c *callerTracker) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	caller, ok := conn.(*callerConn)
+	if ok && state == http.StateClosed {
+		caller.head.end()
+	}
 	if state != http.StateIdle {
 		delete(c.idle, conn)
 		return
 	}
 	c.idle[conn] = time.Now()
-	if caller, ok := conn.(*callerConn); ok {
+	if ok {
+		caller.head.begin()
 		caller.state.Store(connIdle)
 	}
 }
--- a/process/gateway/callers_test.go
+++ b/process/gateway/callers_test.go
@@ -10,6 +10,8 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/jayridge/jayridge/internal/socket"
+	"github.com/jayridge/jayridge/process/bufferbudget"
+	"github.com/jayridge/jayridge/process/settings"
 )
 
 // connections returns both ends of a caller's connection. The gateway's end is tracked by calls.
@@ -20,7 +22,8 @@
 	caller, err = net.Dial("tcp", inner.Addr().String())
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
-	ours, err = callerListener{inner}.Accept()
+	defaults := settings.GatewayDefaults()
+	ours, err = callerListener{inner, bufferbudget.New(1 << 20), &defaults}.Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = ours.Close() })
 	calls.track(ours, http.StateIdle)
--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -56,7 +56,7 @@
 
 // fingerprint is the same for all requests of a team with the same target and body.
 func (c *call) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(c.team, c.request.RequestURI, c.body)
+	return quarantine.FingerprintOf(c.team, c.request.RequestURI, c.body.Segments()...)
 }
 
 func (c *call) serviceHash() uint64 { return xxhash.Sum64String(c.service) }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
@@ -68,6 +69,8 @@
 	balancer *balancer.Balancer
 	pools    *pools
 	budgets  *budgets
+	// buffers is the memory for messages that are held until they are complete or delivered.
+	buffers  *bufferbudget.Budget
 	callers  *callerTracker
 	metrics  *metrics
 	peers    *peers
@@ -131,6 +134,7 @@
 		balancer:      balancer.New(config),
 		pools:         newPools(),
 		budgets:       newBudgets(o.Settings.Fleet),
+		buffers:       bufferbudget.New(int64(o.Settings.BufferShare * o.Settings.MemoryMB * (1 << 20))),
 		callers:       newCallerTracker(),
 		metrics:       newMetrics(),
 		batches:       make(chan sourcedBatch, maxQueuedBatches),
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -52,9 +52,10 @@
 			MaxHeaderBytes:    defaultHeaderBytes,
 			ConnState:         g.callers.track,
 			BaseContext:       func(net.Listener) context.Context { return g.callsCtx },
+			ConnContext:       withCallerConn,
 			ErrorLog:          log.New(serverLog{}, "", 0),
 		}
-		listener := callerListener{inner}
+		listener := callerListener{inner, g.buffers, g.settings}
 		g.servers = append(g.servers, server)
 		g.listeners = append(g.listeners, listener)
 		g.startWorker(func() { _ = server.Serve(listener) }) // ends when the listener or the server is closed
--- a/process/gateway/probe.go
+++ b/process/gateway/probe.go
@@ -76,8 +76,15 @@
 	return response.status == http.StatusOK && response.header.Get(g.headers.UpstreamID) == u.ID, coldFor, nil
 }
 
+// ownResponse is the response to a request of the gateway's own.
+type ownResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // getFromUpstream sends the gateway's own GET request to an upstream. The body of the response is truncated to maxBytes.
-func (g *Gateway) getFromUpstream(ctx context.Context, u directory.Upstream, path string, maxBytes int64) (*bufferedResponse, error) {
+func (g *Gateway) getFromUpstream(ctx context.Context, u directory.Upstream, path string, maxBytes int64) (*ownResponse, error) {
 	g.metrics.probes.Add(1)
 	conn, err := g.pools.get(u.Address).Get(ctx, probeMaxIdle)
 	if err != nil {
@@ -97,7 +104,7 @@
 	if int64(len(body)) < maxBytes {
 		response.MarkBodyRead()
 	}
-	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
+	return &ownResponse{response.Status, response.Header, body}, nil
 }
 
 // checkConnection tests whether an upstream still accepts connections after an attempt whose outcome is health.Broken. If it crashed, it is
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -21,7 +21,10 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{g: g, writer: w, request: r, started: time.Now()}
+	c := &call{g: g, writer: w, control: http.NewResponseController(w), conn: callerConnOf(r), request: r, started: time.Now()}
+	c.conn.head.complete()
+	c.conn.writes.begin(g.settings)
+	defer c.releaseMemory()
 	code := c.admit()
 	if code == result.OK {
 		g.budgets.request(bootclock.Now(), c.service)
@@ -51,16 +54,23 @@
 	info := code.Info()
 	status := info.HTTPStatus
 	h := c.writer.Header()
+	if c.request.ContentLength != 0 && !c.bodyRead {
+		c.limitDiscard()
+		if code == result.NoMemory || code == result.CallerStalled {
+			h.Set("Connection", "close") // the rest of the body is not read
+		}
+	}
 	if c.id != "" {
 		h.Set(c.g.headers.RequestID, c.id)
 	}
 	switch {
 	case code == result.BadRequest || code == result.BodyTooLarge || code == result.NoRoute || code == result.UnknownKey:
+	case code == result.CallerStalled:
 	case info.Outcome == result.NotRun:
 		// The request did not run, so it is safe to retry.
 		status = http.StatusServiceUnavailable
 		after := notRunRetryAfter
-		if code == result.NoUpstream || code == result.Full || code == result.OverBound {
+		if code == result.NoUpstream || code == result.Full || code == result.OverBound || code == result.NoMemory {
 			after = overloadRetryAfter
 		}
 		after = max(after, c.quarantinedFor)
@@ -74,14 +84,14 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	c.writer.WriteHeader(status)
-	_, _ = c.writer.Write([]byte(text)) // fails only if the caller has disconnected
+	_, _ = c.writer.Write([]byte(text)) // fails only if the caller has disconnected or does not read
 }
 
 // logOutcome logs the result of the request and the decisions that led to it.
 func (c *call) logOutcome(code result.Code) {
 	id := event.RequestCompleted
 	switch {
-	case code == result.Canceled || code == result.CanceledBeforeRun:
+	case code == result.Canceled || code == result.CanceledBeforeRun || code == result.CallerNotReading:
 		id = event.CallerDisconnected
 	case code.Outcome() == result.NotRun:
 		id = event.RequestRefused
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/jayridge/jayridge/connection/upstream"
@@ -12,6 +11,9 @@
 	"github.com/jayridge/jayridge/request/result"
 )
 
+// maxHeldBytes is the maximum size of what an upstream may send before the first data of a stream without it being forwarded.
+const maxHeldBytes = 4 << 10
+
 // stream forwards a response's events as they arrive. Only complete events are forwarded, so that a broken stream can be resumed after the
 // last one.
 func (a *attempt) stream(response *upstream.Response) result.Code {
@@ -20,40 +22,51 @@
 		a.outcome = health.Broken
 		return result.BadAnswer
 	}
-	events := eventstream.NewReader(response.Body)
-	control := http.NewResponseController(c.writer)
+	// held is what came before the first data. Until then, the request may be sent to another upstream.
+	var held []byte
+	events := eventstream.NewReader(response.Body, a.reserve)
 	for {
 		chunk, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			response.MarkBodyRead()
-			return a.streamEnded(response)
+			return a.streamEnded(response, held)
 		}
 		if err != nil {
 			return a.interrupted()
 		}
-		a.timeoutTimer.Reset(c.gapTimeout())
+		id, hasID := eventstream.LastID(chunk)
+		progresses := hasID || !c.progress.resumable && eventstream.HasData(chunk)
+		if hasID {
+			c.progress.lastEvent, c.progress.resumable = id, true
+		}
+		if progresses {
+			// Comments, and events without an ID among others with one, do not show that the response progresses.
+			a.timeoutTimer.Reset(c.gapTimeout())
+		} else if !c.progress.answered && len(held)+len(chunk) <= maxHeldBytes {
+			held = append(held, chunk...)
+			continue
+		}
 		c.beginStream(response)
+		chunk, held = append(held, chunk...), nil
 		a.reportEvents(chunk)
 		if a.events += eventstream.Count(chunk); a.events >= soundEvents {
 			a.proveSound()
 		}
-		if id, found := eventstream.LastID(chunk); found {
-			c.progress.lastEvent, c.progress.resumable = id, true
-		}
-		if _, err := c.writer.Write(chunk); err != nil {
-			a.inconclusive = true
-			return result.Canceled
-		}
-		if err := control.Flush(); err != nil {
+		_, err = c.writer.Write(chunk)
+		if err = errors.Join(err, c.control.Flush()); err != nil {
 			a.inconclusive = true
-			return result.Canceled
+			return callerGoneCode(err)
 		}
 	}
 }
 
 // streamEnded finishes a stream that the upstream ended in an orderly way.
-func (a *attempt) streamEnded(response *upstream.Response) result.Code {
+func (a *attempt) streamEnded(response *upstream.Response, held []byte) result.Code {
 	a.call.beginStream(response)
+	if _, err := a.call.writer.Write(held); err != nil {
+		a.inconclusive = true
+		return callerGoneCode(err)
+	}
 	if a.mayBeTruncated = response.IsCloseDelimited() && !a.provenSound; a.events > 0 && !a.mayBeTruncated {
 		a.proveSound()
 	}
--- a/process/quarantine/config.go
+++ b/process/quarantine/config.go
@@ -20,7 +20,9 @@
 
 // FingerprintOf returns the xxhash64 of service, route and body, after the lengths of service and route, so that different triples
 // never hash the same bytes. The gateway passes the team and the request target as service and route.
-func FingerprintOf(service, route string, body []byte) Fingerprint {
+//
+// The body may be in several parts; how it is divided makes no difference.
+func FingerprintOf(service, route string, body ...[]byte) Fingerprint {
 	var prefix [8]byte
 	binary.LittleEndian.PutUint32(prefix[:], uint32(len(service)))
 	binary.LittleEndian.PutUint32(prefix[4:], uint32(len(route)))
@@ -29,7 +31,9 @@
 	_, _ = digest.Write(prefix[:])
 	_, _ = digest.WriteString(service)
 	_, _ = digest.WriteString(route)
-	_, _ = digest.Write(body)
+	for _, part := range body {
+		_, _ = digest.Write(part)
+	}
 	return Fingerprint(digest.Sum64())
 }
 
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -34,6 +34,17 @@
 	// MaxResponseMB is the maximum size of the body of a response that is not a stream, in megabytes. Such bodies are held in memory until they
 	// are complete; an upstream that sends more is treated as broken. Default 4.
 	MaxResponseMB float64 `json:"max_response_mb" validate:"min=0.01,max=1024"`
+	// BufferShare is the fraction of memory_mb for all messages that are held in memory: the bodies of requests, responses until they are delivered,
+	// events until they are complete, and long heads. A request that finds no room is refused. Default 0.25.
+	BufferShare float64 `json:"buffer_share" validate:"min=0.01,max=0.5"`
+	// CallerStallMS is how long a caller may neither send its request's body nor read the response, in milliseconds. Bytes now and then do not extend
+	// this time, a rate of 1 KiB a second does. Default 5000.
+	CallerStallMS float64 `json:"caller_stall_ms" validate:"min=100,max=600000"`
+	// LateCallerStallMS replaces CallerStallMS after the deadline of the request, if it is lower, in milliseconds. Default 1500.
+	LateCallerStallMS float64 `json:"late_caller_stall_ms" validate:"min=100,max=600000"`
+	// UpstreamStallMS is how long an upstream may pause within a response that is not a stream, in milliseconds. Bytes now and then do not extend this
+	// time, a rate of 16 KiB a second does. Default 5000.
+	UpstreamStallMS float64 `json:"upstream_stall_ms" validate:"min=100,max=600000"`
 	// Store holds the settings of the platform's store.
 	Store Store `json:"store"`
 	// Fleet holds the limits that apply to all gateways together.
@@ -86,8 +97,8 @@
 		MemoryMB: 256,
 		MaxFiles: 4096,
 
-		MaxResponseMB: 4,
-		Store:         Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
+		MaxResponseMB: 4, BufferShare: 0.25, CallerStallMS: 5000, LateCallerStallMS: 1500, UpstreamStallMS: 5000,
+		Store: Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
 			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
 		},
--- a/request/eventstream/eventstream.go
+++ b/request/eventstream/eventstream.go
@@ -20,7 +20,9 @@
 // Reader reads complete events. It is not safe for concurrent use.
 type Reader struct {
 	source io.Reader
-	buffer []byte
+	// reserve is called before the buffer grows beyond unreservedBytes.
+	reserve func(bytes int) error
+	buffer  []byte
 	// consumed is the length of the prefix of buffer that the last call of Next returned.
 	consumed int
 	// searched is the length of the prefix of buffer that contains no end of an event.
@@ -28,8 +30,14 @@
 	err      error
 }
 
-// NewReader returns a Reader for the events of source.
-func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+// unreservedBytes is the size of the buffer up to which no memory is reserved.
+const unreservedBytes = 4 << 10
+
+// NewReader returns a Reader for the events of source. reserve, if not nil, is called before the buffer takes more memory for a long event; its error
+// ends the stream.
+func NewReader(source io.Reader, reserve func(bytes int) error) *Reader {
+	return &Reader{source: source, reserve: reserve}
+}
 
 // Next returns all complete events that have arrived, with their bytes unchanged. The slice is valid until the next call. At the end of
 // the stream it returns io.EOF, or io.ErrUnexpectedEOF if an incomplete event remains. It never returns both bytes and an error.
@@ -58,7 +66,13 @@
 func (r *Reader) fill() {
 	have := len(r.buffer)
 	if cap(r.buffer)-have < readBytes {
-		grown := make([]byte, have, 2*cap(r.buffer)+readBytes)
+		size := 2*cap(r.buffer) + readBytes
+		if r.reserve != nil && size > unreservedBytes {
+			if r.err = r.reserve(size - cap(r.buffer)); r.err != nil {
+				return
+			}
+		}
+		grown := make([]byte, have, size)
 		copy(grown, r.buffer)
 		r.buffer = grown
 	}
--- a/request/eventstream/eventstream_test.go
+++ b/request/eventstream/eventstream_test.go
@@ -25,7 +25,7 @@
 func TestNext_CutAtEveryByte(t *testing.T) {
 	const text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 	for cut := range len(text) + 1 {
-		got, err := readAll(NewReader(iotest.OneByteReader(strings.NewReader(text[:cut]))))
+		got, err := readAll(NewReader(iotest.OneByteReader(strings.NewReader(text[:cut])), nil))
 		must.StrHasPrefix(t, got, text)
 		must.True(t, got == "" || strings.HasSuffix(got, "\n\n"))
 		if len(got) == cut {
@@ -47,7 +47,7 @@
 
 // An event without an end must not use unbounded memory.
 func TestNext_TooLong(t *testing.T) {
-	_, err := readAll(NewReader(strings.NewReader(strings.Repeat("x", MaxEventBytes+readBytes))))
+	_, err := readAll(NewReader(strings.NewReader(strings.Repeat("x", MaxEventBytes+readBytes)), nil))
 	must.ErrorIs(t, err, ErrTooLong)
 }
 
@@ -55,7 +55,7 @@
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		got, err := readAll(NewReader(strings.NewReader(string(text))))
+		got, err := readAll(NewReader(strings.NewReader(string(text)), nil))
 		must.Error(t, err)
 		must.StrHasPrefix(t, got, string(text))
 	})
--- a/request/eventstream/long_test.go
+++ b/request/eventstream/long_test.go
@@ -26,7 +26,7 @@
 // BenchmarkNext_EventWithoutEnd reads up to MaxEventBytes.
 func BenchmarkNext_EventWithoutEnd(b *testing.B) {
 	for range b.N {
-		_, err := NewReader(onlyData()).Next()
+		_, err := NewReader(onlyData(), nil).Next()
 		must.True(b, errors.Is(err, ErrTooLong))
 	}
 }
@@ -36,7 +36,7 @@
 	for _, end := range []string{"\n\n", "\r\n\r\n"} {
 		for length := 3*readBytes - 8; length < 3*readBytes+8; length++ {
 			event := append(bytes.Repeat([]byte("x"), length), end...)
-			r := NewReader(io.MultiReader(bytes.NewReader(event), bytes.NewReader([]byte("y"))))
+			r := NewReader(io.MultiReader(bytes.NewReader(event), bytes.NewReader([]byte("y"))), nil)
 			got, err := r.Next()
 			must.NoError(t, err)
 			must.Eq(t, event, got)
--- a/request/result/result.go
+++ b/request/result/result.go
@@ -61,16 +61,19 @@
 	UnknownKey        Code = 29
 	StaleConfig       Code = 30
 	BodyTooLarge      Code = 31
+	NoMemory          Code = 32
+	CallerStalled     Code = 33
 
 	UpstreamError Code = 60
 	AlreadyRun    Code = 61
 
-	UpstreamBroken Code = 80
-	DeadlineInRun  Code = 81
-	ConnectionLost Code = 82
-	AlreadyClaimed Code = 83
-	Canceled       Code = 84
-	BadAnswer      Code = 85
+	UpstreamBroken   Code = 80
+	DeadlineInRun    Code = 81
+	ConnectionLost   Code = 82
+	AlreadyClaimed   Code = 83
+	Canceled         Code = 84
+	BadAnswer        Code = 85
+	CallerNotReading Code = 86
 
 	UsageError       Code = 100
 	InvalidSettings  Code = 101
@@ -124,6 +127,8 @@
 	{UnknownKey, "unknown-key", NotRun, 401, false, "no team holds the caller's key"},
 	{StaleConfig, "stale-configuration", NotRun, 503, true, "the instance cannot tell whether its configuration is current"},
 	{BodyTooLarge, "body-too-large", NotRun, 413, false, "the request's body exceeds the limit of the configuration"},
+	{NoMemory, "no-memory", NotRun, 503, true, "the instance has no memory left for requests of this team"},
+	{CallerStalled, "caller-stalled", NotRun, 408, false, "the caller stopped sending its request"},
 
 	{UpstreamError, "upstream-error", Run, 502, false, "the upstream ran the request and answered with an error"},
 	{AlreadyRun, "already-run", Run, 409, false, "the idempotency key has run; its answer is no longer kept"},
@@ -134,6 +139,7 @@
 	{AlreadyClaimed, "already-claimed", Unknown, 409, false, "the idempotency key was claimed earlier and its result is not known"},
 	{Canceled, "canceled", Unknown, 499, false, "the caller canceled after the request was handed over"},
 	{BadAnswer, "bad-answer", Unknown, 502, false, "the answer's count or checksum does not match"},
+	{CallerNotReading, "caller-not-reading", Unknown, 499, false, "the caller stopped reading the answer"},
 
 	{UsageError, "usage-error", NotRun, 400, false, "the command line is wrong"},
 	{InvalidSettings, "invalid-settings", NotRun, 400, false, "the settings file has faults"},
