upstream: idle connections that are too old for a request make room for a new one

Change: at the limit, the connection that has been idle for longest is closed. TestGet_LimitReachedByOldIdleConnections failed before: too many connections to the upstream.

--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -112,6 +113,18 @@
 	return c
 }
 
+// takeOldest removes and returns the idle connection that was used longest ago, or nil if there is none.
+func (p *Pool) takeOldest() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return c
+}
+
 // put adds an idle connection to the pool, or closes it if the pool is closed.
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
@@ -125,10 +138,18 @@
 	}
 }
 
-// Dial opens a new connection.
+// Dial opens a new connection. If the limit is reached, it takes the place of the connection that has been idle for longest: that one may be too old
+// for the request.
 func (p *Pool) Dial(ctx context.Context) (*Conn, error) {
 	if !p.reserve() {
-		return nil, ErrTooManyConnections
+		oldest := p.takeOldest()
+		if oldest == nil {
+			return nil, ErrTooManyConnections
+		}
+		oldest.Close()
+		if !p.reserve() {
+			return nil, ErrTooManyConnections
+		}
 	}
 	dialer := net.Dialer{
 		Timeout: p.config.DialTimeout,
