gateway: give a silent upstream up only if a retry is possible and the upstream is not just busy

Cause: a repeatable request was given up at its upstream after the response timeout, a multiple of the objective, whether or not it could be retried and although it only waited in the upstream's queue. Change: the retry is paid for before the attempt is given up; without budget the attempt goes on. An upstream that has answered somebody since the request was sent and holds more requests than slots is waited for until the deadline.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -237,6 +237,7 @@
 
 	balancer      *Balancer
 	backend       *backend
+	chosenAt      time.Time
 	pendingTokens int
 }
 
@@ -269,7 +270,7 @@
 	c := &Choice{
 		Upstream: e.Upstream, Cached: b.scratch[index].CachedTokens, Load: int(b.scratch[index].Load), Candidates: candidates,
 		LoadLimit: b.config.Placement.LoadLimit(b.scratch), TotalAge: e.totalAge(now),
-		balancer: b, backend: e, pendingTokens: max(0, q.Placement.Tokens-b.scratch[index].CachedTokens),
+		balancer: b, backend: e, chosenAt: now, pendingTokens: max(0, q.Placement.Tokens-b.scratch[index].CachedTokens),
 	}
 	if source >= 0 {
 		c.FetchFrom = group[source].Address
@@ -447,6 +448,20 @@
 	return b.backends[c.ID] == c.backend && !c.backend.leaving
 }
 
+// Busy reports whether the upstream answered any entry since the request was sent, and has so many requests that this one may still wait for its turn
+// there. Silence then does not mean that the upstream is at fault.
+func (c *Choice) Busy(now time.Time) bool {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := c.backend
+	if !e.reportedAt.After(c.chosenAt) {
+		return false
+	}
+	requests, _ := b.remoteLoad(now, e)
+	return e.Slots > 0 && max(e.inFlight+requests, e.reportedTotal) > e.Slots
+}
+
 // Done ends the request and records its outcome. It reports whether the upstream went down because of it.
 func (c *Choice) Done(now time.Time, o health.Outcome) bool {
 	b := c.balancer
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jayridge/jayridge/connection/upstream"
@@ -77,15 +79,9 @@
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
 	a := &attempt{call: c, choice: choice, plan: plan, ctx: ctx, started: time.Now()}
-	a.timeoutTimer = time.AfterFunc(c.responseTimeout(choice), func() {
-		if time.Now().Before(c.deadline) {
-			cancel(errResponseTimeout)
-			return
-		}
-		cancel(context.DeadlineExceeded)
-	})
-	defer a.timeoutTimer.Stop()
 	a.cancel = cancel
+	a.startTimeout(c.responseTimeout(choice))
+	defer a.stopTimeout()
 	a.memory = c.g.buffers.Open(bufferbudget.Answering, upstreamOwner(choice.ID), nil)
 	code, accepted = a.do()
 	p.answering = a.answeringFor()
@@ -103,6 +99,40 @@
 	return code, accepted
 }
 
+// startTimeout starts timeoutTimer.
+func (a *attempt) startTimeout(d time.Duration) {
+	a.timeoutMu.Lock()
+	defer a.timeoutMu.Unlock()
+	a.timeoutTimer = time.AfterFunc(d, a.timedOut)
+}
+
+// stopTimeout stops timeoutTimer for good.
+func (a *attempt) stopTimeout() {
+	a.timeoutMu.Lock()
+	defer a.timeoutMu.Unlock()
+	a.timeoutTimer.Stop()
+	a.ended = true
+}
+
+// timedOut gives the attempt up if another one may succeed instead. An upstream that is only busy is waited for until the deadline: giving a request up
+// that waits there, in favour of another busy one, would waste what the first has done and lose the place in its queue.
+func (a *attempt) timedOut() {
+	a.timeoutMu.Lock()
+	defer a.timeoutMu.Unlock()
+	c := a.call
+	left := time.Until(c.deadline)
+	switch {
+	case a.ended || a.ctx.Err() != nil:
+	case left <= 0:
+		a.cancel(context.DeadlineExceeded)
+	case a.headLatency.Load() == 0 && a.choice.Busy(bootclock.Now()), !c.g.budgets.reserve(bootclock.Now(), c.service, c.route.MaxAttempts):
+		a.timeoutTimer.Reset(min(left, c.responseTimeout(a.choice)))
+	default:
+		c.progress.retryPaid = true
+		a.cancel(errResponseTimeout)
+	}
+}
+
 // responseTimeout returns how long to wait for the upstream's response or the first event.
 func (c *call) responseTimeout(choice *balancer.Choice) time.Duration {
 	left := time.Until(c.deadline)
@@ -124,13 +154,16 @@
 	memory *bufferbudget.Reservation
 	// complete is the response to deliver, nil unless the upstream answered with a complete one.
 	complete *bufferedResponse
-	// timeoutTimer cancels the attempt unless it is stopped or reset. It never runs past the deadline.
+	// timeoutMu guards ended, and retryPaid of the call until then. timeoutTimer calls timedOut unless it is stopped or reset; it never runs past the
+	// deadline.
+	timeoutMu    sync.Mutex
 	timeoutTimer *time.Timer
+	ended        bool
 	// outcome is the outcome of the attempt for the health check of the upstream.
 	outcome health.Outcome
 	started time.Time
-	// headLatency is the time until the response headers arrived, zero if there was no response.
-	headLatency time.Duration
+	// headLatency is the time until the response headers arrived in nanoseconds, zero if there was no response.
+	headLatency atomic.Int64
 	pace        streamPace
 	// paceReported means that the rollout of the service has got an observation of the stream's speed.
 	paceReported bool
@@ -145,10 +178,11 @@
 
 // answeringFor returns the time since the response headers arrived, zero if there was no response.
 func (a *attempt) answeringFor() time.Duration {
-	if a.headLatency == 0 {
+	head := a.headLatency.Load()
+	if head == 0 {
 		return 0
 	}
-	return time.Since(a.started) - a.headLatency
+	return time.Since(a.started) - time.Duration(head)
 }
 
 // release returns the reserved capacity and reports the outcome to the balancer and the crash tracker. accepted means that the request may have
@@ -255,7 +289,7 @@
 // recordHead records the arrival of the response headers and the load that they report.
 func (a *attempt) recordHead(response *upstream.Response) {
 	c := a.call
-	a.headLatency = time.Since(a.started)
+	a.headLatency.Store(int64(time.Since(a.started)))
 	total := -1
 	if load, ok := c.g.headers.ParseLoad(response.Header); ok {
 		total = load.Running + load.Waiting
--- a/process/gateway/budget.go
+++ b/process/gateway/budget.go
@@ -103,10 +103,22 @@
 func (b *budgets) decide(now time.Time, service string, attempts int, r retry.Request) retry.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.policy(attempts).Decide(now, r, b.budget(now, service), b.random)
+}
+
+// reserve takes the cost of a retry from a service's budget before the attempt is given up. It returns false if the budget does not hold it.
+func (b *budgets) reserve(now time.Time, service string, attempts int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.policy(attempts).Reserve(now, b.budget(now, service))
+}
+
+// policy returns the retry policy of routes with the given maximum number of attempts. The caller holds b.mu.
+func (b *budgets) policy(attempts int) *retry.Policy {
 	policy := b.policies[attempts]
 	if policy == nil {
 		policy = retry.NewPolicy(b.config(attempts))
 		b.policies[attempts] = policy
 	}
-	return policy.Decide(now, r, b.budget(now, service), b.random)
+	return policy
 }
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -32,6 +32,8 @@
 	// lastEvent is the ID of the last event sent to the caller. resumable means that there is one.
 	lastEvent string
 	resumable bool
+	// retryPaid means that the cost of the next retry has been taken from the budget.
+	retryPaid bool
 	// failure is the latest error response of an upstream. The caller gets it if no other upstream succeeds.
 	failure *bufferedResponse
 	// upstream, first, cached and load are for the log: the latest upstream, the time to the first response, and the upstream's cached
@@ -92,7 +94,9 @@
 		Resumable:      c.route.Kind == routing.Streaming && c.route.Resumable && p.resumable,
 		TimeLeft:       time.Until(c.deadline),
 		CandidatesLeft: 1,
+		Paid:           p.retryPaid,
 	}
+	p.retryPaid = false
 	if p.answered {
 		r.Delivered = 1
 	}
--- a/process/gateway/evidence.go
+++ b/process/gateway/evidence.go
@@ -83,14 +83,14 @@
 func (a *attempt) observation(now time.Time) rollout.Observation {
 	c := a.call
 	o := rollout.Observation{
-		Route: c.route.Name, DataCentre: a.choice.DataCentre, Latency: a.headLatency, EventInterval: a.pace.interval(),
+		Route: c.route.Name, DataCentre: a.choice.DataCentre, Latency: time.Duration(a.headLatency.Load()), EventInterval: a.pace.interval(),
 		PromptTokens: max(0, c.prompt.Tokens-a.choice.Cached-a.choice.Fetched),
 		Warming:      bootclock.Now().Before(a.choice.ColdUntil),
 	}
 	switch {
 	case !a.pace.first.IsZero():
 		o.Latency = a.pace.first.Sub(a.started)
-	case a.headLatency == 0:
+	case a.headLatency.Load() == 0:
 		o.Latency = now.Sub(a.started)
 	}
 	return o
--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -327,8 +327,10 @@
 
 // fakeUpstream is an upstream whose responses the test defines.
 type fakeUpstream struct {
-	id       string
-	version  string
+	id      string
+	version string
+	// slots is the number of requests that the upstream says it runs at once, zero for the usual number.
+	slots    int
 	listener net.Listener
 	// serve handles a request. If it returns false, the connection is closed.
 	serve func(conn net.Conn, r *http.Request, body string) bool
@@ -399,8 +401,12 @@
 }
 
 func (u *fakeUpstream) entry() directory.Entry {
+	slots := 4
+	if u.slots > 0 {
+		slots = u.slots
+	}
 	return directory.Entry{
-		ID: u.id, Service: "plain", Address: u.listener.Addr().String(), DataCentre: "here", Slots: 4, Version: u.version,
+		ID: u.id, Service: "plain", Address: u.listener.Addr().String(), DataCentre: "here", Slots: slots, Version: u.version,
 	}
 }
 
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -75,6 +75,8 @@
 	Delivered uint32
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
+	// Paid means that the cost of a retry has been taken from the budget with Policy.Reserve.
+	Paid bool
 	// CandidatesLeft is the number of candidates that may be tried next. After the last candidate, a caller starts again at the
 	// first one if any candidate refused because of its load.
 	CandidatesLeft int
@@ -116,7 +118,7 @@
 	if r.TimeLeft-backoff < p.cfg.MinTimeLeft {
 		return giveUp
 	}
-	if !budget.spend(now, p.retryCost(r.Attempts)) {
+	if !r.Paid && !budget.spend(now, p.retryCost(r.Attempts)) {
 		return giveUp
 	}
 	d := Decision{Action: action, Backoff: backoff, SkipDataCentre: p.skipDataCentre(r.Attempts)}
@@ -126,6 +128,10 @@
 	return d
 }
 
+// Reserve takes the cost of a retry after an attempt that may have run from the budget. It returns false if the budget holds less: an attempt that
+// cannot be followed by a retry should not be given up.
+func (p *Policy) Reserve(now time.Time, budget *Budget) bool { return budget.spend(now, p.cfg.FailureCost) }
+
 // allowed returns the action that safety and the attempt limits permit while a candidate and time are left, regardless of backoff
 // and budget.
 func (p *Policy) allowed(r Request) Action {
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -197,3 +197,19 @@
 	cfg.BudgetBurst = 0
 	must.EqOp(t, GiveUp, decide(cfg, request(gone, full)).Action)
 }
+
+// A retry that was paid for before the attempt was given up must not be charged again, and nothing can be reserved from an empty budget.
+func TestReserve_RetryIsPaidOnce(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.BudgetBurst, cfg.BudgetPerSecond = 1, 0
+	p, budget := NewPolicy(cfg), NewBudget(time.Unix(0, 0), cfg)
+	must.True(t, p.Reserve(time.Unix(0, 0), budget))
+	must.False(t, p.Reserve(time.Unix(0, 0), budget))
+	r := Request{
+		Attempts: []Attempt{{Code: result.ConnectionLost, Accepted: true}}, Idempotent: true, TimeLeft: time.Second, CandidatesLeft: 1, Paid: true,
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	must.EqOp(t, Retry, p.Decide(time.Unix(0, 0), r, budget, random).Action)
+	r.Paid = false
+	must.EqOp(t, GiveUp, p.Decide(time.Unix(0, 0), r, budget, random).Action)
+}
