--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -273,8 +273,9 @@
 		b.scratch = append(b.scratch, u)
 	}
 	q.Placement.FetchTokensPerMS = group[0].fetchRate
-	limited := q.Placement.Tokens > 0 && !q.Started
-	if limited && !b.creditOf(q.Service).take(now, freeSlots(b.scratch), b.entries) {
+	free, scarce := freeSlots(b.scratch)
+	limited := scarce && q.Placement.Tokens > 0 && !q.Started
+	if limited && !b.creditOf(q.Service).take(now, free, b.entries) {
 		return nil
 	}
 	index, source := placement.Choose(b.config.Placement, q.Placement, b.scratch, b.random.Float64())
--- a/process/balancer/credit.go
+++ b/process/balancer/credit.go
@@ -41,13 +41,20 @@
 // ended returns the credit of a request that ended.
 func (c *credit) ended() { c.requests++ }
 
-// freeSlots returns the number of free slots of the upstreams that can take a request.
-func freeSlots(upstreams []placement.Upstream) float64 {
-	free := 0.0
+// freeSlots returns the number of free slots of the upstreams that can take a request, and whether they are so few that the entries have to share them:
+// fewer than half. They are not scarce if an upstream does not tell its slots.
+func freeSlots(upstreams []placement.Upstream) (free float64, scarce bool) {
+	slots := 0.0
 	for i := range upstreams {
-		if u := &upstreams[i]; !u.Excluded {
+		u := &upstreams[i]
+		switch {
+		case u.Excluded:
+		case u.Slots <= 0:
+			return 0, false
+		default:
+			slots += float64(u.Slots)
 			free += max(0, float64(u.Slots)-u.Load)
 		}
 	}
-	return free
+	return free, free < slots/2
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -136,12 +136,12 @@
 		budgets:       newBudgets(o.Settings.Fleet),
 		buffers:       bufferbudget.New(int64(o.Settings.BufferShare * o.Settings.MemoryMB * (1 << 20))),
 		callers:       newCallerTracker(),
-		metrics:       newMetrics(),
 		batches:       make(chan sourcedBatch, maxQueuedBatches),
 		mirrorQueries: make(chan func(*mirror.Mirror), maxQueuedBatches),
 		tasks:         make(chan func(), maxQueuedTasks),
 		registerNow:   make(chan struct{}, 1),
 	}
+	g.metrics = newMetrics(g.buffers)
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/request/result"
 )
@@ -32,6 +33,7 @@
 	storeBytes, peerCopyBytes atomic.Int64
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
+	buffers         *bufferbudget.Budget
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
@@ -39,9 +41,9 @@
 	latency, firstEvent *hdrhistogram.Histogram
 }
 
-func newMetrics() *metrics {
+func newMetrics(buffers *bufferbudget.Budget) *metrics {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
-	return &metrics{latency: histogram(), firstEvent: histogram()}
+	return &metrics{buffers: buffers, latency: histogram(), firstEvent: histogram()}
 }
 
 func (m *metrics) countResult(code result.Code) { m.results[code].Add(1) }
@@ -68,6 +70,11 @@
 	line("jayridge_peer_copy_bytes_total", m.peerCopyBytes.Load())
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
+	buffers := m.buffers.Stats()
+	line("jayridge_buffer_limit_bytes", buffers.Limit)
+	line("jayridge_buffer_bytes", buffers.Reserved)
+	line("jayridge_buffer_refusals_total", buffers.Refusals)
+	line("jayridge_buffer_evictions_total", buffers.Evictions)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent} {
