--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -141,15 +141,12 @@
 // Dial opens a new connection. If the limit is reached, it takes the place of the connection that has been idle for longest: that one may be too old
 // for the request.
 func (p *Pool) Dial(ctx context.Context) (*Conn, error) {
-	if !p.reserve() {
+	for !p.reserve() {
 		oldest := p.takeOldest()
 		if oldest == nil {
 			return nil, ErrTooManyConnections
 		}
 		oldest.Close()
-		if !p.reserve() {
-			return nil, ErrTooManyConnections
-		}
 	}
 	dialer := net.Dialer{
 		Timeout: p.config.DialTimeout,
--- a/process/bufferbudget/budget.go
+++ b/process/bufferbudget/budget.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -81,19 +82,30 @@
 	return r
 }
 
-// Reserve adds n bytes. It returns ErrNoRoom if there is no room. It waits, until ctx is done, while evicted reservations are being released.
+// maxWait is the maximum time until evicted reservations are released, whose receivers only have to notice it.
+const maxWait = 500 * time.Millisecond
+
+// Reserve adds n bytes. It returns ErrNoRoom if there is no room. It waits while evicted reservations are being released, for maxWait at most and until
+// ctx is done.
 func (r *Reservation) Reserve(ctx context.Context, n int) error {
 	if r == nil || n <= 0 {
 		return nil
 	}
 	waited := false
+	var expired <-chan time.Time
 	for {
 		freed, err := r.try(int64(n), &waited)
 		if freed == nil {
 			return err
 		}
+		if expired == nil {
+			expired = time.After(maxWait)
+		}
 		select {
 		case <-freed:
+		case <-expired:
+			r.stopWaiting()
+			return trace.Wrap(ErrNoRoom, "evicted messages still hold it")
 		case <-ctx.Done():
 			r.stopWaiting()
 			return trace.Wrap(ErrNoRoom, "%v", ctx.Err())
--- a/process/bufferbudget/ledger.go
+++ b/process/bufferbudget/ledger.go
@@ -1,9 +1,6 @@
 package bufferbudget
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 // ledger decides who may reserve bytes and who has to give some back. It does no I/O and has no clock and no locks.
 type ledger struct {
@@ -124,7 +121,7 @@
 	share := l.fairShare(r)
 	var chosen []*Reservation
 	for missing > 0 {
-		victim, from := l.victim(r, share, chosen)
+		victim, from := l.victim(r.use, share)
 		if victim == nil {
 			for _, c := range chosen {
 				l.unmark(c)
@@ -139,14 +136,14 @@
 }
 
 // victim returns the reservation that is evicted next and its owner, or nil.
-func (l *ledger) victim(r *Reservation, share int64, chosen []*Reservation) (*Reservation, *owner) {
+func (l *ledger) victim(u Use, share int64) (*Reservation, *owner) {
 	most, victim, from := int64(math.MinInt64), (*Reservation)(nil), (*owner)(nil)
-	for _, o := range l.owners[r.use] {
+	for _, o := range l.owners[u] {
 		held := o.bytes - o.promised
 		if held <= share || held <= most {
 			continue
 		}
-		if v := o.largest(chosen); v != nil {
+		if v := o.largest(); v != nil {
 			most, victim, from = held, v, o
 		}
 	}
@@ -154,10 +151,10 @@
 }
 
 // largest returns the largest reservation that may be evicted, or nil.
-func (o *owner) largest(except []*Reservation) *Reservation {
+func (o *owner) largest() *Reservation {
 	var largest *Reservation
 	for r := range o.reservations {
-		evictable := r.evict != nil && !r.evicted && r.bytes > 0 && !slices.Contains(except, r)
+		evictable := r.evict != nil && !r.evicted && r.bytes > 0
 		if evictable && (largest == nil || r.bytes > largest.bytes) {
 			largest = r
 		}
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -168,7 +168,7 @@
 		body: http.MaxBytesReader(c.writer, c.request.Body, int64(limit)), control: control, deadline: c.deadline, ctx: ctx,
 		patience: c.conn.writes.patience,
 	}
-	err := c.body.Fill(body, int(c.request.ContentLength), limit, reserveFor(ctx, c.bodyMemory))
+	err := c.body.Fill(body, int(c.request.ContentLength), limit, func(bytes int) error { return c.bodyMemory.Reserve(ctx, bytes) })
 	if err == nil {
 		err = c.bodyMemory.Keep()
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -376,7 +376,7 @@
 const maxDrainBytes = 64 << 10
 
 // reserve reserves memory for a part of the response.
-func (a *attempt) reserve(bytes int) error { return reserveFor(a.ctx, a.memory)(bytes) }
+func (a *attempt) reserve(bytes int) error { return a.memory.Reserve(a.ctx, bytes) }
 
 // forwardComplete reads a response that is not a stream, validates it and forwards it. If there is no memory to hold all of it, it is forwarded as it
 // arrives.
--- a/process/gateway/memory.go
+++ b/process/gateway/memory.go
@@ -4,17 +4,12 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/jayridge/jayridge/process/bufferbudget"
 )
 
-const (
-	// unreservedHeadBytes is the size up to which the head of a caller's request takes no reserved memory: net/http has a buffer of that size.
-	unreservedHeadBytes = 4 << 10
-	// roomTimeout is how long a message waits until the memory of evicted ones is free.
-	roomTimeout = 500 * time.Millisecond
-)
+// unreservedHeadBytes is the size up to which the head of a caller's request takes no reserved memory: net/http has a buffer of that size.
+const unreservedHeadBytes = 4 << 10
 
 // teamOwner, callerOwner and upstreamOwner name the owners of reserved memory.
 func teamOwner(team string) string { return "team " + team }
@@ -26,15 +21,6 @@
 
 func upstreamOwner(id string) string { return "upstream " + id }
 
-// reserveFor returns a function that reserves memory until ctx is done.
-func reserveFor(ctx context.Context, r *bufferbudget.Reservation) func(bytes int) error {
-	return func(bytes int) error {
-		ctx, cancel := context.WithTimeout(ctx, roomTimeout)
-		defer cancel()
-		return r.Reserve(ctx, bytes)
-	}
-}
-
 // headMemory is the memory of the head that a caller's connection is reading or has read for the request in progress.
 type headMemory struct {
 	budget *bufferbudget.Budget
@@ -81,5 +67,5 @@
 		m.reservation = m.budget.Open(bufferbudget.Receiving, callerOwner(conn.RemoteAddr()), func() { _ = conn.Close() })
 		n = m.bytes
 	}
-	return reserveFor(context.Background(), m.reservation)(n)
+	return m.reservation.Reserve(context.Background(), n)
 }
