rollout: a former leader cannot take a completed shift back

Cause: a state on which others had acted was not final. A process without the platform ignored the records that neighbours passed on, and decided at the deadline on one that was 9 s old (event 602, "too little time for the steps after 24%", at a time at which event 603 had been logged by the next leader). A rollback was accepted and written over a record in state done. A new leader reported the status before it had read the record.

Change: done is final, and takes precedence over a rollback that is not recorded. Without the platform the records of neighbours are followed; the share still does not rise, except to that of a shift that is done. A status is reported once the record is read or its write confirmed. Sidecars drop the stop of a shift that is done, which they would have refused all requests for.

Why this is enough: the record changes by compare-and-swap only, so that of two leaders one ends the shift; all others now adopt that end, whatever they had decided before.

--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -235,7 +235,8 @@
 	}
 }
 
-// writeStatus writes the status of a rollout that this gateway leads, if the store holds a different one.
+// writeStatus writes the status of a rollout that this gateway leads, if the store holds a different one. A new leader first reads the record:
+// another leader may have ended the rollout.
 func (r *rollouts) writeStatus(now time.Time, s shift.Status) {
 	want := RolloutStatus{Target: s.To, State: RolloutRunning}
 	switch s.State {
@@ -245,7 +246,7 @@
 		want.State = RolloutRolledBack
 	}
 	stored, found := r.statuses[s.Service]
-	if !s.Leader || r.statusWriteInFlight || now.Before(r.nextStatusWriteAt) || found && stored.RolloutStatus == want {
+	if !s.Leader || !s.Recorded || r.statusWriteInFlight || now.Before(r.nextStatusWriteAt) || found && stored.RolloutStatus == want {
 		return
 	}
 	key, value, err := r.g.decoder.EncodeStatus(s.Service, want)
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -7,12 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/jayridge/jayridge/process/lease"
+	"github.com/jayridge/jayridge/process/services"
 )
 
 // rolloutFixture is two gateways in front of upstreams of an old and a new version, with callers that send until the test ends.
@@ -180,3 +185,104 @@
 		must.LessEq(t, limit-margin, time.Until(decided))
 	}
 }
+
+// turnedAwayStore is the shared store as seen by one gateway, which the store may turn away.
+type turnedAwayStore struct{ partitionedStore }
+
+func (s *turnedAwayStore) Get(ctx context.Context, key string) (services.KeyValue, error) {
+	if s.partitioned.Load() {
+		return services.KeyValue{}, services.ErrUnavailable
+	}
+	return s.partitionedStore.Get(ctx, key)
+}
+
+func (s *turnedAwayStore) CompareAndSwap(
+	ctx context.Context, key string, prev services.Revision, value []byte, lease services.LeaseID,
+) (services.Revision, error) {
+	if s.partitioned.Load() {
+		return 0, services.ErrUnavailable
+	}
+	return s.partitionedStore.CompareAndSwap(ctx, key, prev, value, lease)
+}
+
+// removeHolder removes the leases of a gateway, as the store does when they expire.
+func (s *fakeStore) removeHolder(gateway string) {
+	s.mu.Lock()
+	var held []string
+	for key, item := range s.items {
+		holder, err := lease.DecodeValue(item.Value)
+		if key == memberKeyPrefix+gateway || strings.HasPrefix(key, "lease/") && err == nil && holder.Holder == gateway {
+			held = append(held, key)
+		}
+	}
+	s.mu.Unlock()
+	for _, key := range held {
+		s.remove(key)
+	}
+}
+
+// Guards against a leader that the store turns away and that takes the rollout back after another leader has completed it.
+func TestRollout_FormerLeaderKeepsCompletedRollout(t *testing.T) {
+	older, newer := newUpstream(t, "a", succeed), newUpstream(t, "b", succeed)
+	older.version, newer.version = "v1", "v2"
+	f := newFixture(t, older)
+	stores, gateways := map[string]*turnedAwayStore{}, map[string]*Gateway{}
+	for _, name := range []string{"two", "three"} {
+		stores[name] = &turnedAwayStore{partitionedStore{fakeStore: f.store}}
+		gateways[name] = f.startWith(name, stores[name])
+		f.waitReady(gateways[name])
+	}
+	f.gateway.Stop(context.Background())
+	f.store.removeHolder("one")
+	r := &rolloutFixture{fixture: f}
+	const limit = 9 * time.Second
+	ordered := time.Now()
+	f.store.put("order/plain", RolloutOrder{Target: "v2", TimeLimit: limit})
+	f.store.put("upstream/b", newer.entry())
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	callers.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			for name, g := range gateways {
+				f.send(g, http.MethodGet, fmt.Sprint("/look/", name, n), nil)
+			}
+			time.Sleep(4 * time.Millisecond)
+		}
+	})
+	// The new version gets all traffic after 70% of the time before the deadline.
+	time.Sleep(time.Until(ordered.Add(limit / 3)))
+	former, next := "two", "three"
+	f.eventually("led", func() bool {
+		if status := gateways[former].rollouts.driver.Status(); len(status) == 1 && status[0].Leader {
+			return true
+		}
+		former, next = next, former
+		return false
+	})
+	stores[former].partitioned.Store(true)
+	f.store.removeHolder(former)
+	f.eventually("completed", func() bool {
+		s, _ := r.status()
+		return s.State == RolloutCompleted
+	})
+	must.True(t, gateways[next].rollouts.driver.Status()[0].Leader)
+	f.store.remove("upstream/a")
+	older.crash()
+	time.Sleep(time.Until(ordered.Add(limit + rolloutConfig(1).DeadlineGrace)))
+	stores[former].partitioned.Store(false)
+	stores[next].partitioned.Store(true)
+	f.store.removeHolder(next)
+	f.store.put(memberKeyPrefix+former, member{gateways[former].settings.PeerAddress, "here"})
+	f.eventually("led again", func() bool {
+		s := gateways[former].rollouts.driver.Status()[0]
+		return s.Leader && s.Recorded
+	})
+	for name, g := range gateways {
+		must.EqOp(t, "done", g.rollouts.driver.Status()[0].State)
+		must.EqOp(t, http.StatusOK, f.send(g, http.MethodPost, "/book/after"+name, nil).status)
+	}
+	s, _ := r.status()
+	must.EqOp(t, RolloutCompleted, s.State)
+}
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -84,6 +84,8 @@
 	Share   float64   `json:"share"`
 	Reason  string    `json:"reason,omitempty"`
 	Leader  bool      `json:"leader"`
+	// Recorded means that the platform is known to hold the state.
+	Recorded bool `json:"recorded"`
 }
 
 // publishedState is an immutable snapshot for other goroutines.
@@ -339,7 +341,7 @@
 		}
 		next.status = append(next.status, Status{
 			ID: id, Service: s.Service, From: s.From, To: s.To, By: s.Deadline,
-			State: r.machine.State().String(), Share: r.machine.Share(), Reason: r.machine.Reason(), Leader: leads,
+			State: r.machine.State().String(), Share: r.machine.Share(), Reason: r.machine.Reason(), Leader: leads, Recorded: r.machine.Recorded(),
 		})
 	}
 	d.published.Store(next)
--- a/process/shift/record.go
+++ b/process/shift/record.go
@@ -53,7 +53,10 @@
 	for _, m := range out.Messages {
 		event.Log(m.Event, "rollout", m.Rollout, "text", m.Text)
 	}
-	if out.Stop != nil && r.stopNotice == nil {
+	switch {
+	case out.Stop == nil:
+		r.stopNotice = nil
+	case r.stopNotice == nil:
 		r.stopNotice = out.Stop
 		d.publish(now)
 		d.opts.Host.GossipNow()
--- a/process/sidecar/limits.go
+++ b/process/sidecar/limits.go
@@ -36,7 +36,7 @@
 	}
 	if shift.ID != s.shift.ID {
 		s.shift = shift
-		s.shiftStopped = nil
+		s.shiftStopped, s.shiftDone = nil, false
 	}
 }
 
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/claim"
 	"github.com/jayridge/jayridge/request/result"
+	"github.com/jayridge/jayridge/version/rollout"
 	"github.com/jayridge/jayridge/version/rules"
 )
 
@@ -52,9 +53,11 @@
 	// loadSampler selects the responses that include a load report.
 	loadSampler *load.Sampler
 	crashes     crashState
-	// shift is the shift to this upstream's version, if there is one. shiftStopped is set once gossip reports that it was stopped.
+	// shift is the shift to this upstream's version, if there is one. shiftStopped is set while gossip reports that it was stopped, and
+	// shiftDone once it reports that it is done, which is final.
 	shift        rules.Shift
 	shiftStopped *wire.RolloutStop
+	shiftDone    bool
 
 	stop context.CancelFunc
 	wg   sync.WaitGroup
@@ -179,17 +182,26 @@
 
 // HandleGossip implements node.Role.
 func (s *Sidecar) HandleGossip(g *wire.Gossip) {
-	if len(g.Quarantine)+len(g.Stops) == 0 {
+	if len(g.Quarantine)+len(g.Stops)+len(g.Rollouts) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.list.Merge(time.Now(), g.Quarantine)
+	for _, r := range g.Rollouts {
+		if r.Rollout == s.shift.ID && !s.shiftDone {
+			record, err := rollout.DecodeRecord(r.Data)
+			s.shiftDone = err == nil && record.State == rollout.Done
+		}
+	}
 	for _, stop := range g.Stops {
 		if stop.Rollout == s.shift.ID {
 			s.shiftStopped = &stop
 		}
 	}
+	if s.shiftDone {
+		s.shiftStopped = nil
+	}
 }
 
 // Status implements node.Role.
--- a/process/sidecar/sidecar_test.go
+++ b/process/sidecar/sidecar_test.go
@@ -20,6 +20,8 @@
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
+	"github.com/jayridge/jayridge/version/rollout"
+	"github.com/jayridge/jayridge/version/rules"
 )
 
 const testRules = `service press-model kind=model versions=v1,v2 # losana: the model
@@ -159,3 +161,25 @@
 	_, refusal := x.admit("entry-1")
 	must.Eq(t, result.Leaving, refusal.Code)
 }
+
+// Guards against an upstream that refuses all requests after a former leader's rollback notice although its version's rollout is done.
+func TestHandleGossip_StopAfterDone(t *testing.T) {
+	const shiftRule = "shift press-model v1 -> v2 by 2030-01-01T00:00:00Z cap=5% # losana: new weights\n"
+	f := newFixture(t, false, testRules+shiftRule)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+	set, faults := rules.ParseString("rules", testRules+shiftRule)
+	must.SliceEmpty(t, faults)
+	f.sidecar.mu.Lock()
+	f.sidecar.opts.Settings.Upstream.Version = "v2"
+	f.sidecar.setShift(set)
+	id := f.sidecar.shift.ID
+	f.sidecar.mu.Unlock()
+	stop := wire.Gossip{Stops: []wire.RolloutStop{{Rollout: id, Reason: "deadline"}}}
+	f.sidecar.HandleGossip(&stop)
+	must.Eq(t, result.VersionStopped, f.open(1, time.Minute))
+	record, err := rollout.Record{ID: id, State: rollout.Done, Share: 1}.Encode()
+	must.NoError(t, err)
+	f.sidecar.HandleGossip(&wire.Gossip{Rollouts: []wire.RolloutRecord{{Rollout: id, Revision: 1, Data: record}}})
+	f.sidecar.HandleGossip(&stop)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+}
--- a/version/rollout/machine.go
+++ b/version/rollout/machine.go
@@ -16,8 +16,8 @@
 
 // Machine is the state machine of one shift in one process. Every process runs one: an entry uses it to obtain the share, an
 // aggregator can roll a bad version back on the evidence of its data centre, and the lease holder also advances the shift. The
-// share rises only after the record with the higher share has been read or its write confirmed, and never while the platform is
-// unreachable. Every input method returns the complete Output.
+// share rises only after the record with the higher share has been read or its write confirmed. While the platform is unreachable it
+// rises only if another process reports that the shift is done. Every input method returns the complete Output.
 type Machine struct {
 	config Config
 	shift  Shift
@@ -41,6 +41,8 @@
 
 	platformDown      bool
 	platformDownSince time.Time
+	// outageShare is the highest share until the platform is reachable again, unless the shift is done.
+	outageShare float64
 
 	rollbackReason    string
 	rolledBack        bool
@@ -77,10 +79,14 @@
 
 // Share returns the new version's share of the traffic.
 func (m *Machine) Share() float64 {
-	if m.rolledBack {
+	switch {
+	case m.rolledBack:
 		return 0
+	case m.platformDown && m.record.State != Done:
+		return min(m.record.Share, m.outageShare)
+	default:
+		return m.record.Share
 	}
-	return m.record.Share
 }
 
 // Step returns the step that Share belongs to, for use in Observation.Step.
@@ -89,6 +95,12 @@
 // Reason returns why the shift was rolled back, empty if it was not.
 func (m *Machine) Reason() string { return m.rollbackReason }
 
+// Recorded reports whether the platform is known to hold the state. A state that is not recorded may still be replaced by that of
+// another process and must not be reported as the outcome of the shift.
+func (m *Machine) Recorded() bool {
+	return m.recordKnown && !m.platformDown && (!m.rolledBack || m.rollbackRecorded)
+}
+
 // Tick advances the time. The driver calls it at least once per window with the current lease. The lease holder must receive the
 // evidence of all data centres.
 func (m *Machine) Tick(now time.Time, lease Lease) Output {
@@ -167,7 +179,7 @@
 	return m.finish(now, out)
 }
 
-// RollbackReceived processes the rollback decision of another process, received by gossip.
+// RollbackReceived processes the rollback decision of another process, received by gossip. It has no effect once the shift is done.
 func (m *Machine) RollbackReceived(now time.Time, stop wire.RolloutStop) Output {
 	var out Output
 	if stop.Rollout == m.shift.ID {
@@ -177,7 +189,7 @@
 }
 
 func (m *Machine) rollBack(out *Output, reason string, local bool) {
-	if m.rolledBack {
+	if m.rolledBack || m.record.State == Done {
 		return
 	}
 	m.rolledBack = true
@@ -188,6 +200,16 @@
 	}
 }
 
+// revertRollback drops a rollback decision that was made before this process learned that the shift is done.
+func (m *Machine) revertRollback(out *Output) {
+	if !m.rolledBack {
+		return
+	}
+	m.addMessage(out, event.RolloutDone, "done, another process completed it before the rollback was recorded: %s", m.rollbackReason)
+	m.rolledBack, m.rolledBackLocally, m.rollbackRecorded = false, false, false
+	m.rollbackReason = ""
+}
+
 // finish adds the share to the output and, after a rollback decision, the decision and the write of its record.
 func (m *Machine) finish(now time.Time, out Output) Output {
 	if m.rolledBack {
--- a/version/rollout/record.go
+++ b/version/rollout/record.go
@@ -12,7 +12,8 @@
 // State is the state of a shift.
 type State uint8
 
-// States in ascending order of precedence. RolledBack is final.
+// States in ascending order of precedence. Done and RolledBack are final. A decision to roll back that is not recorded yet yields to a
+// record in state Done.
 const (
 	// Pending means that no traffic has been shifted.
 	Pending State = iota
--- a/version/rollout/record_events.go
+++ b/version/rollout/record_events.go
@@ -15,8 +15,8 @@
 	return m.RecordForwarded(now, r, revision)
 }
 
-// RecordForwarded processes a record forwarded by another process. While the platform is unreachable, it is adopted only if its
-// state is RolledBack.
+// RecordForwarded processes a record forwarded by another process. While the platform is unreachable, the record's share takes effect
+// only if it is lower or the shift is done.
 func (m *Machine) RecordForwarded(now time.Time, r Record, revision services.Revision) Output {
 	var out Output
 	if r.ID == m.shift.ID {
@@ -70,14 +70,21 @@
 	if m.platformDown {
 		return
 	}
+	m.outageShare = m.Share()
 	m.platformDown = true
 	m.platformDownSince = now
 	m.nextAttempt = now.Add(m.config.RetryEvery)
 }
 
-// mergeRecord adopts a record if it takes precedence over the current one. A record in state RolledBack always does; otherwise
-// the higher revision does, unless its fencing token is lower than one that was seen before.
+// mergeRecord adopts a record if it takes precedence over the current one. Nothing takes precedence over the state Done, in which
+// the old version's upstreams are stopped. A record in state RolledBack takes precedence over all other states; otherwise the higher
+// revision does, unless its fencing token is lower than one that was seen before.
 func (m *Machine) mergeRecord(out *Output, r Record, revision services.Revision) {
+	if m.State() == Done {
+		m.revision = max(m.revision, revision)
+		m.recordKnown = true
+		return
+	}
 	if r.State == RolledBack {
 		m.rollbackRecorded = true
 		m.revision = max(m.revision, revision)
@@ -85,7 +92,7 @@
 		m.rollBack(out, r.Reason, false)
 		return
 	}
-	if m.platformDown || revision < m.revision {
+	if revision < m.revision {
 		return
 	}
 	m.recordKnown = true
@@ -96,6 +103,12 @@
 	m.highestFence = r.Fence
 	previous := m.record
 	m.record = r
+	if m.platformDown {
+		m.outageShare = min(m.outageShare, r.Share)
+	}
+	if r.State == Done {
+		m.revertRollback(out)
+	}
 	m.test.SetHistory(r.History)
 	if r.Step != previous.Step || previous.State == Pending {
 		m.test.BeginStep(r.Step)
