gateway: refuse streams that a stop may cut once only kept connections are left

Cause: a request that may be cut was refused only if its route must not be repeated, as long as the gateway runs. For the first seconds that is right, since load balancers still send new connections and most deadlines are several times what the streams take; after that it let streams in that had no chance. Requests read before the signal also kept their connections, because "Connection: close" was set when a request began and not when its response did.

Change: once the listeners close, whatever may take longer than the rest of the time is refused at once as not run; the decision is repeated after the body. The response announces the close if the gateway is leaving by then. The time before the listeners close is 2.8 s at most, whatever the time to stop is. Refused are only requests whose deadline lies beyond the end of the process; the others are served as before.

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -25,6 +25,9 @@
 	// leaveShare is the share of the shutdown time in which new requests are still served, so that the load balancer notices that the
 	// gateway is not ready.
 	leaveShare = 0.35
+	// maxLeaveTime is the maximum of that time. Load balancers that check each second have noticed by then, and a request that comes later is refused
+	// if it may be cut.
+	maxLeaveTime = 2800 * time.Millisecond
 	// stopReserve is the part of the shutdown time that is reserved for closing what is still open after draining.
 	stopReserve = 300 * time.Millisecond
 )
@@ -74,7 +77,7 @@
 	defer cancel()
 	g.Leave(abortAt)
 	select {
-	case <-time.After(time.Duration(leaveShare * float64(shutdownTime))):
+	case <-time.After(min(time.Duration(leaveShare*float64(shutdownTime)), maxLeaveTime)):
 	case <-signals:
 		cancel()
 	}
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -94,6 +94,9 @@
 	if code := c.readBody(); code != result.OK {
 		return code
 	}
+	if c.mayBeCut() {
+		return result.Leaving // the gateway began to stop while the body arrived
+	}
 	c.service = c.route.PickService(hashFraction(c.id))
 	c.prompt = c.g.headers.ParsePrompt(h)
 	c.partIDs = c.g.headers.ParsePartIDs(h)
@@ -129,11 +132,12 @@
 	return result.OK
 }
 
-// mayBeCut reports whether a request that must not be repeated may take longer than the gateway still runs. Its caller can send it to another gateway
-// now, but cannot when it was passed on and its answer is lost.
+// mayBeCut reports whether a request may take longer than the gateway still runs and is to be refused for that. Its caller can send it to another
+// gateway now, but loses its answer later. As long as callers get new connections to this gateway, that applies only to requests that must not be
+// repeated: most others end long before their deadlines, and refusing all of them would take away a whole gateway's service for seconds.
 func (c *call) mayBeCut() bool {
 	abortAt := c.g.abortAt.Load()
-	return abortAt != nil && c.route.Kind == routing.NonIdempotent && c.deadline.After(*abortAt)
+	return abortAt != nil && c.deadline.After(*abortAt) && (c.route.Kind == routing.NonIdempotent || c.g.draining.Load())
 }
 
 func (c *call) setDeadline() {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -199,6 +199,7 @@
 		h[name] = values
 	}
 	c.progress.answered = true
+	c.announceLeaving()
 	c.writer.WriteHeader(r.status)
 }
 
--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -302,6 +302,8 @@
 	body   string
 	// err is the error of reading the body.
 	err error
+	// closes means that the gateway announced the end of the connection.
+	closes bool
 }
 
 func (f *fixture) send(g *Gateway, method, path string, modify func(*http.Request)) callerResponse {
@@ -322,7 +324,7 @@
 	must.NoError(f.t, err)
 	defer response.Body.Close() //nolint:errcheck // the body has been read
 	body, err := io.ReadAll(response.Body)
-	return callerResponse{response.StatusCode, response.Header, string(body), err}
+	return callerResponse{response.StatusCode, response.Header, string(body), err, response.Close}
 }
 
 // fakeUpstream is an upstream whose responses the test defines.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -101,6 +101,8 @@
 	// tasks are functions to run on the control goroutine.
 	tasks   chan func()
 	leaving atomic.Bool
+	// draining is set once load balancers no longer send new connections.
+	draining atomic.Bool
 	// abortAt is the time at which requests in progress are aborted because the gateway stops, nil before Leave.
 	abortAt atomic.Pointer[time.Time]
 	// callers' requests end with abortCalls, with errStopping as the cause.
@@ -183,7 +185,8 @@
 }
 
 // Leave makes the readiness check fail and closes each caller's connection after its next response. The gateway keeps serving, except for requests
-// that must not be repeated and may take longer than until abortAt, the time at which Drain will abort them.
+// that must not be repeated and may take longer than until abortAt, the time at which Drain will abort them. After the call of Drain it refuses all
+// requests that may take so long.
 func (g *Gateway) Leave(abortAt time.Time) {
 	g.abortAt.Store(&abortAt)
 	g.leaving.Store(true)
@@ -199,6 +202,7 @@
 // Drain closes the listeners and waits until the requests in progress have ended or ctx is done. It then aborts the remaining ones, whose callers get
 // an error response unless their response has begun.
 func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
 	err := g.callers.drain(ctx, g.listeners)
 	if err == nil {
 		return nil
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -340,6 +342,78 @@
 	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodGet, "/look/long", nil).status)
 }
 
+// Guards against streams that a stopping gateway takes over connections that callers kept, and cuts at its end.
+func TestDrain_RefusesStreamsThatMayBeCut(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, "a", func(conn net.Conn, r *http.Request, body string) bool {
+		if r.URL.Path == "/talk/first" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Id: id-talk-first\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: hello\n\n\r\n")
+			<-release
+			_, err := io.WriteString(conn, "0\r\n\r\n")
+			return err == nil
+		}
+		return succeed(conn, r, body)
+	})
+	f := newFixture(t, u)
+	kept, err := net.Dial("tcp", f.gateway.settings.CallersAddress)
+	must.NoError(t, err)
+	defer kept.Close() //nolint:errcheck // the gateway closes it
+	reader := bufio.NewReader(kept)
+	ask := func(path string, deadline int) *http.Response {
+		_, err := fmt.Fprintf(kept, "POST /talk/%s HTTP/1.1\r\nHost: a.test\r\nTest-Id: id-talk-%s\r\nTest-Deadline: %d\r\nAuthorization: Bearer key\r\n"+
+			"Content-Length: 0\r\n\r\n", path, path, deadline)
+		must.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+		return response
+	}
+	first := ask("first", 20_000)
+	f.gateway.Leave(time.Now().Add(5 * time.Second))
+	must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/talk/early", func(r *http.Request) { r.Header.Set("Test-Deadline", "20000") }).status)
+	drained := make(chan error, 1)
+	go func() { drained <- f.gateway.Drain(context.Background()) }()
+	f.eventually("draining", f.gateway.draining.Load)
+	before := len(u.received())
+	// The next request is sent before the end of the first response, so that it is there when the connection becomes idle.
+	_, err = io.WriteString(kept, "POST /talk/late HTTP/1.1\r\nHost: a.test\r\nTest-Id: id-talk-late\r\nTest-Deadline: 20000\r\n"+
+		"Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n")
+	must.NoError(t, err)
+	close(release)
+	_, err = io.Copy(io.Discard, first.Body)
+	must.NoError(t, err)
+	late, err := http.ReadResponse(reader, nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusServiceUnavailable, late.StatusCode)
+	must.NotEq(t, "", late.Header.Get("Retry-After"))
+	must.True(t, late.Close)
+	must.NoError(t, <-drained)
+	must.EqOp(t, before, len(u.received()))
+}
+
+// Guards against connections that callers keep beyond the gateway's decision to stop because their requests had been read before.
+func TestLeave_ClosesConnectionsOfRequestsInProgress(t *testing.T) {
+	for _, kind := range []string{"look", "talk"} {
+		release := make(chan struct{})
+		u := newUpstream(t, "a", func(conn net.Conn, r *http.Request, body string) bool {
+			<-release
+			if kind == "talk" {
+				return streamWithInterval(0)(conn, r, body)
+			}
+			return succeed(conn, r, body)
+		})
+		f := newFixture(t, u)
+		answers := make(chan callerResponse, 1)
+		go func() { answers <- f.send(f.gateway, http.MethodPost, "/"+kind+"/1", nil) }()
+		f.eventually("the request runs", func() bool { return len(u.received()) == 1 })
+		f.gateway.Leave(time.Now().Add(time.Minute))
+		close(release)
+		got := <-answers
+		must.EqOp(t, http.StatusOK, got.status)
+		must.True(t, got.closes)
+	}
+}
+
 // A gateway that shuts down must respond to all requests that it has read, and must serve new callers until its listeners are closed, so that
 // the load balancer has time to see that it is not ready.
 func TestLeave_CompletesReadRequests(t *testing.T) {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -18,9 +18,6 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.callers.requests.Add(1)
 	defer g.callers.requests.Add(-1)
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{g: g, writer: w, control: http.NewResponseController(w), conn: callerConnOf(r), request: r, started: time.Now()}
 	c.conn.head.complete()
 	c.conn.writes.begin(g.settings)
@@ -83,10 +80,19 @@
 	text := info.Name + ": " + info.Text + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	c.announceLeaving()
 	c.writer.WriteHeader(status)
 	_, _ = c.writer.Write([]byte(text)) // fails only if the caller has disconnected or does not read
 }
 
+// announceLeaving asks the caller to send its next request over a new connection if the gateway is leaving. It is called as late as possible: a request
+// that was read before the gateway began to leave must not keep its connection either.
+func (c *call) announceLeaving() {
+	if c.g.leaving.Load() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 // logOutcome logs the result of the request and the decisions that led to it.
 func (c *call) logOutcome(code result.Code) {
 	id := event.RequestCompleted
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -84,6 +84,7 @@
 		h[name] = values
 	}
 	c.progress.answered = true
+	c.announceLeaving()
 	c.writer.WriteHeader(response.Status)
 	c.g.metrics.record(c.g.metrics.firstEvent, time.Since(c.started))
 }
