rollout: roll back only to a version that has upstreams, and keep the end of a rollout over a restored store

Cause: at the deadline the leader rolled back without asking whether the old version still exists. The same happens without a drill when an operator repeats a completed order. In gateways that do not restart, the known end gave way to the older record, and a leader that restarted alone did not learn it; fencing tokens given out again kept later leaders from going on.

Change: the state machine is told which versions have upstreams that can serve (a list that is not current does not count as absence). The deadline rolls back only if the old version has some; without any for 10 s, the shift is complete. A process that has just started waits 4 s, since upstreams that have ended are listed a while. 100% is completed only while the new version has upstreams. A final state is written again by the leader, and told to a leader that has an older record. Fencing tokens are compared within an epoch.

Why this works: which versions exist is the one fact that no copy of the store can be wrong about for longer than a registration lasts.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -549,6 +549,13 @@
 	return slices.ContainsFunc(b.services[service], func(e *backend) bool { return !e.leaving && versions(e.Version) })
 }
 
+// CanServe reports whether the service has an upstream of one of the versions that takes requests and is not down.
+func (b *Balancer) CanServe(service string, versions Versions) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(e *backend) bool { return !e.leaving && !e.monitor.Down() && versions(e.Version) })
+}
+
 // Down returns the number of upstreams of a service that are down, and the number of all its upstreams.
 func (b *Balancer) Down(service string) (down, all int) {
 	b.mu.Lock()
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -209,6 +209,11 @@
 	return changes
 }
 
+// IsCurrent reports whether an upstream that is not listed has left. Otherwise it may only not have been able to register.
+func (d *Directory) IsCurrent(now time.Time) bool {
+	return now.Sub(d.contactAt) <= d.config.OutageAfter && now.Sub(d.outageEndedAt) > d.config.ReregisterWithin
+}
+
 // Usable returns the upstreams that take requests, in ascending order of ID.
 func (d *Directory) Usable() []Upstream {
 	return d.filter(func(m *trackedUpstream) bool { return m.State == Ready || m.State == Missing })
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -40,6 +40,18 @@
 // GossipNow implements shift.Host.
 func (h shiftHost) GossipNow() { h.e.node.GossipNow() }
 
+// Upstreams implements shift.Host. The list of instances keeps those that are missing for a moment.
+func (h shiftHost) Upstreams(s rollout.Shift) rollout.Upstreams {
+	u := rollout.Upstreams{Current: true}
+	for _, sidecar := range h.e.node.Snapshot().Sidecars {
+		if sidecar.Service == s.Service {
+			u.From = u.From || sidecar.Version == s.From
+			u.To = u.To || sidecar.Version == s.To
+		}
+	}
+	return u
+}
+
 // Send implements shift.Host.
 func (h shiftHost) Send(to services.Instance, build func(minor uint16) (wire.Message, error)) {
 	h.e.node.Go(func(ctx context.Context) {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -91,6 +91,7 @@
 		case <-ticker.C:
 			s.tick()
 		case <-g.rollouts.ticks:
+			g.rollouts.listIsCurrent = s.table != nil && s.directory.IsCurrent(bootclock.Now())
 			g.rollouts.tick(time.Now(), s.members)
 		}
 		s.publish()
--- a/process/gateway/restore_test.go
+++ b/process/gateway/restore_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,3 +98,105 @@
 	store.restore(older)
 	f.eventually("written again", func() bool { return store.has(memberKeyPrefix+"two") && store.has(key) })
 }
+
+// completeRollout orders a rollout and runs it with the old version's upstream until it is completed. It returns a copy of the store's items from the
+// time of the canary step.
+func (f *fixture) completeRollout(store *restoredStore, gateways []*Gateway, older, newer *fakeUpstream, limit time.Duration) (during map[string]mirror.Item) {
+	store.put("order/plain", RolloutOrder{Target: newer.version, TimeLimit: limit})
+	store.put("upstream/"+newer.id, newer.entry())
+	r := rolloutFixture{fixture: f}
+	for n := 0; ; n++ {
+		for i, g := range gateways {
+			f.send(g, http.MethodGet, fmt.Sprint("/look/", i, "-", n), nil)
+		}
+		if s, _ := r.status(); s.State == RolloutCompleted {
+			break
+		}
+		if status := gateways[0].rollouts.driver.Status(); len(status) == 1 && status[0].State == "canary" {
+			store.mu.Lock()
+			during = maps.Clone(store.items)
+			store.mu.Unlock()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	must.MapNotEmpty(f.t, during)
+	store.remove("upstream/" + older.id)
+	older.crash()
+	return during
+}
+
+// Guards against a completed rollout that is taken back after the store came back from a copy of the time before its end, at which nothing can be served
+// any more. The gateways may have restarted since, some or all of them.
+func TestStoreRestored_RolloutStaysCompleted(t *testing.T) {
+	for name, restarts := range map[string][]bool{"no restart": {false, false}, "one restart": {true, false}, "all restart": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			older, newer := newUpstream(t, "a", succeed), newUpstream(t, "b", succeed)
+			older.version, newer.version = "v1", "v2"
+			f := newFixture(t, older)
+			f.gateway.Stop(context.Background())
+			f.store.removeHolder("one")
+			store := &restoredStore{fakeStore: f.store}
+			var gateways []*Gateway
+			for _, name := range []string{"two", "three"} {
+				g := f.startUnmanaged(f.settings(name), store)
+				f.waitReady(g)
+				gateways = append(gateways, g)
+			}
+			defer func() {
+				for _, g := range gateways {
+					g.Stop(context.Background())
+				}
+			}()
+			const limit = 7 * time.Second
+			ordered := time.Now()
+			during := f.completeRollout(store, gateways, older, newer, limit)
+			if gateways[1].rollouts.driver.Status()[0].Leader { // the leader is the first to restart
+				slices.Reverse(gateways)
+			}
+			delete(during, "upstream/a")
+			maps.DeleteFunc(during, func(key string, _ mirror.Item) bool { return strings.HasPrefix(key, "lease/") })
+			store.restore(during)
+			for i, restarts := range restarts {
+				if restarts {
+					gateways[i].Stop(context.Background())
+					gateways[i] = f.startUnmanaged(gateways[i].settings, store)
+					f.waitReady(gateways[i])
+				}
+			}
+			end := ordered.Add(limit + rolloutConfig(1).GoneAfter + 5*time.Second)
+			r := rolloutFixture{fixture: f}
+			for n := 0; ; n++ {
+				for i, g := range gateways {
+					must.EqOp(t, http.StatusOK, f.send(g, http.MethodPost, fmt.Sprint("/book/", i, "-", n), nil).status)
+				}
+				s, _ := r.status()
+				must.NotEqOp(t, RolloutRolledBack, s.State)
+				if s.State == RolloutCompleted {
+					break
+				}
+				must.True(t, time.Now().Before(end))
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// A repeated order whose target version all upstreams run must be completed, and the service served meanwhile.
+func TestRollout_RepeatedOrder(t *testing.T) {
+	t.Parallel()
+	u := newUpstream(t, "a", succeed)
+	u.version = "v2"
+	f := newFixture(t, u)
+	f.store.put("order/plain", RolloutOrder{Target: "v2", TimeLimit: 3 * time.Second})
+	r := rolloutFixture{fixture: f}
+	for end := time.Now().Add(rolloutConfig(1).GoneAfter + 5*time.Second); ; time.Sleep(20 * time.Millisecond) {
+		must.EqOp(t, http.StatusOK, f.send(f.gateway, http.MethodPost, "/book/1", nil).status)
+		s, _ := r.status()
+		must.NotEqOp(t, RolloutRolledBack, s.State)
+		if s.State == RolloutCompleted {
+			break
+		}
+		must.True(t, time.Now().Before(end))
+	}
+}
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -55,6 +55,8 @@
 	c.MonitorTime = rolloutMonitorTime
 	c.DeadlineGrace = 2 * time.Second
 	c.RetryEvery = 300 * time.Millisecond
+	c.ObserveTime = 4 * time.Second // an upstream that ended is still listed for three registrations, 1.2 s apart
+	c.GoneAfter = 10 * time.Second  // upstreams that crash are back within some seconds
 	return c
 }
 
@@ -108,7 +110,9 @@
 	// statuses are the statuses in the store by service.
 	statuses            map[string]storedStatus
 	statusWriteInFlight bool
-	nextStatusWriteAt   time.Time
+	// listIsCurrent is set while an upstream that is not listed can be taken to have left.
+	listIsCurrent     bool
+	nextStatusWriteAt time.Time
 	// ticker runs while there are orders. ticks is its channel, nil if there is no ticker.
 	ticker *time.Ticker
 	ticks  <-chan time.Time
@@ -303,6 +307,15 @@
 	})
 }
 
+// Upstreams implements shift.Host. The balancer has no upstreams before the first configuration; the list is not current until then.
+func (h rolloutHost) Upstreams(s rollout.Shift) rollout.Upstreams {
+	return rollout.Upstreams{
+		From:    h.g.balancer.CanServe(s.Service, func(version string) bool { return version != s.To }),
+		To:      h.g.balancer.CanServe(s.Service, func(version string) bool { return version == s.To }),
+		Current: h.g.rollouts.listIsCurrent,
+	}
+}
+
 // GossipNow implements shift.Host. Sending to the neighbours suffices for a stop to reach all gateways, since each forwards what is new
 // to it.
 func (h rolloutHost) GossipNow() {
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -32,6 +32,8 @@
 	Send(to services.Instance, build func(minor uint16) (wire.Message, error))
 	// GossipNow sends the gossip message to some random peers without waiting for the gossip interval.
 	GossipNow()
+	// Upstreams says which versions of a shift have upstreams that can take requests.
+	Upstreams(s rollout.Shift) rollout.Upstreams
 }
 
 // Options are the configuration and dependencies of a driver. If KV is nil, no rollout advances.
@@ -118,8 +120,12 @@
 	keeper     *lease.Keeper
 	stopKeeper context.CancelFunc
 	stopNotice *wire.RolloutStop
-	// record is the newest known record, encoded for gossip; revision is its revision.
-	record   []byte
+	// record is the newest known record, encoded for gossip, or the one in state Done if there was one; recordRevision is its revision.
+	record         []byte
+	recordRevision services.Revision
+	// done is set once a record in state Done is known.
+	done bool
+	// revision is the highest revision of a record that is known.
 	revision services.Revision
 	// recordSent counts the digests built since the record changed.
 	recordSent    int
@@ -239,6 +245,7 @@
 	case aggregates:
 		d.applyOutput(now, r, r.machine.Evidence(now, own))
 	}
+	r.machine.SetUpstreams(now, d.opts.Host.Upstreams(r.shift))
 	held := rollout.Lease{}
 	if r.keeper != nil {
 		held.Fence, held.Held = r.keeper.Held(now)
--- a/process/shift/record.go
+++ b/process/shift/record.go
@@ -147,9 +147,12 @@
 	}
 }
 
-// storeRecord keeps the newest record for gossip, without the old version's past counts, which only a leader needs.
+// storeRecord keeps the newest record for gossip, without the old version's past counts, which only a leader needs. A record in state Done is
+// kept for good: a store that came back from an older copy may not have it.
 func (r *activeRollout) storeRecord(record rollout.Record, revision services.Revision) {
-	if revision <= r.revision {
+	newer, done := revision > r.revision, record.State == rollout.Done
+	r.revision = max(r.revision, revision)
+	if r.done && !done || !newer && r.done == done {
 		return
 	}
 	record.History = nil
@@ -157,8 +160,7 @@
 	if err != nil {
 		return
 	}
-	r.record = data
-	r.revision = revision
+	r.record, r.recordRevision, r.done = data, revision, done
 	r.recordSent = 0
 }
 
@@ -170,7 +172,7 @@
 			g.Stops = append(g.Stops, *r.stopNotice)
 		}
 		if r.record != nil && r.nextSendIncludesRecord() {
-			g.Rollouts = append(g.Rollouts, wire.RolloutRecord{Rollout: id, Revision: uint64(r.revision), Data: r.record})
+			g.Rollouts = append(g.Rollouts, wire.RolloutRecord{Rollout: id, Revision: uint64(r.recordRevision), Data: r.record})
 		}
 	}
 }
@@ -195,16 +197,29 @@
 		}
 	}
 	for _, m := range g.Rollouts {
-		r := d.shifts[m.Rollout]
-		if r == nil || services.Revision(m.Revision) <= r.revision {
-			continue
+		if r := d.shifts[m.Rollout]; r != nil {
+			d.handleRecord(now, r, services.Revision(m.Revision), m.Data)
 		}
-		record, err := rollout.DecodeRecord(m.Data)
-		if err != nil {
-			continue
-		}
-		r.storeRecord(record, services.Revision(m.Revision))
-		d.applyOutput(now, r, r.machine.RecordForwarded(now, record, services.Revision(m.Revision)))
-		d.publish(now)
+	}
+}
+
+// handleRecord applies a record that a peer or the copy of the platform's store holds. A record from before the platform came back from an older
+// copy still matters if it is in state Done.
+func (d *Driver) handleRecord(now time.Time, r *activeRollout, revision services.Revision, data []byte) {
+	newer, earlierEpoch := revision > r.revision, revision.Epoch() < r.revision.Epoch()
+	if !newer && (!earlierEpoch || r.done) {
+		return
+	}
+	record, err := rollout.DecodeRecord(data)
+	if err != nil {
+		return
+	}
+	r.storeRecord(record, revision)
+	d.applyOutput(now, r, r.machine.RecordForwarded(now, record, revision))
+	d.publish(now)
+	if newer && record.State != r.machine.State() && (r.done || r.machine.State() == rollout.RolledBack) {
+		// The record is behind what this process knows to be final. Whoever wrote it has to learn of that.
+		r.recordSent = 0
+		d.opts.Host.GossipNow()
 	}
 }
--- a/version/rollout/config.go
+++ b/version/rollout/config.go
@@ -70,6 +70,12 @@
 	DeadlineGrace time.Duration
 	// RetryEvery is the time between attempts to write or read the record. Default 2 s.
 	RetryEvery time.Duration
+	// ObserveTime is how long a process must have known the upstreams before it rolls back because of the deadline: just after a
+	// restart, upstreams may be listed that no longer run. Default 15 s. Zero: the first list is trusted.
+	ObserveTime time.Duration
+	// GoneAfter is how long a version must have been without upstreams before it is taken to be removed and not just restarting.
+	// Default 1 min.
+	GoneAfter time.Duration
 }
 
 // DefaultConfig returns the default values, which are valid.
@@ -95,6 +101,8 @@
 		MonitorTime:      30 * time.Minute,
 		DeadlineGrace:    time.Minute,
 		RetryEvery:       2 * time.Second,
+		ObserveTime:      15 * time.Second,
+		GoneAfter:        time.Minute,
 	}
 }
 
@@ -124,6 +132,8 @@
 		{"MonitorTime", c.MonitorTime > 0},
 		{"DeadlineGrace", c.DeadlineGrace > 0},
 		{"RetryEvery", c.RetryEvery > 0},
+		{"ObserveTime", c.ObserveTime >= 0},
+		{"GoneAfter", c.GoneAfter > 0},
 	}
 	for _, check := range checks {
 		if !check.ok {
--- a/version/rollout/machine.go
+++ b/version/rollout/machine.go
@@ -47,7 +47,12 @@
 	rollbackReason    string
 	rolledBack        bool
 	rolledBackLocally bool
-	rollbackRecorded  bool
+	// outcomeRecorded is set while the platform is known to hold the final state, Done or RolledBack, that this machine is in.
+	outcomeRecorded bool
+	// recordLost is set if the platform no longer has the record.
+	recordLost bool
+
+	observed observation
 
 	// suspicion is the reason for a new comparison at a lower share, empty if none is pending.
 	suspicion string
@@ -98,9 +103,12 @@
 // Recorded reports whether the platform is known to hold the state. A state that is not recorded may still be replaced by that of
 // another process and must not be reported as the outcome of the shift.
 func (m *Machine) Recorded() bool {
-	return m.recordKnown && !m.platformDown && (!m.rolledBack || m.rollbackRecorded)
+	return m.recordKnown && !m.platformDown && (!m.ended() || m.outcomeRecorded)
 }
 
+// ended reports whether the shift is in a final state.
+func (m *Machine) ended() bool { return m.rolledBack || m.record.State == Done }
+
 // Tick advances the time. The driver calls it at least once per window with the current lease. The lease holder must receive the
 // evidence of all data centres.
 func (m *Machine) Tick(now time.Time, lease Lease) Output {
@@ -206,24 +214,28 @@
 		return
 	}
 	m.addMessage(out, event.RolloutDone, "done, another process completed it before the rollback was recorded: %s", m.rollbackReason)
-	m.rolledBack, m.rolledBackLocally, m.rollbackRecorded = false, false, false
+	m.rolledBack, m.rolledBackLocally = false, false
 	m.rollbackReason = ""
 }
 
-// finish adds the share to the output and, after a rollback decision, the decision and the write of its record.
+// finish adds the share to the output and, after a rollback decision, the decision. In a final state it also requests the write of the
+// record if the platform does not hold that state.
 func (m *Machine) finish(now time.Time, out Output) Output {
 	if m.rolledBack {
 		out.Stop = &wire.RolloutStop{Rollout: m.shift.ID, Reason: m.rollbackReason}
-		m.recordRollback(now, &out)
+	}
+	if m.ended() {
+		m.recordOutcome(now, &out)
 	}
 	out.Share = m.Share()
 	return out
 }
 
-// recordRollback persists the rollback decision. Only the process that made it and the lease holder write it, because writes from
-// the whole fleet would exceed the platform's write capacity.
-func (m *Machine) recordRollback(now time.Time, out *Output) {
-	if m.rollbackRecorded || (!m.rolledBackLocally && !m.lease.Held) || out.Read || !m.attemptDue(now) {
+// recordOutcome persists the final state: a rollback decision that was just made, or an outcome that the platform lost when it came back
+// from an older copy. Only the lease holder and the process that decided to roll back write it, because writes from the whole fleet would
+// exceed the platform's write capacity.
+func (m *Machine) recordOutcome(now time.Time, out *Output) {
+	if m.outcomeRecorded || (!m.rolledBackLocally && !m.lease.Held) || out.Read || !m.attemptDue(now) {
 		return
 	}
 	if m.platformDown || !m.recordKnown {
@@ -231,11 +243,15 @@
 		return
 	}
 	r := m.record
-	r.State = RolledBack
-	r.Share = 0
-	r.SinceMS = now.UnixMilli()
-	r.Reason = m.rollbackReason
-	r.Fence = m.highestFence
+	if m.rolledBack {
+		r.State = RolledBack
+		r.Share = 0
+		r.SinceMS = now.UnixMilli()
+		r.Reason = m.rollbackReason
+		r.Fence = m.highestFence
+	} else {
+		r.Fence = m.lease.Fence
+	}
 	m.requestWrite(now, out, r)
 }
 
@@ -252,5 +268,9 @@
 func (m *Machine) requestWrite(now time.Time, out *Output, r Record) {
 	m.writing = true
 	m.nextAttempt = now.Add(m.config.RetryEvery)
-	out.Write = &Write{Record: r, Previous: m.revision}
+	previous := m.revision
+	if m.recordLost {
+		previous = 0
+	}
+	out.Write = &Write{Record: r, Previous: previous}
 }
--- a/version/rollout/record_events.go
+++ b/version/rollout/record_events.go
@@ -28,6 +28,8 @@
 // RecordMissing must be called when a read finds no record.
 func (m *Machine) RecordMissing(now time.Time) Output {
 	m.recordKnown = true
+	m.recordLost = true
+	m.outcomeRecorded = false
 	m.lastRead = now
 	m.platformDown = false
 	return m.finish(now, Output{})
@@ -78,26 +80,25 @@
 
 // mergeRecord adopts a record if it takes precedence over the current one. Nothing takes precedence over the state Done, in which
 // the old version's upstreams are stopped. A record in state RolledBack takes precedence over all other states; otherwise the higher
-// revision does, unless its fencing token is lower than one that was seen before.
+// revision does, unless its fencing token is lower than one that was seen before. A platform that came back from an older copy may hold an
+// earlier state, and gives out fencing tokens again.
 func (m *Machine) mergeRecord(out *Output, r Record, revision services.Revision) {
-	if m.State() == Done {
-		m.revision = max(m.revision, revision)
-		m.recordKnown = true
-		return
+	restored := revision.Epoch() > m.revision.Epoch()
+	stale := revision < m.revision
+	if !stale {
+		m.revision = revision
+		m.recordKnown, m.recordLost = true, false
+		m.outcomeRecorded = r.State == Done || r.State == RolledBack && m.State() != Done
 	}
-	if r.State == RolledBack {
-		m.rollbackRecorded = true
-		m.revision = max(m.revision, revision)
-		m.recordKnown = true
+	switch {
+	case m.State() == Done:
+		return
+	case r.State == RolledBack:
 		m.rollBack(out, r.Reason, false)
 		return
-	}
-	if revision < m.revision {
+	case stale && (r.State != Done || revision.Epoch() == m.revision.Epoch()):
 		return
-	}
-	m.recordKnown = true
-	m.revision = revision
-	if r.Fence < m.highestFence {
+	case r.Fence < m.highestFence && !restored && !stale:
 		return
 	}
 	m.highestFence = r.Fence
@@ -107,6 +108,7 @@
 		m.outageShare = min(m.outageShare, r.Share)
 	}
 	if r.State == Done {
+		m.outcomeRecorded = !stale
 		m.revertRollback(out)
 	}
 	m.test.SetHistory(r.History)
--- a/version/rollout/schedule.go
+++ b/version/rollout/schedule.go
@@ -7,12 +7,16 @@
 	"github.com/jayridge/jayridge/process/event"
 )
 
-// checkDeadline rolls the shift back at the deadline, and warns in advance if the deadline will probably not be met.
+// checkDeadline rolls the shift back at the deadline if the old version still has upstreams, and warns in advance if the deadline will
+// probably not be met.
 func (m *Machine) checkDeadline(now time.Time, out *Output) {
 	if m.rolledBack || m.record.State >= Full {
 		return
 	}
 	if m.deadlineExpired(now) {
+		if !m.canRollBack(now) {
+			return
+		}
 		// Without a lease holder, all processes reach the deadline at the same time. Those that never held the lease leave the
 		// record and the message to the next holder.
 		m.rollBack(out, "deadline reached without enough evidence: "+m.missingEvidence(), m.lease.Fence != 0)
@@ -32,7 +36,7 @@
 // back a shift whose last advance it has not seen.
 func (m *Machine) deadlineExpired(now time.Time) bool {
 	if m.mayAdvance() && !m.platformDown {
-		return !now.Before(m.shift.Deadline)
+		return !now.Before(m.shift.Deadline) && !now.Before(m.leaseSince.Add(m.config.SettleTime))
 	}
 	if m.record.State == Pending || now.Before(m.shift.Deadline.Add(m.config.DeadlineGrace)) {
 		return false
@@ -92,6 +96,12 @@
 	if now.Before(m.leaseSince.Add(m.config.SettleTime)) {
 		return
 	}
+	if late := !now.Before(m.shift.Deadline); late && m.record.State != Done && m.onlyNewVersionLeft(now) {
+		m.proposeDone(now, out)
+		return
+	} else if late && m.record.State < Full {
+		return // it becomes clear later which version is left
+	}
 	switch m.record.State {
 	case Pending:
 		m.proposeStep(now, out, 0)
@@ -167,7 +177,7 @@
 		m.proposeStep(now, out, m.record.Step+1)
 		return
 	}
-	if !now.Before(m.record.since().Add(m.config.MonitorTime)) {
+	if !now.Before(m.record.since().Add(m.config.MonitorTime)) && m.canRollBack(now) {
 		m.rollBack(out, "not enough evidence after the new version looked worse at 100%: "+m.missingEvidence(), true)
 	}
 }
@@ -178,12 +188,25 @@
 		m.proposeStep(now, out, m.record.Step+1)
 		return
 	}
-	if now.Before(m.record.since().Add(m.config.MonitorTime)) {
+	if m.onlyOldVersionLeft(now) {
+		m.rollBack(out, "no upstream of the new version is left", true)
+		return
+	}
+	if now.Before(m.record.since().Add(m.config.MonitorTime)) || !m.canComplete() {
 		return
 	}
+	m.proposeDone(now, out)
+}
+
+// proposeDone requests the write of a record that ends the shift.
+func (m *Machine) proposeDone(now time.Time, out *Output) {
 	r := m.record
 	r.State = Done
+	r.Share = 1
 	r.Fence = m.lease.Fence
 	r.SinceMS = now.UnixMilli()
+	if r.StartedMS == 0 {
+		r.StartedMS = r.SinceMS
+	}
 	m.requestWrite(now, out, r)
 }
