routing: an empty list of teams means that no key is valid, not that none is needed

Cause: that requests need no keys was told by a nil slice, and the decoder appends the entries of a list to a nil slice, so that an empty list became none.

Change: a field of the configuration, WithoutKeys, whose zero value is the safe one.

--- a/version/routing/config.go
+++ b/version/routing/config.go
@@ -120,9 +120,11 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	// Teams is nil if requests need no keys.
-	Teams  []Team
-	Limits Limits
+	// WithoutKeys means that requests need no keys. Otherwise a request needs the key of a team unless its route is public, also if there are
+	// no teams.
+	WithoutKeys bool
+	Teams       []Team
+	Limits      Limits
 }
 
 // Validate returns an error for the first problem that makes the configuration unusable.
--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -50,7 +50,7 @@
 func (t *Table) Limits() Limits { return t.config.Limits }
 
 // NeedsKeys reports whether requests to routes that are not public need a key.
-func (t *Table) NeedsKeys() bool { return t.config.Teams != nil }
+func (t *Table) NeedsKeys() bool { return !t.config.WithoutKeys }
 
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -69,3 +69,20 @@
 		must.Error(t, err, must.Sprint(name))
 	}
 }
+
+// Requests need keys unless the configuration says otherwise, whichever form its list of teams has.
+func TestTable_NeedsKeysWithoutTeams(t *testing.T) {
+	for _, teams := range [][]Team{nil, {}, {{Name: "drivers"}}} {
+		c := testConfig()
+		c.Teams = teams
+		table, err := NewTable(c)
+		must.NoError(t, err)
+		must.True(t, table.NeedsKeys())
+		must.Nil(t, table.TeamByKey("k1"))
+	}
+	c := testConfig()
+	c.WithoutKeys = true
+	table, err := NewTable(c)
+	must.NoError(t, err)
+	must.False(t, table.NeedsKeys())
+}
