routing: no team holds the empty key

No caller could have been given such a key.

Change: the empty key belongs to no team. Such a request is refused as one with an unknown key; the other keys of the list stay valid.

Before: TestTable_EmptyKey: "expected to be nil". After: passes.

--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -58,8 +58,13 @@
 // Services returns all services. Callers must not modify the slice.
 func (t *Table) Services() []Service { return t.config.Services }
 
-// TeamByKey returns the team that holds a key, or nil.
-func (t *Table) TeamByKey(key string) *Team { return t.teams[key] }
+// TeamByKey returns the team that holds a key, or nil. No team holds the empty key, which is that of a request without one.
+func (t *Table) TeamByKey(key string) *Team {
+	if key == "" {
+		return nil
+	}
+	return t.teams[key]
+}
 
 // Route returns the route with the longest prefix of path, or nil. path is the path as sent, without the query. The host may have a
 // port.
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -86,3 +86,13 @@
 	must.NoError(t, err)
 	must.False(t, table.NeedsKeys())
 }
+
+// Guards against a request without a key that is taken for one of a team whose list holds an empty key.
+func TestTable_EmptyKey(t *testing.T) {
+	c := testConfig()
+	c.Teams[0].Keys = []string{"", "k1"}
+	table, err := NewTable(c)
+	must.NoError(t, err)
+	must.Nil(t, table.TeamByKey(""))
+	must.NotNil(t, table.TeamByKey("k1"))
+}
