rollout: upstreams that the leader cannot reach are not taken to be removed

A leader cut off from the old version's upstreams for 10 s around the deadline would have completed the rollout, and the operators would have stopped upstreams that serve everyone else.

Change: a version is absent only if none of its upstreams is registered, in a current list; draining ones and those of an evacuated data centre are registered. To take the traffic back, or to complete, upstreams must be serving. In between the shift waits, and requests use both versions.

TestMachine_OldVersionOutOfReach is the case; the guard out-of-reach, which removes the difference, is detected by it. TestIsCurrent and TestHasVersion cover what the directory tells.

--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -214,6 +214,16 @@
 	return now.Sub(d.contactAt) <= d.config.OutageAfter && now.Sub(d.outageEndedAt) > d.config.ReregisterWithin
 }
 
+// HasVersion reports whether the service has a registered upstream of one of the versions.
+func (d *Directory) HasVersion(service string, match func(version string) bool) bool {
+	for _, m := range d.upstreams {
+		if m.State != Gone && m.Service == service && match(m.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // Usable returns the upstreams that take requests, in ascending order of ID.
 func (d *Directory) Usable() []Upstream {
 	return d.filter(func(m *trackedUpstream) bool { return m.State == Ready || m.State == Missing })
--- a/process/directory/directory_test.go
+++ b/process/directory/directory_test.go
@@ -123,3 +123,33 @@
 	d.RecordContact(at(3101))
 	must.Eq(t, []Change{{ID: "new", From: Missing, To: Gone}}, d.Tick(at(3101)))
 }
+
+// Only a current list shows that a version has been removed: not one of an outage, nor one just after an outage or a restoration of the store.
+func TestIsCurrent(t *testing.T) {
+	d := New(start, DefaultConfig())
+	d.RecordContact(at(1000))
+	must.True(t, d.IsCurrent(at(2000)))
+	must.False(t, d.IsCurrent(at(4000)))
+	d.RecordContact(at(5000))
+	must.False(t, d.IsCurrent(at(6900)))
+	d.RecordContact(at(7100))
+	must.True(t, d.IsCurrent(at(7200)))
+	d.RecordRestore(at(7200))
+	must.False(t, d.IsCurrent(at(8000)))
+}
+
+// A version is registered as long as one of its upstreams is, whether it takes requests or not.
+func TestHasVersion(t *testing.T) {
+	d := New(start, DefaultConfig())
+	isV1 := func(version string) bool { return version == "v1" }
+	must.False(t, d.HasVersion("plain", isV1))
+	d.ApplyEntry(at(0), Entry{ID: "a", Service: "plain", Version: "v1", Sequence: 1})
+	d.ApplyEntry(at(0), Entry{ID: "b", Service: "plain", Version: "v2", Sequence: 1})
+	must.True(t, d.HasVersion("plain", isV1))
+	must.False(t, d.HasVersion("model", isV1))
+	d.ApplyEntry(at(10), Entry{ID: "a", Service: "plain", Version: "v1", Sequence: 2, Draining: true})
+	must.True(t, d.HasVersion("plain", isV1))
+	d.RecordContact(at(20))
+	d.RemoveEntry(at(20), "a")
+	must.False(t, d.HasVersion("plain", isV1))
+}
--- a/process/entry/shift.go
+++ b/process/entry/shift.go
@@ -44,9 +44,12 @@
 func (h shiftHost) Upstreams(s rollout.Shift) rollout.Upstreams {
 	u := rollout.Upstreams{Current: true}
 	for _, sidecar := range h.e.node.Snapshot().Sidecars {
-		if sidecar.Service == s.Service {
-			u.From = u.From || sidecar.Version == s.From
-			u.To = u.To || sidecar.Version == s.To
+		switch {
+		case sidecar.Service != s.Service:
+		case sidecar.Version == s.From:
+			u.From = rollout.Serving
+		case sidecar.Version == s.To:
+			u.To = rollout.Serving
 		}
 	}
 	return u
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -75,6 +75,7 @@
 		evacuated: make(map[string]struct{}),
 		members:   make(map[string]member),
 	}
+	g.rollouts.directory = s.directory
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
 	defer g.rollouts.stopTicker()
@@ -91,7 +92,6 @@
 		case <-ticker.C:
 			s.tick()
 		case <-g.rollouts.ticks:
-			g.rollouts.listIsCurrent = s.table != nil && s.directory.IsCurrent(bootclock.Now())
 			g.rollouts.tick(time.Now(), s.members)
 		}
 		s.publish()
--- a/process/gateway/rollouts.go
+++ b/process/gateway/rollouts.go
@@ -11,6 +11,8 @@
 
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/lease"
 	"github.com/jayridge/jayridge/process/mirror"
@@ -110,9 +112,9 @@
 	// statuses are the statuses in the store by service.
 	statuses            map[string]storedStatus
 	statusWriteInFlight bool
-	// listIsCurrent is set while an upstream that is not listed can be taken to have left.
-	listIsCurrent     bool
-	nextStatusWriteAt time.Time
+	nextStatusWriteAt   time.Time
+	// directory is that of the control goroutine.
+	directory *directory.Directory
 	// ticker runs while there are orders. ticks is its channel, nil if there is no ticker.
 	ticker *time.Ticker
 	ticks  <-chan time.Time
@@ -307,12 +309,24 @@
 	})
 }
 
-// Upstreams implements shift.Host. The balancer has no upstreams before the first configuration; the list is not current until then.
+// Upstreams implements shift.Host.
 func (h rolloutHost) Upstreams(s rollout.Shift) rollout.Upstreams {
 	return rollout.Upstreams{
-		From:    h.g.balancer.CanServe(s.Service, func(version string) bool { return version != s.To }),
-		To:      h.g.balancer.CanServe(s.Service, func(version string) bool { return version == s.To }),
-		Current: h.g.rollouts.listIsCurrent,
+		From:    h.presence(s.Service, func(version string) bool { return version != s.To }),
+		To:      h.presence(s.Service, func(version string) bool { return version == s.To }),
+		Current: h.g.rollouts.directory.IsCurrent(bootclock.Now()),
+	}
+}
+
+// presence returns the presence of versions of a service. It is called on the control goroutine.
+func (h rolloutHost) presence(service string, versions balancer.Versions) rollout.Presence {
+	switch {
+	case h.g.balancer.CanServe(service, versions):
+		return rollout.Serving
+	case h.g.rollouts.directory.HasVersion(service, versions):
+		return rollout.Registered
+	default:
+		return rollout.Absent
 	}
 }
 
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -124,6 +124,7 @@
 guard complete-target version/rollout/schedule.go 's/ \|\| !m\.canComplete\(\)//' ./version/rollout TestMachine_NewVersionRemovedAtFullShare
 guard just-started version/rollout/upstreams.go 's/ && !now\.Before\(o\.since\.Add\(m\.config\.ObserveTime\)\)//' ./version/rollout TestMachine_OldVersionListedAfterItsEnd
 guard list-current version/rollout/upstreams.go 's/since\.IsZero\(\) \|\| !current/since.IsZero()/' ./version/rollout TestMachine_OldVersionMissingForAWhile
+guard out-of-reach version/rollout/upstreams.go 's/case p != Absent:/case p == Serving:/' ./version/rollout TestMachine_OldVersionOutOfReach
 guard outcome-again version/rollout/machine.go 's/if m\.ended\(\) \{\n\t\tm\.recordOutcome/if m.rolledBack {\n\t\tm.recordOutcome/' ./version/rollout TestMachine_FinalStateOutlivesRestoredPlatform
 guard outcome-told process/shift/record.go 's/r\.recordSent = 0\n\t\td\.opts\.Host\.GossipNow\(\)/r.recordSent = 0/' ./process/gateway TestStoreRestored_RolloutStaysCompleted/one_restart
 guard fence-epoch version/rollout/record_events.go 's/&& !restored/\&\& (!restored || true)/' ./version/rollout TestMachine_FencesOfRestoredPlatform
--- a/version/rollout/schedule.go
+++ b/version/rollout/schedule.go
@@ -96,11 +96,13 @@
 	if now.Before(m.leaseSince.Add(m.config.SettleTime)) {
 		return
 	}
-	if late := !now.Before(m.shift.Deadline); late && m.record.State != Done && m.onlyNewVersionLeft(now) {
+	late := !now.Before(m.shift.Deadline)
+	switch {
+	case late && m.record.State != Done && m.onlyNewVersionLeft(now):
 		m.proposeDone(now, out)
 		return
-	} else if late && m.record.State < Full {
-		return // it becomes clear later which version is left
+	case late && m.record.State < Full:
+		return // the share no longer rises; the shift ends once it is clear which version is left
 	}
 	switch m.record.State {
 	case Pending:
--- a/version/rollout/upstreams_test.go
+++ b/version/rollout/upstreams_test.go
@@ -18,11 +18,11 @@
 }
 
 var (
-	lateTime   = simShift().Deadline.Add(time.Hour)
-	testLease  = Lease{Held: true, Fence: 2}
-	onlyTo     = Upstreams{To: true, Current: true}
-	onlyFrom   = Upstreams{From: true, Current: true}
-	bothListed = Upstreams{From: true, To: true, Current: true}
+	lateTime  = simShift().Deadline.Add(time.Hour)
+	testLease = Lease{Held: true, Fence: 2}
+	onlyTo    = Upstreams{To: Serving, Current: true}
+	onlyFrom  = Upstreams{From: Serving, Current: true}
+	bothServe = Upstreams{From: Serving, To: Serving, Current: true}
 )
 
 // newLeader returns the machine of a leader that starts after the deadline and has read a record that it has taken over.
@@ -62,37 +62,48 @@
 // A process without the lease must not roll back to a version without upstreams either.
 func TestMachine_DeadlineWithoutOldVersionOrLease(t *testing.T) {
 	m, _ := canaryAt(simStart)
-	m.SetUpstreams(simStart, bothListed)
+	m.SetUpstreams(simStart, bothServe)
 	m.PlatformDown(simStart)
 	m.SetUpstreams(lateTime, onlyTo)
 	must.Nil(t, m.Tick(lateTime, Lease{}).Stop)
-	m.SetUpstreams(lateTime, bothListed)
+	m.SetUpstreams(lateTime, bothServe)
 	must.NotNil(t, m.Tick(lateTime, Lease{}).Stop)
 }
 
 // Upstreams that are missing because they cannot register must not complete the shift, and those that only restart must not either.
 func TestMachine_OldVersionMissingForAWhile(t *testing.T) {
 	config := simConfig()
-	m := newLeader(t, Record{State: Canary, Share: 0.05}, 1, Upstreams{To: true})
+	m := newLeader(t, Record{State: Canary, Share: 0.05}, 1, Upstreams{To: Serving})
 	for d := time.Duration(0); d < 3*config.GoneAfter; d += config.GoneAfter / 10 {
-		out := tickAfter(m, d, Upstreams{To: true})
+		out := tickAfter(m, d, Upstreams{To: Serving})
 		must.Nil(t, out.Stop)
 		must.Nil(t, out.Write)
 	}
 	out := tickAfter(m, 3*config.GoneAfter+time.Second, onlyTo)
 	must.Nil(t, out.Write)
-	must.NotNil(t, tickAfter(m, 3*config.GoneAfter+2*time.Second, bothListed).Stop)
+	must.NotNil(t, tickAfter(m, 3*config.GoneAfter+2*time.Second, bothServe).Stop)
+}
+
+// Upstreams that are registered, and only not reachable from the leader, must not be taken to be removed.
+func TestMachine_OldVersionOutOfReach(t *testing.T) {
+	m := newLeader(t, Record{State: Canary, Share: 0.05}, 1, bothServe)
+	for d := time.Duration(0); d < 3*simConfig().GoneAfter; d += time.Second {
+		out := tickAfter(m, d, Upstreams{From: Registered, To: Serving, Current: true})
+		must.Nil(t, out.Stop)
+		must.Nil(t, out.Write)
+	}
+	must.NotNil(t, tickAfter(m, 3*simConfig().GoneAfter, bothServe).Stop)
 }
 
 // Guards against a rollback just after a restart to upstreams that are still listed and no longer run.
 func TestMachine_OldVersionListedAfterItsEnd(t *testing.T) {
 	config := simConfig()
-	m := newLeader(t, Record{State: Canary, Share: 0.05}, 1, bothListed)
-	must.Nil(t, tickAfter(m, config.ObserveTime-time.Second, bothListed).Stop)
+	m := newLeader(t, Record{State: Canary, Share: 0.05}, 1, bothServe)
+	must.Nil(t, tickAfter(m, config.ObserveTime-time.Second, bothServe).Stop)
 	must.Nil(t, tickAfter(m, config.ObserveTime, onlyTo).Stop)
 	must.NotNil(t, tickAfter(m, config.ObserveTime+config.GoneAfter, onlyTo).Write)
-	m = newLeader(t, Record{State: Canary, Share: 0.05}, 1, bothListed)
-	must.NotNil(t, tickAfter(m, config.ObserveTime, bothListed).Stop)
+	m = newLeader(t, Record{State: Canary, Share: 0.05}, 1, bothServe)
+	must.NotNil(t, tickAfter(m, config.ObserveTime, bothServe).Stop)
 }
 
 // Guards against the mirror image: completing a shift whose new version was removed after a rollback that the platform no longer knows.
@@ -103,15 +114,15 @@
 	must.Nil(t, out.Write)
 	must.Nil(t, out.Stop)
 	must.NotNil(t, tickAfter(m, config.GoneAfter, onlyFrom).Stop)
-	m = newLeader(t, Record{State: Full, Step: 3, Share: 1}, 1, bothListed)
-	must.Eq(t, Done, tickAfter(m, config.GoneAfter, bothListed).Write.Record.State)
+	m = newLeader(t, Record{State: Full, Step: 3, Share: 1}, 1, bothServe)
+	must.Eq(t, Done, tickAfter(m, config.GoneAfter, bothServe).Write.Record.State)
 }
 
 // Guards against a final state that is forgotten when the platform comes back from a copy of the time before it.
 func TestMachine_FinalStateOutlivesRestoredPlatform(t *testing.T) {
 	for _, final := range []State{Done, RolledBack} {
 		for _, lost := range []bool{false, true} {
-			m := newLeader(t, Record{State: final, Share: 1, Reason: "fault"}, revisionIn(t, 1, 9), bothListed)
+			m := newLeader(t, Record{State: final, Share: 1, Reason: "fault"}, revisionIn(t, 1, 9), bothServe)
 			must.True(t, m.Recorded())
 			m.Tick(lateTime, Lease{})
 			restored, previous := lateTime.Add(time.Second), services.Revision(0)
@@ -144,7 +155,7 @@
 
 // A leader that has restarted after the platform came back from an older copy must learn from its peers that the shift was done.
 func TestMachine_DoneBeforeRestoredPlatform(t *testing.T) {
-	m := newLeader(t, Record{State: Canary, Share: 0.05}, revisionIn(t, 2, 4), bothListed)
+	m := newLeader(t, Record{State: Canary, Share: 0.05}, revisionIn(t, 2, 4), bothServe)
 	done := Record{ID: "s1", State: Done, Step: 3, Share: 1, Fence: 1}
 	out := m.RecordForwarded(lateTime.Add(simConfig().RetryEvery), done, revisionIn(t, 1, 9))
 	must.Eq(t, 1, out.Share)
