Tests of rollouts get enough requests on a busy machine too

One caller that waits for each response sends too little there for the test of a version, and the rollback is what the product has to do then. The test was wrong about its set-up, not about what it checks: no check has changed.

A rollback now fails the restored-store test at once; it would have waited for completion for ever.

--- a/process/gateway/restore_test.go
+++ b/process/gateway/restore_test.go
@@ -105,13 +105,9 @@
 	store.put("order/plain", RolloutOrder{Target: newer.version, TimeLimit: limit})
 	store.put("upstream/"+newer.id, newer.entry())
 	r := rolloutFixture{fixture: f}
-	for n := 0; ; n++ {
-		for i, g := range gateways {
-			f.send(g, http.MethodGet, fmt.Sprint("/look/", i, "-", n), nil)
-		}
-		if s, _ := r.status(); s.State == RolloutCompleted {
-			break
-		}
+	stop := f.sendSteadily(gateways)
+	for s := (RolloutStatus{}); s.State != RolloutCompleted; s, _ = r.status() {
+		must.EqOp(f.t, RolloutRunning, s.State)
 		if status := gateways[0].rollouts.driver.Status(); len(status) == 1 && status[0].State == "canary" {
 			store.mu.Lock()
 			during = maps.Clone(store.items)
@@ -119,6 +115,7 @@
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
+	stop()
 	must.MapNotEmpty(f.t, during)
 	store.remove("upstream/" + older.id)
 	older.crash()
@@ -148,7 +145,7 @@
 					g.Stop(context.Background())
 				}
 			}()
-			const limit = 7 * time.Second
+			const limit = 15 * time.Second
 			ordered := time.Now()
 			during := f.completeRollout(store, gateways, older, newer, limit)
 			if gateways[1].rollouts.driver.Status()[0].Leader { // the leader is the first to restart
--- a/process/gateway/rollouts_test.go
+++ b/process/gateway/rollouts_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -221,6 +223,27 @@
 	}
 }
 
+// sendSteadily sends enough requests for a rollout to each gateway until the returned function is called.
+func (f *fixture) sendSteadily(gateways []*Gateway) (stop func()) {
+	const callersPerGateway = 6
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for i, g := range gateways {
+		for j := range callersPerGateway {
+			callers.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					f.send(g, http.MethodGet, fmt.Sprint("/look/", i, "-", j, "-", n), nil)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
 // Guards against a leader that the store turns away and that takes the rollout back after another leader has completed it.
 func TestRollout_FormerLeaderKeepsCompletedRollout(t *testing.T) {
 	older, newer := newUpstream(t, "a", succeed), newUpstream(t, "b", succeed)
@@ -235,22 +258,11 @@
 	f.gateway.Stop(context.Background())
 	f.store.removeHolder("one")
 	r := &rolloutFixture{fixture: f}
-	const limit = 9 * time.Second
+	const limit = 15 * time.Second
 	ordered := time.Now()
 	f.store.put("order/plain", RolloutOrder{Target: "v2", TimeLimit: limit})
 	f.store.put("upstream/b", newer.entry())
-	ctx, cancel := context.WithCancel(t.Context())
-	var callers sync.WaitGroup
-	defer callers.Wait()
-	defer cancel()
-	callers.Go(func() {
-		for n := 0; ctx.Err() == nil; n++ {
-			for name, g := range gateways {
-				f.send(g, http.MethodGet, fmt.Sprint("/look/", name, n), nil)
-			}
-			time.Sleep(4 * time.Millisecond)
-		}
-	})
+	defer f.sendSteadily(slices.Collect(maps.Values(gateways)))()
 	// The new version gets all traffic after 70% of the time before the deadline.
 	time.Sleep(time.Until(ordered.Add(limit / 3)))
 	former, next := "two", "three"
