Tests: test processes lock the ports that they hand out

Trace: five of their processes ended at the start with event 103, "listen tcp 127.0.0.1:21489: bind: address already in use" (ports 21422 to 21498): another test process had taken ports between the choice and the start. The first port followed from the process ID, and IDs 22 apart begin 66 ports apart (22 x 997 = 66 less than the 22,000 ports); the gateway tests had a range of their own inside that one.

Change: UnusedAddress locks a port by listening on it at 127.0.0.2 until the test process ends, so that no other one gets it. The gateway tests use it too. No check has changed.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -2,10 +2,12 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
+	"syscall"
 )
 
 // The ports lie below the kernel's ephemeral port range. A free port in the ephemeral range could be assigned to an outgoing connection
@@ -15,16 +17,32 @@
 	portCount = 22_000
 	// pidStride spreads the first ports of test processes that run at the same time.
 	pidStride = 997
+	// lockHost is the address at which a port is locked.
+	lockHost = "127.0.0.2"
 )
 
-var allocated atomic.Int64
+var (
+	mu        sync.Mutex
+	allocated int64
+	// locks keep other test processes from allocating the same ports, until this process ends.
+	locks []net.Listener
+)
 
-// UnusedAddress returns a loopback address that no process listens on. Each call returns a different address until the port range wraps
-// around.
+// UnusedAddress returns a loopback address that no process listens on and that no other test process has been given.
 func UnusedAddress() string {
+	mu.Lock()
+	defer mu.Unlock()
 	for {
-		n := int64(os.Getpid())*pidStride + allocated.Add(1)
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%portCount)
+		allocated++
+		port := firstPort + (int64(os.Getpid())*pidStride+allocated)%portCount
+		lock, err := net.Listen("tcp", fmt.Sprintf("%s:%d", lockHost, port))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err == nil {
+			locks = append(locks, lock)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/jayridge/jayridge/internal/sleep"
+	"github.com/jayridge/jayridge/internal/standin/loopback"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
@@ -207,31 +207,6 @@
 	client  *http.Client
 }
 
-const (
-	// firstTestPort and testPorts are the range of the ports of gateways, below those that the kernel gives to outgoing connections: a connection of
-	// another test could take a port between the choice and the start of the gateway.
-	firstTestPort, testPorts = 15_000, 15_000
-)
-
-// nextTestPort is the offset of the next port to try. Concurrent test processes begin at different ones.
-var nextTestPort atomic.Int64
-
-func init() { nextTestPort.Store(int64(os.Getpid()) * 97) }
-
-func freeAddress(t *testing.T) string {
-	for range testPorts {
-		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		must.NoError(t, listener.Close())
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func newFixture(t *testing.T, upstreams ...*fakeUpstream) *fixture {
 	f := &fixture{t: t, store: newFakeStore(), config: routing.Config{
 		Version: 1,
@@ -271,7 +246,7 @@
 	s := settings.GatewayDefaults()
 	s.Instance, s.DataCentre = name, "here"
 	s.DataCentres = []settings.DataCentre{{Name: "here"}}
-	s.CallersAddress, s.ReadyAddress, s.PeerAddress = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	s.CallersAddress, s.ReadyAddress, s.PeerAddress = loopback.UnusedAddress(), loopback.UnusedAddress(), loopback.UnusedAddress()
 	s.Fleet.RevokeMS = 3000
 	return &s
 }
