gateway: hold requests for the first configuration after a start

Cause: gateways on links of 10 Mbit/s read the configuration 0.5 to 0.7 s after their start; the refusal asked callers to come back after 0.05 to 0.1 s, when all other gateways were without it too. The load balancer sends callers to gateways that are not ready only if few are ready, so such a request would not be served elsewhere.

Change: while the store answers, a gateway holds requests in its first 2 s for an eighth of their deadline; Retry-After of the refusal is 0.25 to 0.5 s.

--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -74,7 +74,7 @@
 
 // admit reads and validates a request. It returns result.OK if the request may be sent.
 func (c *call) admit() result.Code {
-	c.view = c.g.view.Load()
+	c.view = c.currentView()
 	if c.view == nil {
 		return result.NoConfiguration
 	}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -307,5 +307,7 @@
 	}
 	s.g.balancer.SetUpstreams(v.upstreams, leaving, s.table.Service)
 	s.g.pools.retain(v.upstreams, s.table, int(s.g.gatewayCount.Load()))
-	s.g.view.Store(v)
+	if s.g.view.Swap(v) == nil {
+		close(s.g.configured)
+	}
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -79,6 +79,9 @@
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
+	// configured is closed when the first view is published. startedAt is the time of New.
+	configured chan struct{}
+	startedAt  time.Time
 	// configConfirmedAt is the latest time at which the configuration was known to be current, in bootclock nanoseconds.
 	configConfirmedAt atomic.Int64
 	// storeProgressAt is the latest time at which bytes of a response to the watcher arrived, in bootclock nanoseconds.
@@ -142,6 +145,8 @@
 		mirrorQueries: make(chan func(*mirror.Mirror), maxQueuedBatches),
 		tasks:         make(chan func(), maxQueuedTasks),
 		registerNow:   make(chan struct{}, 1),
+		configured:    make(chan struct{}),
+		startedAt:     time.Now(),
 	}
 	g.metrics = newMetrics(g.buffers)
 	g.fleet.Store(&o.Settings.Fleet)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -42,7 +42,7 @@
 const (
 	// notRunRetryAfter is the Retry-After of a request that did not run; the retry may reach another gateway.
 	notRunRetryAfter = 50 * time.Millisecond
-	// overloadRetryAfter is the Retry-After if no upstream had capacity for the request.
+	// overloadRetryAfter is the Retry-After if no upstream had capacity for the request, or if the gateway has no configuration yet.
 	overloadRetryAfter = 250 * time.Millisecond
 )
 
@@ -67,7 +67,7 @@
 		// The request did not run, so it is safe to retry.
 		status = http.StatusServiceUnavailable
 		after := notRunRetryAfter
-		if code == result.NoUpstream || code == result.Full || code == result.OverBound || code == result.NoMemory {
+		if code == result.NoUpstream || code == result.Full || code == result.OverBound || code == result.NoMemory || code == result.NoConfiguration {
 			after = overloadRetryAfter
 		}
 		after = max(after, c.quarantinedFor)
