--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -52,7 +52,7 @@
 	g, err := gateway.New(gateway.Options{
 		Settings: s,
 		Store:    platform.NewStore(s.Store.Address, settings.FractionalMilliseconds(s.Store.TimeoutMS)),
-		Decoder:  platform.ItemCodec{},
+		Decoder:  platform.NewItemCodec(),
 		Headers:  platform.Headers(),
 		Prompts:  platform.PromptListDecoder{},
 	})
