gateway: read large responses of the store with two thirds of the link

Callers saw: while gateways with links of 10 Mbit/s read a configuration of about 1 MB, 7 to 15 in 100 streams had events more than 0.2 s late.

Cause: the response takes the whole link for 0.7 s and more, and events of upstreams wait behind it.

Change: the new setting link_mbps; the part of a response beyond 64 KB is read with two thirds of the link, for at most half of the time in which a configuration must take effect and only while the own copy is recent. Without the setting nothing changes.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -31,7 +31,8 @@
 // is done.
 type Store interface {
 	services.KV
-	// Snapshot reads all items with a key prefix. progress is called with the number of bytes that have just arrived and must not block.
+	// Snapshot reads all items with a key prefix. progress is called with the number of bytes that have just arrived. It may block for a while to slow the
+	// reading down.
 	Snapshot(ctx context.Context, prefix string, progress func(bytes int)) (mirror.Batch, error)
 	// Changes makes one long poll. It returns mirror.ErrCompacted if the store no longer has the changes, and mirror.ErrTooManyChanges if they are
 	// too large to be read.
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -142,9 +142,14 @@
 	ctx, cancel := context.WithCancel(w.g.ctx)
 	c := storeCall{begun: make(chan struct{}), done: make(chan storeResponse, 1), cancel: cancel}
 	var first sync.Once
-	progress := func(int) {
-		first.Do(func() { close(c.begun) })
-		w.g.storeProgressAt.Store(bootclock.Now().UnixNano())
+	received, begunAt := 0, time.Time{}
+	progress := func(bytes int) {
+		now := bootclock.Now()
+		first.Do(func() { close(c.begun); begunAt = now })
+		w.g.storeProgressAt.Store(now.UnixNano())
+		received += bytes
+		pace := newStorePace(w.g.settings.LinkMbps, w.g.fleet.Load().ConfigMS)
+		sleep.For(ctx, pace.pause(received, now.Sub(begunAt), w.g.configAge()))
 	}
 	calls.Go(func() {
 		r := storeResponse{sent: bootclock.Now(), wait: wait}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -65,7 +65,7 @@
 	// MaxBytes is the approximate maximum size of the keys and values of all changes together. The call returns ErrTooManyChanges as soon as it is
 	// exceeded, without reading the rest. Zero means no maximum.
 	MaxBytes int
-	// Progress, if set, is called with the number of bytes of the response that have just arrived. It must not block.
+	// Progress, if set, is called with the number of bytes of the response that have just arrived. It may block for a while to slow the reading down.
 	Progress func(bytes int)
 }
 
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -31,6 +31,9 @@
 	MemoryMB float64 `json:"memory_mb" validate:"min=32,max=1048576"`
 	// MaxFiles is the maximum number of file descriptors of the process. Default 4096.
 	MaxFiles int `json:"max_files" validate:"min=256,max=10000000"`
+	// LinkMbps is the bandwidth of the instance's network link, in Mbit/s. Large responses of the store are read with two thirds of it, so that they do
+	// not delay callers' streams. Zero means unknown: they are read at full speed. Default 0.
+	LinkMbps float64 `json:"link_mbps" validate:"min=0,max=10000000"`
 	// MaxResponseMB is the maximum size of the body of a response that is not a stream, in megabytes. Such bodies are held in memory until they
 	// are complete; an upstream that sends more is treated as broken. Default 4.
 	MaxResponseMB float64 `json:"max_response_mb" validate:"min=0.01,max=1024"`
