gateway: neighbours within data centres in fleets of more than 100

Cause: updates on cached prompts are forwarded from neighbour to neighbour over every link, and neighbours were chosen by a hash of their names, so that two thirds of the copies went between data centres, in proportion to gateways times updates.

Change: beyond 100 gateways the ring of three distances is that of the own data centre, and four gateways of each data centre have a further neighbour in each of the two following and two preceding data centres. Smaller fleets are as before.

TestNeighbours_LinksBetweenDataCentres fails with the old choice.

--- a/process/gateway/crashfleet_test.go
+++ b/process/gateway/crashfleet_test.go
@@ -128,12 +128,14 @@
 		stored: make(map[quarantine.Part]quarantine.QuarantinedPart), late: make(map[string]int),
 	}
 	var names []string
+	dataCentres := make(map[string]string)
 	for i := range gateways {
 		names = append(names, fmt.Sprint("g", i))
+		dataCentres[names[i]] = dataCentre(i)
 	}
 	for i := range gateways {
 		g := &simGateway{}
-		for _, n := range neighbours(names[i], names) {
+		for _, n := range neighbours(names[i], dataCentres) {
 			g.neighbours = append(g.neighbours, slices.Index(names, n))
 		}
 		s.gateways = append(s.gateways, g)
--- a/process/gateway/loadfleet_test.go
+++ b/process/gateway/loadfleet_test.go
@@ -96,15 +96,17 @@
 		random: rand.New(rand.NewPCG(seed, 2)), simClock: simClock{now: time.Unix(1000, 0)}, rate: float64(upstreams) / 44, period: statePeriod(gateways),
 	}
 	var names []string
+	dataCentres := make(map[string]string)
 	for i := range gateways {
 		names = append(names, fmt.Sprint("g", i))
+		dataCentres[names[i]] = dataCentre(i)
 	}
 	for i := range gateways {
 		config := balancer.DefaultConfig(dataCentre(i))
 		config.Seed = seed<<8 + uint64(i)
 		config.Placement.LoadFactor = loadFactorShare * simLoadFactor
 		g := &loadGateway{name: names[i], balancer: balancer.New(config)}
-		for _, n := range neighbours(names[i], names) {
+		for _, n := range neighbours(names[i], dataCentres) {
 			g.neighbours = append(g.neighbours, slices.Index(names, n))
 		}
 		g.balancer.SetEntries(gateways)
--- a/process/gateway/loadpeers_test.go
+++ b/process/gateway/loadpeers_test.go
@@ -13,10 +13,10 @@
 
 // addMembersBetween registers gateways that do not run, so that two running ones are no neighbours of each other. It returns their keys.
 func addMembersBetween(f *fixture, one, two string) (keys []string) {
-	members := []string{one, two}
+	members := map[string]string{one: "here", two: "here"}
 	for i := 0; slices.Contains(neighbours(one, members), two); i++ {
 		name := fmt.Sprint("member-", i)
-		members = append(members, name)
+		members[name] = "here"
 		keys = append(keys, memberKeyPrefix+name)
 	}
 	for _, key := range keys {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -129,7 +129,7 @@
 	if !slices.Contains(names, self) {
 		names = append(names, self)
 	}
-	near := neighbours(self, names)
+	near := neighbours(self, p.dataCentres())
 	linked := near
 	if len(names) <= maxLoadMesh {
 		linked = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self })
@@ -312,7 +312,7 @@
 	l := p.links[name]
 	if l == nil {
 		// The peer may know of this gateway's registration before this gateway knows of the peer's.
-		l = &peerLink{loadPeer: !p.wouldBeNeighbour(name)}
+		l = &peerLink{loadPeer: !p.wouldBeNeighbour(name, conn.Remote().DataCentre)}
 		p.links[name] = l
 	}
 	if l.conn != nil && l.conn != conn {
@@ -338,11 +338,19 @@
 }
 
 // wouldBeNeighbour reports whether a gateway that is not registered yet would be a neighbour. The caller holds p.mu.
-func (p *peers) wouldBeNeighbour(name string) bool {
-	self := p.g.settings.Instance
-	names := append(slices.Collect(maps.Keys(p.members)), self, name)
-	slices.Sort(names)
-	return slices.Contains(neighbours(self, slices.Compact(names)), name)
+func (p *peers) wouldBeNeighbour(name, dataCentre string) bool {
+	all := p.dataCentres()
+	all[name] = dataCentre
+	return slices.Contains(neighbours(p.g.settings.Instance, all), name)
+}
+
+// dataCentres returns the data centres of the registered gateways and of this one, by name. The caller holds p.mu.
+func (p *peers) dataCentres() map[string]string {
+	all := map[string]string{p.g.settings.Instance: p.g.settings.DataCentre}
+	for name, m := range p.members {
+		all[name] = m.DataCentre
+	}
+	return all
 }
 
 // HandleConnect implements link.ConnectHandler.
