--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -49,6 +49,8 @@
 	Store Store `json:"store"`
 	// Fleet holds the limits that apply to all gateways together.
 	Fleet Fleet `json:"fleet"`
+	// Duties holds the settings of the duties that one gateway at a time does for the fleet.
+	Duties Duties `json:"duties"`
 }
 
 // DataCentre is a data centre and its region.
@@ -91,6 +93,50 @@
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
 }
 
+// Duties holds the settings of the fleet-wide duties.
+type Duties struct {
+	// Address is the IP address and port of the platform's API. If empty, there are no duties.
+	Address string `json:"address" validate:"omitempty,tcp_addr"`
+	// CallsPerSecond is the number of calls that the API accepts from all gateways together. Default 50.
+	CallsPerSecond float64 `json:"calls_per_second" validate:"gt=0"`
+	// Names lists the duties: "usage" or "usage_report" for usage reports, "scale" or "autoscale" for the number of upstreams.
+	Names []DutyName `json:"names" validate:"dive,oneof=usage scale"`
+	// LeaseMS is the time within which two gateways must not act alternately, in milliseconds. A new holder of a duty makes no call for this time.
+	// Default 3000.
+	LeaseMS float64 `json:"lease_ms" validate:"min=200,max=600000"`
+	// UsageWindowS is the length of the windows for which usage is counted, in seconds. Default 5.
+	UsageWindowS float64 `json:"usage_window_s" validate:"min=0.1,max=86400"`
+	// UsageTolerance is the permitted error of a reported count, as a fraction. Default 0.05.
+	UsageTolerance float64 `json:"usage_tolerance" validate:"min=0,max=1"`
+	// UsageDueS is the time from the end of a window until its report is due, in seconds. Default 10.
+	UsageDueS float64 `json:"usage_due_s" validate:"min=0.2,max=86400"`
+}
+
+// Has reports whether the duties include one. There are none without an address.
+func (d Duties) Has(name DutyName) bool { return d.Address != "" && slices.Contains(d.Names, name) }
+
+// DutyName is the name of a duty.
+type DutyName string
+
+// Values of DutyName.
+const (
+	DutyUsage DutyName = "usage"
+	DutyScale DutyName = "scale"
+)
+
+// UnmarshalText implements encoding.TextUnmarshaler. It also accepts the names that are used in deploy files.
+func (n *DutyName) UnmarshalText(text []byte) error {
+	switch name := string(text); name {
+	case "usage_report":
+		*n = DutyUsage
+	case "autoscale":
+		*n = DutyScale
+	default:
+		*n = DutyName(name)
+	}
+	return nil
+}
+
 // GatewayDefaults returns the default values of a gateway's settings.
 func GatewayDefaults() Gateway {
 	return Gateway{
@@ -102,6 +148,7 @@
 		Fleet: Fleet{
 			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
 		},
+		Duties: Duties{CallsPerSecond: 50, LeaseMS: 3000, UsageWindowS: 5, UsageTolerance: 0.05, UsageDueS: 10},
 	}
 }
 
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -113,3 +113,29 @@
 		must.Eq(t, path, faults[0].Path)
 	}
 }
+
+// The duties must be off without an address, be known under the names of the deploy file too, and be rejected under other names.
+func TestParseGateway_Duties(t *testing.T) {
+	const text = `{"instance":"one","data_centre":"here","data_centres":[{"name":"here","region":"r"}],"callers_address":"127.0.0.1:7001",
+"ready_address":"127.0.0.1:7002","peer_address":"127.0.0.1:7003","store":{"address":"127.0.0.1:7004"},"duties":{DUTIES}}`
+	parse := func(duties string) (*Gateway, error) {
+		return ParseGateway("g.json", []byte(strings.Replace(text, "DUTIES", duties, 1)))
+	}
+	g, err := parse(`"names":["usage"]`)
+	must.NoError(t, err)
+	must.False(t, g.Duties.Has(DutyUsage))
+	must.EqOp(t, 3000, g.Duties.LeaseMS)
+	g, err = parse(`"address":"127.0.0.1:7005","names":["usage_report","autoscale"]`)
+	must.NoError(t, err)
+	must.True(t, g.Duties.Has(DutyUsage))
+	must.True(t, g.Duties.Has(DutyScale))
+	for duties, path := range map[string]string{
+		`"names":["usage","lunch"]`: "duties.names[1]", `"address":"here"`: "duties.address", `"usage_window_s":0`: "duties.usage_window_s",
+		`"calls_per_second":0`: "duties.calls_per_second", `"lease_ms":1`: "duties.lease_ms",
+	} {
+		_, err := parse(duties)
+		var faults Faults
+		must.True(t, errors.As(err, &faults), must.Sprint(duties))
+		must.Eq(t, path, faults[0].Path)
+	}
+}
