routing: limits of a service's number of upstreams

The platform's configuration may hold Scaling for a service. It is decoded into routing.Service.Scaling, nil if absent; a configuration whose limits are missing, contradictory or out of range is rejected, as for other faults of a configuration.

--- a/version/routing/config.go
+++ b/version/routing/config.go
@@ -93,6 +93,34 @@
 	// FetchTokensPerMS is the rate at which one upstream of a model service copies cached prompts from another, in tokens per
 	// millisecond; zero if it cannot.
 	FetchTokensPerMS float64
+	// Scaling is set if the number of the service's upstreams is to be decided by the fleet, else nil.
+	Scaling *Scaling
+}
+
+// Scaling limits the number of upstreams that may be ordered for a service.
+type Scaling struct {
+	// Min and Max are the limits for each data centre.
+	Min, Max int
+	// BootTime is the time that a new upstream needs until it serves.
+	BootTime time.Duration
+}
+
+const (
+	// maxScaling is the highest limit that is accepted, ten times the upstreams of the largest fleet that the design considers.
+	maxScaling = 100_000
+	// maxBootTime is the longest boot time that is accepted.
+	maxBootTime = time.Hour
+)
+
+// validate checks the ranges. Wrong limits would have the platform start or stop upstreams that nobody wants.
+func (s *Scaling) validate(service string) error {
+	switch {
+	case s.Min < 0 || s.Max < 1 || s.Max < s.Min || s.Max > maxScaling:
+		return trace.BadParameter("service %q: scaling between %d and %d upstreams", service, s.Min, s.Max)
+	case s.BootTime < 0 || s.BootTime > maxBootTime:
+		return trace.BadParameter("service %q: scaling with a boot time of %v, at most %v is possible", service, s.BootTime, maxBootTime)
+	}
+	return nil
 }
 
 // Team is a customer, whose callers share its keys.
@@ -135,6 +163,12 @@
 	services := make(map[string]struct{}, len(c.Services))
 	for _, s := range c.Services {
 		services[s.Name] = struct{}{}
+		if s.Scaling == nil {
+			continue
+		}
+		if err := s.Scaling.validate(s.Name); err != nil {
+			return trace.Wrap(err, "version %d", c.Version)
+		}
 	}
 	for i := range c.Routes {
 		if err := c.Routes[i].validate(services); err != nil {
