lease: clock that counts suspended time, token that never decreases, leases on demand

A suspended holder considered its lease valid, because the monotonic clock stops with the machine: the keeper now reads process/bootclock, also for rollouts. The token was the counter of the fence key, which goes back when the store is restored from an older copy or the key is lost: it is now the revision of the lease key, which contains the store's epoch, unless the counter is higher. Try and GiveUp let the caller decide when to compete.

--- a/cmd/jayridge/order.go
+++ b/cmd/jayridge/order.go
@@ -92,7 +92,7 @@
 		<-ended
 	}
 	for {
-		if fence, ok := keeper.Held(time.Now()); ok {
+		if fence, ok := keeper.Held(); ok {
 			return fence, release, nil
 		}
 		if !sleep.For(ctx, leasePollInterval) {
--- a/process/lease/acquire.go
+++ b/process/lease/acquire.go
@@ -23,7 +23,7 @@
 type Value struct {
 	// Holder is the id of the instance.
 	Holder string `msgpack:"h"`
-	// Fence is the fencing token. In the lease key it is valid only once the fence key has the same value.
+	// Fence is the fencing token. In the lease key it is a lower bound; the token is that of the fence key once that has the same Nonce.
 	Fence uint64 `msgpack:"f"`
 	// Nonce distinguishes the attempts of one instance.
 	Nonce uint64 `msgpack:"n"`
@@ -45,18 +45,24 @@
 	lease  services.LeaseID
 }
 
-// acquire creates the lease key with the next token and then sets the counter to it. A failure at any point leaves at most an unused
-// token and a lease that expires.
+// acquire creates the lease key and then writes the next token to the fence key. A failure at any point leaves at most an unused token and a lease
+// that expires.
+//
+// The token is the revision of the lease key, or one more than the last token if that is higher. Revisions contain the store's epoch in their high
+// bits, so the token increases also if the store was restored from a copy with an older fence key, and if the fence key was lost. The last token
+// covers stores whose revisions restart with each new key.
 func (a *attempt) acquire(ctx context.Context) (uint64, error) {
 	last, revision, err := a.read(ctx, fenceKey(a.name))
 	if err != nil {
 		return 0, err
 	}
 	own := Value{Holder: a.holder, Fence: last.Fence + 1, Nonce: a.nonce}
-	if err := a.write(ctx, leaseKey(a.name), 0, own, a.lease); err != nil {
+	created, err := a.write(ctx, leaseKey(a.name), 0, own, a.lease)
+	if err != nil {
 		return 0, err
 	}
-	if err := a.write(ctx, fenceKey(a.name), revision, own, 0); err != nil {
+	own.Fence = max(own.Fence, uint64(created))
+	if _, err := a.write(ctx, fenceKey(a.name), revision, own, 0); err != nil {
 		return 0, err
 	}
 	return own.Fence, nil
@@ -75,28 +81,28 @@
 	return v, kv.Revision, err
 }
 
-// write replaces a revision of a key. If the response is lost, it reads the key to determine whether the write took effect.
-func (a *attempt) write(ctx context.Context, key string, previous services.Revision, v Value, lease services.LeaseID) error {
+// write replaces a revision of a key and returns the new one. If the response is lost, it reads the key to determine whether the write took effect.
+func (a *attempt) write(ctx context.Context, key string, previous services.Revision, v Value, lease services.LeaseID) (services.Revision, error) {
 	data, err := msgpack.Marshal(v)
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
-	_, err = a.kv.CompareAndSwap(ctx, key, previous, data, lease)
+	written, err := a.kv.CompareAndSwap(ctx, key, previous, data, lease)
 	if err == nil {
-		return nil
+		return written, nil
 	}
 	if errors.Is(err, services.ErrConflict) {
-		return trace.Wrap(errHeldByOther)
+		return 0, trace.Wrap(errHeldByOther)
 	}
 	if !errors.Is(err, services.ErrOutcomeUnknown) {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
-	current, _, err := a.read(ctx, key)
+	current, revision, err := a.read(ctx, key)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if current != v {
-		return trace.Wrap(errHeldByOther)
+		return 0, trace.Wrap(errHeldByOther)
 	}
-	return nil
+	return revision, nil
 }
--- a/process/lease/config.go
+++ b/process/lease/config.go
@@ -2,7 +2,7 @@
 //
 // The key lease/NAME exists while a process holds the lease; the platform deletes it when the holder's platform lease expires. The
 // key fence/NAME is never deleted and holds the last fencing token. It is a separate key because the revisions of a deleted key may
-// restart, so that tokens derived from them would repeat. The counter is read before the lease key is created and incremented by
+// restart, so that tokens derived from them alone would repeat. It is read before the lease key is created and raised by
 // compare-and-swap afterwards, so no other process can have obtained a token in between. A process that was paused before the increment
 // may obtain a token without holding the lease; its local validity period, which starts before the lease was requested, has then expired.
 package lease
--- a/process/lease/holder.go
+++ b/process/lease/holder.go
@@ -12,8 +12,8 @@
 	Renew
 )
 
-// Holder decides when to acquire and to renew the lease, and whether it is held. It does no I/O: the caller passes times from the
-// process's monotonic clock, and jitter values in [0, 1).
+// Holder decides when to acquire and to renew the lease, and whether it is held. It does no I/O: the caller passes times of one monotonic clock,
+// and jitter values in [0, 1).
 type Holder struct {
 	config Config
 	fence  uint64
@@ -74,6 +74,12 @@
 	h.next = time.Time{}
 }
 
+// GaveUp records that the lease was given up at time now and is not to be acquired before the pause has passed.
+func (h *Holder) GaveUp(now time.Time, pause time.Duration) {
+	h.until = time.Time{}
+	h.next = now.Add(pause)
+}
+
 // Held returns the fencing token if the lease is held at time now.
 func (h *Holder) Held(now time.Time) (fence uint64, ok bool) {
 	if !now.Before(h.until) {
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -7,33 +7,46 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jayridge/jayridge/internal/sleep"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/services"
 )
 
-// Keeper acquires a lease and keeps it renewed. Run is its only goroutine; Held may be called from any.
+// Keeper acquires a lease and keeps it renewed. Run is its only goroutine; all other methods may be called from any.
 type Keeper struct {
 	config Config
 	kv     services.KV
 	name   string
 	holder string
 	random *rand.Rand
+	clock  func() time.Time
 
 	holderState *Holder
 	lease       services.LeaseID
 	loggedFence uint64
-	current     atomic.Pointer[grant]
+	// since is the time at which the current lease was acquired.
+	since   time.Time
+	current atomic.Pointer[Grant]
+	// wake ends the wait of Run.
+	wake chan struct{}
+	// onDemand means that the lease is acquired only after a call of Try. tryRequested is set by Try.
+	onDemand     bool
+	tryRequested atomic.Bool
+	// givenUp is the pause requested by GiveUp, nil when Run has given the lease up.
+	givenUp atomic.Pointer[time.Duration]
 }
 
-// grant is an immutable snapshot of the lease.
-type grant struct {
-	fence uint64
-	until time.Time
+// Grant is the lease as it is held. Its times are those of the keeper's clock.
+type Grant struct {
+	// Fence is the fencing token.
+	Fence uint64
+	// Since is the time at which the lease was acquired, Until the time at which it ends unless it is renewed again.
+	Since, Until time.Time
 }
 
 // NewKeeper returns a keeper of the named lease for the instance with the id holder. The seed initializes the generator of jitter and
-// nonces and must differ between instances and between process starts. The config must be valid.
+// nonces and must differ between instances and between process starts. The config must be valid. Its clock is that of process/bootclock, so that a
+// machine that was suspended knows that its lease has expired.
 func NewKeeper(config Config, kv services.KV, name, holder string, seed uint64) *Keeper {
 	return &Keeper{
 		config:      config,
@@ -41,20 +54,59 @@
 		name:        name,
 		holder:      holder,
 		random:      rand.New(rand.NewPCG(seed, 0)),
+		clock:       bootclock.Now,
 		holderState: NewHolder(config),
+		wake:        make(chan struct{}, 1),
 	}
 }
 
-// Held returns the fencing token if the lease is held at time now, which must have a monotonic clock reading, as time.Now returns.
+// WithClock replaces the clock, which must not go back. It is called before Run.
+func (k *Keeper) WithClock(clock func() time.Time) *Keeper {
+	k.clock = clock
+	return k
+}
+
+// OnDemand makes the keeper acquire the lease only after a call of Try. It is called before Run.
+func (k *Keeper) OnDemand() *Keeper {
+	k.onDemand = true
+	return k
+}
+
+// Try makes a keeper on demand attempt to acquire the lease once, if it does not hold it. An attempt soon after a failed one is delayed.
+func (k *Keeper) Try() {
+	k.tryRequested.Store(true)
+	k.wakeUp()
+}
+
+// GiveUp ends the lease, so that another process can acquire it, and does not try to acquire it again before the pause has passed. From the call on,
+// the lease is not held.
+func (k *Keeper) GiveUp(pause time.Duration) {
+	k.givenUp.Store(&pause)
+	k.wakeUp()
+}
+
+func (k *Keeper) wakeUp() {
+	select {
+	case k.wake <- struct{}{}:
+	default: // a wake-up is already pending
+	}
+}
+
+// Held returns the fencing token if the lease is held now.
 // Callers call Held before each use of the token, because the process may have been paused since the last call. Held cannot detect a
-// pause between the call and the use, or a machine that was suspended while its monotonic clock stopped. The receiver's check of the
-// token covers both.
-func (k *Keeper) Held(now time.Time) (fence uint64, ok bool) {
+// pause between the call and the use; the receiver's check of the token covers it.
+func (k *Keeper) Held() (fence uint64, ok bool) {
+	g, ok := k.Grant()
+	return g.Fence, ok
+}
+
+// Grant returns the lease if it is held now.
+func (k *Keeper) Grant() (Grant, bool) {
 	g := k.current.Load()
-	if g == nil || !now.Before(g.until) {
-		return 0, false
+	if g == nil || k.givenUp.Load() != nil || !k.clock().Before(g.Until) {
+		return Grant{}, false
 	}
-	return g.fence, true
+	return *g, true
 }
 
 // Run acquires and renews the lease until ctx ends, then releases it.
@@ -62,15 +114,43 @@
 	defer k.release(ctx)
 	for ctx.Err() == nil {
 		k.step(ctx)
-		_, next := k.holderState.Next(time.Now())
-		sleep.For(ctx, time.Until(next))
+		k.wait(ctx)
+	}
+}
+
+// wait returns when the next step is due, after a call of Try or GiveUp, or when ctx ends.
+func (k *Keeper) wait(ctx context.Context) {
+	now := k.clock()
+	step, next := k.holderState.Next(now)
+	var due <-chan time.Time
+	if !k.onDemand || step != Acquire || k.tryRequested.Load() {
+		timer := time.NewTimer(next.Sub(now))
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-due:
+	case <-k.wake:
+	case <-ctx.Done():
 	}
 }
 
 func (k *Keeper) step(ctx context.Context) {
-	step, _ := k.holderState.Next(time.Now())
+	if pause := k.givenUp.Load(); pause != nil {
+		k.current.Store(nil)
+		k.tryRequested.Store(false)
+		k.holderState.GaveUp(k.clock(), *pause)
+		k.revoke(ctx)
+		k.logChange(0)
+		k.givenUp.CompareAndSwap(pause, nil)
+		return
+	}
+	step, _ := k.holderState.Next(k.clock())
 	switch step {
 	case Acquire:
+		if k.onDemand && !k.tryRequested.Swap(false) {
+			break
+		}
 		k.acquire(ctx)
 	case Renew:
 		k.renew(ctx)
@@ -79,9 +159,9 @@
 }
 
 func (k *Keeper) publish() {
-	fence, ok := k.holderState.Held(time.Now())
+	fence, ok := k.holderState.Held(k.clock())
 	if ok {
-		k.current.Store(&grant{fence: fence, until: k.holderState.Until()})
+		k.current.Store(&Grant{Fence: fence, Since: k.since, Until: k.holderState.Until()})
 		k.logChange(fence)
 		return
 	}
@@ -102,13 +182,14 @@
 
 func (k *Keeper) acquire(ctx context.Context) {
 	k.revoke(ctx)
-	sent := time.Now()
+	sent := k.clock()
 	fence, err := k.attempt(ctx)
 	if err != nil {
 		k.revoke(ctx)
-		k.holderState.NotAcquired(time.Now(), k.random.Float64())
+		k.holderState.NotAcquired(k.clock(), k.random.Float64())
 		return
 	}
+	k.since = k.clock()
 	k.holderState.Acquired(sent, fence, k.random.Float64())
 }
 
@@ -135,7 +216,7 @@
 func (k *Keeper) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := k.clock()
 	err := k.kv.Renew(ctx, k.lease)
 	switch {
 	case err == nil:
@@ -143,7 +224,7 @@
 	case errors.Is(err, services.ErrNotFound):
 		k.holderState.Lost()
 	default:
-		k.holderState.RenewalFailed(time.Now(), k.random.Float64())
+		k.holderState.RenewalFailed(k.clock(), k.random.Float64())
 	}
 }
 
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -124,7 +124,8 @@
 func newKeeperGroup(seed uint64, n int) *keeperGroup {
 	f := &keeperGroup{kv: newFakeKV(seed), owner: make(map[uint64]int)}
 	for i := range n {
-		f.keepers = append(f.keepers, NewKeeper(DefaultConfig(), f.kv, "rollout/press-model", fmt.Sprint("entry-", i), seed*100+uint64(i)))
+		k := NewKeeper(DefaultConfig(), f.kv, "rollout/press-model", fmt.Sprint("entry-", i), seed*100+uint64(i))
+		f.keepers = append(f.keepers, k.WithClock(time.Now))
 	}
 	return f
 }
@@ -136,7 +137,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		held := 0
 		for i, k := range f.keepers {
-			fence, ok := k.Held(time.Now())
+			fence, ok := k.Held()
 			if !ok {
 				continue
 			}
--- a/process/shift/driver.go
+++ b/process/shift/driver.go
@@ -248,7 +248,7 @@
 	r.machine.SetUpstreams(now, d.opts.Host.Upstreams(r.shift))
 	held := rollout.Lease{}
 	if r.keeper != nil {
-		held.Fence, held.Held = r.keeper.Held(now)
+		held.Fence, held.Held = r.keeper.Held()
 	}
 	d.applyOutput(now, r, r.machine.Tick(now, held))
 }
@@ -344,7 +344,7 @@
 		}
 		leads := false
 		if r.keeper != nil {
-			_, leads = r.keeper.Held(now)
+			_, leads = r.keeper.Held()
 		}
 		next.status = append(next.status, Status{
 			ID: id, Service: s.Service, From: s.From, To: s.To, By: s.Deadline,
--- a/process/shift/record.go
+++ b/process/shift/record.go
@@ -124,7 +124,7 @@
 	if keeper == nil {
 		return false
 	}
-	held, ok := keeper.Held(time.Now())
+	held, ok := keeper.Held()
 	return ok && held == fence
 }
 
