--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -243,6 +243,8 @@
 		return new(StoreFetch)
 	case TypeStoreChunk:
 		return new(StoreChunk)
+	case TypeUsageCounts:
+		return new(UsageCounts)
 	default:
 		return nil
 	}
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -27,29 +27,30 @@
 
 // Frame types. The numbers are part of the protocol.
 const (
-	TypeHello      Type = 1
-	TypeOpen       Type = 2
-	TypeAccepted   Type = 3
-	TypeChunk      Type = 4
-	TypeEnd        Type = 5
-	TypeCancel     Type = 6
-	TypeWindow     Type = 7
-	TypePing       Type = 8
-	TypePong       Type = 9
-	TypeGossip     Type = 10
-	TypeConfigPull Type = 11
-	TypeConfigPush Type = 12
-	TypeLeaving    Type = 13
-	TypeEvidence   Type = 14
-	TypeOrder      Type = 15
-	TypeOrderDone  Type = 16
-	TypeClaims     Type = 17
-	TypeClaimsDone Type = 18
-	TypeFleetState Type = 19
-	TypeStorePull  Type = 20
-	TypeStorePush  Type = 21
-	TypeStoreFetch Type = 22
-	TypeStoreChunk Type = 23
+	TypeHello       Type = 1
+	TypeOpen        Type = 2
+	TypeAccepted    Type = 3
+	TypeChunk       Type = 4
+	TypeEnd         Type = 5
+	TypeCancel      Type = 6
+	TypeWindow      Type = 7
+	TypePing        Type = 8
+	TypePong        Type = 9
+	TypeGossip      Type = 10
+	TypeConfigPull  Type = 11
+	TypeConfigPush  Type = 12
+	TypeLeaving     Type = 13
+	TypeEvidence    Type = 14
+	TypeOrder       Type = 15
+	TypeOrderDone   Type = 16
+	TypeClaims      Type = 17
+	TypeClaimsDone  Type = 18
+	TypeFleetState  Type = 19
+	TypeStorePull   Type = 20
+	TypeStorePush   Type = 21
+	TypeStoreFetch  Type = 22
+	TypeStoreChunk  Type = 23
+	TypeUsageCounts Type = 24
 )
 
 // Message is the content of one frame.
@@ -547,6 +548,27 @@
 	Deleted  bool   `msgpack:"d,omitempty"`
 }
 
+// UsageCounts holds the requests that began to run through one gateway process in a usage window, by team. It is sent to the gateway that reports usage
+// for the fleet, by the gateway itself or by one that passes it on. Older minor versions skip it.
+type UsageCounts struct {
+	Gateway string `msgpack:"g"`
+	// Origin identifies the process of the gateway. It is new at each start.
+	Origin string `msgpack:"o"`
+	// Window is the number of the window from the start of 1970.
+	Window int64 `msgpack:"w"`
+	// Sequence is higher in each message of an origin for a window. A message replaces those with a lower one.
+	Sequence uint64 `msgpack:"s"`
+	// Partial is set if Counts has only some teams, and the counts of the others are unchanged.
+	Partial bool `msgpack:"p,omitempty"`
+	// Final is set if the counts will not change.
+	Final bool `msgpack:"f,omitempty"`
+	// Counts are the numbers of requests since the beginning of the window.
+	Counts map[string]uint64 `msgpack:"c,omitempty"`
+}
+
+// Type implements Message.
+func (*UsageCounts) Type() Type { return TypeUsageCounts }
+
 // Type implements Message.
 func (*FleetState) Type() Type { return TypeFleetState }
 
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -83,15 +83,25 @@
 	LeaseAcquired        ID = 604
 	LeaseLost            ID = 605
 
-	PlatformThrottled  ID = 700
-	PlatformFailed     ID = 701
-	PlatformRecovered  ID = 702
-	RegistrationFailed ID = 703
-	ListOutageEnded    ID = 704
-	WatchOverdue       ID = 705
-	WatchFailed        ID = 706
-	StoreCopyReceived  ID = 707
-	StorePullExpired   ID = 708
+	PlatformThrottled     ID = 700
+	PlatformFailed        ID = 701
+	PlatformRecovered     ID = 702
+	RegistrationFailed    ID = 703
+	ListOutageEnded       ID = 704
+	WatchOverdue          ID = 705
+	WatchFailed           ID = 706
+	StoreCopyReceived     ID = 707
+	StorePullExpired      ID = 708
+	UsageTakenOver        ID = 720
+	UsageReported         ID = 721
+	UsageReportFailed     ID = 722
+	UsageRefused          ID = 723
+	UsageMissed           ID = 724
+	UsageNotRecorded      ID = 725
+	UsageCountsLost       ID = 726
+	UsageDutyGivenUp      ID = 727
+	UsageWindowIncomplete ID = 729
+	ClockJumped           ID = 728
 )
 
 // Level is the severity of a log event.
@@ -188,6 +198,16 @@
 	{WatchFailed, "call for the changes of the store failed", Info, ""},
 	{StoreCopyReceived, "large copy of the store's changes received from a peer", Info, ""},
 	{StorePullExpired, "peer sent no changes of the store in time", Info, ""},
+	{UsageTakenOver, "duty of usage reports taken over", Info, ""},
+	{UsageReported, "usage of a window reported", Info, ""},
+	{UsageReportFailed, "usage report failed, it is repeated", Warning, "check the platform's API"},
+	{UsageRefused, "usage report refused, a higher fencing token was seen", Error, "see docs/OPERATIONS.md; nothing if another gateway has just taken over"},
+	{UsageMissed, "usage windows will not be reported", Error, "see docs/OPERATIONS.md; the line names the windows and the reason"},
+	{UsageNotRecorded, "usage of a window could not be recorded, it is tried again", Warning, "check the platform's store"},
+	{UsageCountsLost, "usage counts of this gateway dropped, nobody recorded them in time", Warning, "check the connections to the holder and the platform's store"},
+	{UsageDutyGivenUp, "duty of usage reports given up", Info, ""},
+	{UsageWindowIncomplete, "usage window closed without the final counts of some gateways", Info, ""},
+	{ClockJumped, "time of day jumped, usage windows follow it slowly", Warning, "check the machine's clock synchronization"},
 }
 
 var byID = func() map[ID]Description {
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -66,6 +66,7 @@
 	partIDs    forward.PartIDs
 	header     http.Header
 	progress   progress
+	usage      usageCount
 	// quarantinedFor is the remaining time of the quarantine of the request's fingerprint or of one of its prompt parts, quarantinedPart the
 	// hash of that part.
 	quarantinedFor  time.Duration
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -83,7 +83,11 @@
 	a.startTimeout(c.responseTimeout(choice))
 	defer a.stopTimeout()
 	a.memory = c.g.buffers.Open(bufferbudget.Answering, upstreamOwner(choice.ID), nil)
+	c.usage.sent = false
 	code, accepted = a.do()
+	if !accepted {
+		c.usageNotRun()
+	}
 	p.answering = a.answeringFor()
 	a.release(code, accepted)
 	a.reportToRollout(code)
@@ -237,6 +241,9 @@
 		a.outcome = health.Failed
 		return result.BadAnswer, true
 	default:
+		if own {
+			c.usageRan()
+		}
 		return a.forwardComplete(response), true
 	}
 }
@@ -269,6 +276,7 @@
 	if c.progress.answered {
 		header.Set(c.g.headers.LastEventID, c.progress.lastEvent)
 	}
+	c.usageSent()
 	response, err := upstream.Exchange(a.ctx, conn, &upstream.Request{
 		Method: c.request.Method,
 		Target: c.request.RequestURI,
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -130,6 +130,7 @@
 		s.g.crashes.applyStored(now, item)
 		s.applyItem(now, item, source)
 		s.g.rollouts.applyRecord(time.Now(), item)
+		s.g.usage.applyItem(now, item)
 	}
 	if s.ordersChanged {
 		s.ordersChanged = false
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bufferbudget"
+	"github.com/jayridge/jayridge/process/duty"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
@@ -42,13 +43,15 @@
 // each other's load.
 const loadFactorShare = 0.9
 
-// Options holds the settings and dependencies of a gateway. All but Headers are required.
+// Options holds the settings and dependencies of a gateway. All but Headers and Duties are required.
 type Options struct {
 	Settings *settings.Gateway
 	Store    Store
 	Decoder  Decoder
 	Headers  forward.HeaderNames
 	Prompts  PromptLister
+	// Duties is the platform's API. If nil, the gateway takes no part in fleet-wide duties.
+	Duties duty.API
 }
 
 // PromptLister defines the request that lists the prompts cached by a model upstream.
@@ -76,6 +79,8 @@
 	peers    *peers
 	rollouts *rollouts
 	crashes  *crashTracker
+	// usage is nil if usage is not reported.
+	usage *usageDuty
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -148,6 +153,8 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
 	g.rollouts = newRollouts(g)
+	g.usage = newUsageDuty(g, o.Duties)
+	g.metrics.usage = g.usage
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.callsCtx, g.abortCalls = context.WithCancelCause(context.Background())
 	return g, nil
@@ -159,6 +166,9 @@
 		g.cancel()
 		return trace.Wrap(err)
 	}
+	if g.usage != nil {
+		g.usage.start()
+	}
 	g.startWorker(g.control)
 	g.startWorker(g.watch)
 	g.startWorker(g.probe)
@@ -218,6 +228,7 @@
 
 // Stop stops all workers and closes the remaining connections.
 func (g *Gateway) Stop(context.Context) {
+	g.usage.sendLast()
 	g.cancel()
 	g.abortCalls(errStopping)
 	for _, s := range g.servers {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -34,6 +34,8 @@
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
 	buffers         *bufferbudget.Budget
+	// usage is nil if usage is not reported.
+	usage *usageDuty
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
@@ -70,6 +72,7 @@
 	line("jayridge_peer_copy_bytes_total", m.peerCopyBytes.Load())
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
+	m.usage.writeMetrics(line)
 	buffers := m.buffers.Stats()
 	line("jayridge_buffer_limit_bytes", buffers.Limit)
 	line("jayridge_buffer_bytes", buffers.Reserved)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -385,6 +385,8 @@
 		p.sendFetch(c, p.applyChunk(name, m))
 	case *wire.Evidence:
 		p.g.enqueueTask(func() { p.g.rollouts.driver.HandleEvidence(time.Now(), m) })
+	case *wire.UsageCounts:
+		p.g.usage.receive(m)
 	case *wire.Gossip:
 		p.g.enqueueTask(func() { p.g.rollouts.driver.HandleGossip(time.Now(), m) })
 	}
@@ -393,13 +395,16 @@
 // connTo returns a connection to another gateway. If there is no open one, it dials the gateway and keeps the connection for reuse.
 func (p *peers) connTo(ctx context.Context, to services.Instance) (*link.Conn, error) {
 	p.mu.Lock()
-	conn := p.directConns[to.ID]
-	if l := p.links[to.ID]; l != nil && l.conn != nil {
-		conn = l.conn
+	candidates := []*link.Conn{p.directConns[to.ID]}
+	if l := p.links[to.ID]; l != nil {
+		candidates = []*link.Conn{l.conn, p.directConns[to.ID]}
 	}
 	p.mu.Unlock()
-	if conn != nil && conn.Err() == nil {
-		return conn, nil
+	for _, conn := range candidates {
+		// A replacement of the gateway may have another address, while a connection to the former machine ends only later.
+		if conn != nil && conn.Err() == nil && conn.Remote().Address == to.Address {
+			return conn, nil
+		}
 	}
 	conn, err := link.Dial(ctx, to.Address, peerConfig(), p.hello, p)
 	if err != nil {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -26,6 +26,7 @@
 	if code == result.OK {
 		g.budgets.request(bootclock.Now(), c.service)
 		code = c.run()
+		c.usageEnded()
 	}
 	g.metrics.countResult(code)
 	c.logOutcome(code)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -46,6 +46,9 @@
 			held = append(held, chunk...)
 			continue
 		}
+		if progresses {
+			c.usageRan()
+		}
 		c.beginStream(response)
 		chunk, held = append(held, chunk...), nil
 		a.reportEvents(chunk)
--- a/process/lease/acquire.go
+++ b/process/lease/acquire.go
@@ -13,8 +13,8 @@
 // errHeldByOther means that another process holds the lease or acquired it concurrently.
 var errHeldByOther = errors.New("lease is held by another process")
 
-// leaseKey returns the key that exists while the lease is held.
-func leaseKey(name string) string { return "lease/" + name }
+// Key returns the key that exists while the lease is held.
+func Key(name string) string { return "lease/" + name }
 
 // fenceKey returns the key that holds the last fencing token.
 func fenceKey(name string) string { return "fence/" + name }
@@ -57,7 +57,7 @@
 		return 0, err
 	}
 	own := Value{Holder: a.holder, Fence: last.Fence + 1, Nonce: a.nonce}
-	created, err := a.write(ctx, leaseKey(a.name), 0, own, a.lease)
+	created, err := a.write(ctx, Key(a.name), 0, own, a.lease)
 	if err != nil {
 		return 0, err
 	}
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
 	a := &attempt{kv: k.kv, name: k.name, holder: k.holder, nonce: k.random.Uint64()}
-	current, _, err := a.read(ctx, leaseKey(k.name))
+	current, _, err := a.read(ctx, Key(k.name))
 	if err != nil {
 		return 0, err
 	}
--- a/process/lease/keeper_test.go
+++ b/process/lease/keeper_test.go
@@ -87,7 +87,7 @@
 			must.False(t, held)
 			// The store has deleted the lease key meanwhile: the lease is acquired again, with a higher token.
 			f.kv.mu.Lock()
-			f.kv.keys[leaseKey("rollout/press-model")] = fakeKey{}
+			f.kv.keys[Key("rollout/press-model")] = fakeKey{}
 			f.kv.mu.Unlock()
 			time.Sleep(time.Minute)
 			next, held := f.keepers[0].Held()
