--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jayridge/jayridge/platform"
+	"github.com/jayridge/jayridge/process/duty"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/gateway"
 	"github.com/jayridge/jayridge/process/settings"
@@ -30,6 +31,8 @@
 	maxLeaveTime = 2800 * time.Millisecond
 	// stopReserve is the part of the shutdown time that is reserved for closing what is still open after draining.
 	stopReserve = 300 * time.Millisecond
+	// dutyTimeout limits each step of a call of the platform's API. The gateway limits whole calls to the same time.
+	dutyTimeout = 2500 * time.Millisecond
 )
 
 func gatewayCommand() *cli.Command {
@@ -49,7 +52,12 @@
 func runGateway(path string, s *settings.Gateway) error {
 	debug.SetMemoryLimit(int64(memoryShare * s.MemoryMB * (1 << 20)))
 	defer event.Start(os.Stdout, s.Instance)()
+	var duties duty.API
+	if s.Duties.Address != "" {
+		duties = platform.NewDutyAPI(s.Duties.Address, dutyTimeout)
+	}
 	g, err := gateway.New(gateway.Options{
+		Duties:   duties,
 		Settings: s,
 		Store:    platform.NewStore(s.Store.Address, settings.FractionalMilliseconds(s.Store.TimeoutMS)),
 		Decoder:  platform.ItemCodec{},
