scaling: a new holder does not undercut orders that are booting

What the former holder ordered may not have registered when a new one starts, and nothing can be read back from the API. Until a boot time and a margin have passed, only what present callers need is ordered; the minimum and the expected growth wait.

The decision also tells how many upstreams are missing at the maximum.

--- a/process/scaling/scaling.go
+++ b/process/scaling/scaling.go
@@ -103,6 +103,8 @@
 	slots float64
 	// changedAt is the time of the latest change of any number.
 	changedAt time.Time
+	// short is the number of upstreams that are needed beyond the maximum.
+	short int
 }
 
 // centre is the state of a data centre.
@@ -162,6 +164,9 @@
 	return due
 }
 
+// Short returns the number of upstreams that the latest decision needed beyond the maximum of all data centres.
+func (d *Decider) Short() int { return d.short }
+
 // Record records the outcome of the call for an order that Decide returned, made at time now.
 func (d *Decider) Record(now time.Time, o Order, outcome Outcome) {
 	c := d.centres[o.DataCentre]
@@ -287,18 +292,23 @@
 
 // upstreamsFor returns the number of upstreams for a demand if at most a fraction of their slots may be in use.
 func (d *Decider) upstreamsFor(demand, use float64) int {
-	if d.slots <= 0 {
+	switch {
+	case demand <= 0:
+		return 0
+	case d.slots <= 0:
 		return 1 // nothing is known of upstreams until there is one
 	}
 	const rounding = 1e-9 // a demand that fits exactly needs no further upstream
-	return max(1, int(math.Ceil(demand/(d.slots*use)-rounding)))
+	return int(math.Ceil(demand/(d.slots*use) - rounding))
 }
 
 // raise increases the numbers to what is needed.
 func (d *Decider) raise(now time.Time, available []*centre, s Snapshot) {
 	window := d.window(s)
+	// What the former holder ordered may still be booting. Until it has registered, a number that is only expected to be needed could be lower.
+	settled := now.Sub(d.history.since) >= s.Boot+d.config.FollowMargin
 	for _, c := range available {
-		if c.target < s.Min {
+		if c.target < s.Min && settled {
 			d.set(now, c, s.Min, BelowMin)
 		}
 		if full := d.ownNeed(now, c, window); c.now.registered() > 0 && c.effective() < full && c.target < s.Max {
@@ -306,18 +316,22 @@
 		}
 	}
 	expected := d.history.peak(now, window) + d.history.growth(now, window, d.horizon(s))
-	wanted := d.upstreamsFor(expected, d.config.TargetUse)
+	wanted := max(1, d.upstreamsFor(expected, d.config.TargetUse)) // without any upstream, no demand would be seen
 	urgent := d.upstreamsFor(max(d.current(), d.history.peak(now, window)), 1)
 	have := total(available)
+	d.short = 0
 	switch {
 	case have >= max(wanted, urgent):
 		return
+	case !settled:
+		wanted = urgent
 	case have >= urgent && (wanted-have < d.least(have) || now.Sub(d.changedAt) < d.config.MinUpInterval):
 		return
 	}
 	for have < max(wanted, urgent) {
 		c := d.next(available, s.Max)
 		if c == nil {
+			d.short = max(wanted, urgent) - have
 			return
 		}
 		d.set(now, c, c.target+1, Demand)
@@ -385,7 +399,7 @@
 func (d *Decider) lower(now time.Time, available []*centre, s Snapshot) {
 	window := d.window(s)
 	expected := d.history.peak(now, window) + d.history.growth(now, window, d.horizon(s))
-	kept := d.upstreamsFor(max(expected, d.current()), d.config.DownUse)
+	kept := max(1, d.upstreamsFor(max(expected, d.current()), d.config.DownUse))
 	have, serving := total(available), 0
 	for _, c := range available {
 		if c.now.registered() > c.target {
