gateway: the duty of ordering upstreams

If the settings name the duty scale and the configuration has a service with limits, the gateways compete for its lease as for that of usage reports. The control goroutine publishes what is registered, evacuated and rolled out; the duty's goroutine decides four times a second from that and from the loads that the gateways tell each other, and makes one call at a time within the duty's call budget. A term starts without state.

Events 740 to 745, metrics jayridge_scale_*.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -567,3 +567,24 @@
 	}
 	return down, len(b.services[service])
 }
+
+// UpstreamLoad is the load and condition of one upstream as this entry knows them.
+type UpstreamLoad struct {
+	ID, DataCentre string
+	// Requests is the number of requests of all entries in flight.
+	Requests int
+	// Down means that the upstream cannot be used.
+	Down bool
+}
+
+// ServiceLoads returns the loads of the upstreams of a service, leaving ones included.
+func (b *Balancer) ServiceLoads(now time.Time, service string) []UpstreamLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var loads []UpstreamLoad
+	for _, e := range b.services[service] {
+		requests, _ := b.remoteLoad(now, e)
+		loads = append(loads, UpstreamLoad{ID: e.ID, DataCentre: e.DataCentre, Requests: e.inFlight + requests, Down: e.monitor.Down()})
+	}
+	return loads
+}
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -102,6 +102,12 @@
 	UsageDutyGivenUp      ID = 727
 	UsageWindowIncomplete ID = 729
 	ClockJumped           ID = 728
+	ScaleTakenOver        ID = 740
+	ScaleOrdered          ID = 741
+	ScaleOrderFailed      ID = 742
+	ScaleRefused          ID = 743
+	ScaleDutyGivenUp      ID = 744
+	ScaleAtMaximum        ID = 745
 )
 
 // Level is the severity of a log event.
@@ -207,6 +213,12 @@
 	{UsageCountsLost, "usage counts of this gateway dropped, nobody recorded them in time", Warning, "check the connections to the holder and the platform's store"},
 	{UsageDutyGivenUp, "duty of usage reports given up", Info, ""},
 	{UsageWindowIncomplete, "usage window closed without the final counts of some gateways", Info, ""},
+	{ScaleTakenOver, "duty of ordering upstreams taken over", Info, ""},
+	{ScaleOrdered, "number of upstreams of a service ordered for a data centre", Info, ""},
+	{ScaleOrderFailed, "order of upstreams failed, it is repeated", Warning, "check the platform's API"},
+	{ScaleRefused, "order of upstreams refused, a higher fencing token was seen", Error, "see docs/OPERATIONS.md; nothing if another gateway has just taken over"},
+	{ScaleDutyGivenUp, "duty of ordering upstreams given up", Info, ""},
+	{ScaleAtMaximum, "demand needs more upstreams than the maximum of all data centres permits", Warning, "raise the maximum in the configuration"},
 	{ClockJumped, "time of day jumped, usage windows follow it slowly", Warning, "check the machine's clock synchronization"},
 }
 
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -131,6 +131,7 @@
 		s.applyItem(now, item, source)
 		s.g.rollouts.applyRecord(time.Now(), item)
 		s.g.usage.applyItem(now, item)
+		s.g.scale.applyItem(now, item)
 	}
 	if s.ordersChanged {
 		s.ordersChanged = false
@@ -281,6 +282,7 @@
 		s.viewStale = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
 	}
+	s.publishScaling(bootclock.Now())
 	if len(s.directory.Leaving(bootclock.Now())) != s.leavingCount {
 		s.viewStale = true
 	}
--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -41,6 +41,8 @@
 	g      *Gateway
 	name   string
 	keeper *lease.Keeper
+	// wanted reports whether there is anything to do for the duty; nil means always.
+	wanted func() bool
 
 	mu sync.Mutex
 	// holder is the content of the lease key in the copy of the store, zero if there is none.
@@ -108,7 +110,7 @@
 
 // shouldTry reports whether this gateway is to try to acquire the lease at time now.
 func (d *dutyLeaseHolder) shouldTry(now time.Time) bool {
-	if _, held := d.keeper.Held(); held {
+	if _, held := d.keeper.Held(); held || d.wanted != nil && !d.wanted() {
 		return false
 	}
 	members := d.g.peers.memberNames()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -81,6 +81,8 @@
 	crashes  *crashTracker
 	// usage is nil if usage is not reported.
 	usage *usageDuty
+	// scale is nil if the number of upstreams is not ordered.
+	scale *scaleDuty
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -154,7 +156,8 @@
 	g.crashes = newCrashTracker(g.peers.isAssigned)
 	g.rollouts = newRollouts(g)
 	g.usage = newUsageDuty(g, o.Duties)
-	g.metrics.usage = g.usage
+	g.scale = newScaleDuty(g, o.Duties)
+	g.metrics.usage, g.metrics.scale = g.usage, g.scale
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.callsCtx, g.abortCalls = context.WithCancelCause(context.Background())
 	return g, nil
@@ -169,6 +172,9 @@
 	if g.usage != nil {
 		g.usage.start()
 	}
+	if g.scale != nil {
+		g.scale.start()
+	}
 	g.startWorker(g.control)
 	g.startWorker(g.watch)
 	g.startWorker(g.probe)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -36,6 +36,8 @@
 	buffers         *bufferbudget.Budget
 	// usage is nil if usage is not reported.
 	usage *usageDuty
+	// scale is nil if the number of upstreams is not ordered.
+	scale *scaleDuty
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
@@ -73,6 +75,7 @@
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
 	m.usage.writeMetrics(line)
+	m.scale.writeMetrics(line)
 	buffers := m.buffers.Stats()
 	line("jayridge_buffer_limit_bytes", buffers.Limit)
 	line("jayridge_buffer_bytes", buffers.Reserved)
