--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -548,8 +548,8 @@
 	Deleted  bool   `msgpack:"d,omitempty"`
 }
 
-// UsageCounts holds the requests that began to run through one gateway process in a usage window, by team. It is sent to the gateway that reports usage
-// for the fleet, by the gateway itself or by one that passes it on. Older minor versions skip it.
+// UsageCounts holds the requests that began to run through one gateway process in a usage window, by team. It is sent to the gateway that reports
+// usage for the fleet, by the gateway itself or by one that passes it on. Older minor versions skip it.
 type UsageCounts struct {
 	Gateway string `msgpack:"g"`
 	// Origin identifies the process of the gateway. It is new at each start.
@@ -564,6 +564,8 @@
 	Final bool `msgpack:"f,omitempty"`
 	// Counts are the numbers of requests since the beginning of the window.
 	Counts map[string]uint64 `msgpack:"c,omitempty"`
+	// Recorded is the highest window that the sender has seen recorded as reported, zero if none.
+	Recorded int64 `msgpack:"d,omitempty"`
 }
 
 // Type implements Message.
--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -111,20 +111,18 @@
 	if _, held := d.keeper.Held(); held {
 		return false
 	}
+	d.mu.Lock()
+	holder, free := d.holder.Holder, now.Sub(d.freeSince)
+	d.mu.Unlock()
+	if holder != "" && holder != d.g.settings.Instance {
+		return false
+	}
 	members := d.g.peers.memberNames()
 	if !slices.Contains(members, d.g.settings.Instance) {
 		return false // the others could not find the holder
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch d.holder.Holder {
-	case d.g.settings.Instance:
-		return true // the lease has been lost, or belongs to an earlier process of this gateway and will end
-	case "":
-		return now.Sub(d.freeSince) >= dutyDelay(d.name, d.g.settings.Instance, members)
-	default:
-		return false
-	}
+	// A key with the own name means that the lease has been lost, or belongs to an earlier process of this gateway and will end.
+	return holder != "" || free >= dutyDelay(d.name, d.g.settings.Instance, members)
 }
 
 // dutyDelay returns how long a gateway waits before it tries to acquire a free lease. The members are put into an order by hash.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -162,6 +162,9 @@
 
 // Start opens the listeners and starts the workers.
 func (g *Gateway) Start() error {
+	if g.usage != nil {
+		g.usage.init()
+	}
 	if err := errors.Join(g.listen(), g.peers.listen()); err != nil {
 		g.cancel()
 		return trace.Wrap(err)
--- a/process/gateway/usage.go
+++ b/process/gateway/usage.go
@@ -38,6 +38,9 @@
 	maxQueuedUsage = 256
 )
 
+// noWindow is lower than all windows.
+const noWindow = -1 << 62
+
 // usageDuty counts usage, sends the counts to the holder of the duty, and reports them if this gateway is the holder.
 type usageDuty struct {
 	g      *Gateway
@@ -51,8 +54,8 @@
 	counter  *usage.Counter
 	ledger   *usage.Ledger
 	reporter *usage.Reporter
-	// recorded is the highest window that is recorded as reported.
-	recorded int64
+	// recorded is the highest window that is recorded as reported, seen the highest that any gateway has seen recorded.
+	recorded, seen int64
 
 	// stopping asks the sender for the last counts. The channel it is sent is closed when they are sent.
 	stopping chan chan struct{}
@@ -74,6 +77,8 @@
 	// resend is set if a message was lost.
 	resend    atomic.Bool
 	changesAt time.Time
+	// seen is the highest window that any gateway has seen recorded.
+	seen int64
 	// sent is what was sent of each ended window.
 	sent map[int64]sentWindow
 	// relayed holds the sequence of each report of another gateway that was passed on to the present holder.
@@ -104,16 +109,21 @@
 			sent: make(map[int64]sentWindow), relayed: make(map[relayedReport]uint64), targets: make(map[string]*usageTarget),
 		},
 	}
-	u.recorded = -1 << 62
+	u.recorded = noWindow
 	u.ledger, u.reporter = usage.NewLedger(u.config), usage.NewReporter(u.config)
 	u.reports = usageReports{u: u, api: api, tenure: duty.NewTenure(g.dutyConfig())}
 	return u
 }
 
-// start starts the workers. Before, wall may be replaced.
+// init begins to count. Before, wall may be replaced.
+func (u *usageDuty) init() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counter = usage.NewCounter(u.config, u.g.settings.Instance, u.g.peers.startID, u.now())
+}
+
+// start starts the workers.
 func (u *usageDuty) start() {
-	now, _ := u.clock.Now(bootclock.Now(), u.wall())
-	u.counter = usage.NewCounter(u.config, u.g.settings.Instance, u.g.peers.startID, now)
 	u.g.startWorker(u.holder.run)
 	u.g.startWorker(u.send)
 	u.g.startWorker(u.reports.run)
@@ -152,7 +162,7 @@
 	if window <= u.recorded || window > u.config.WindowAt(u.now())+2 {
 		return
 	}
-	u.recorded = window
+	u.recorded, u.seen = window, max(u.seen, window)
 	u.counter.Recorded(window)
 	u.ledger.Recorded(window)
 }
@@ -164,6 +174,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.seen = max(u.seen, m.Recorded)
 	u.ledger.Add(u.now(), usage.Report{
 		Gateway: m.Gateway, Origin: m.Origin, Window: m.Window, Sequence: m.Sequence, Partial: m.Partial, Final: m.Final, Counts: m.Counts,
 	})
@@ -238,6 +249,7 @@
 	}
 	u.mu.Lock()
 	now := u.now()
+	s.seen = u.seen
 	reports := u.ownReports(now, everything, small, last)
 	for _, r := range reports {
 		u.ledger.Add(now, r)
@@ -357,6 +369,7 @@
 		}
 		t.queue = append(t.queue, &wire.UsageCounts{
 			Gateway: r.Gateway, Origin: r.Origin, Window: r.Window, Sequence: r.Sequence, Partial: r.Partial, Final: r.Final, Counts: r.Counts,
+			Recorded: u.sender.seen,
 		})
 	}
 	if !t.active {
--- a/process/gateway/usagereports.go
+++ b/process/gateway/usagereports.go
@@ -120,7 +120,7 @@
 	}
 	u := r.u
 	u.mu.Lock()
-	t.Now = u.now()
+	t.Now, t.Seen = u.now(), u.seen > 0
 	t.Since = t.Now.Add(-bootclock.Now().Sub(grant.Since))
 	from, to := u.reporter.TakeOver(t, u.ledger)
 	u.mu.Unlock()
@@ -147,7 +147,7 @@
 	record, err := usage.DecodeRecord(kv.Value)
 	if err != nil {
 		event.Log(event.StoreItemInvalid, "key", usage.Key, "revision", uint64(kv.Revision), "error", err)
-		return &usage.Record{Window: -1 << 62}, kv.Revision, nil
+		return &usage.Record{Window: noWindow}, kv.Revision, nil
 	}
 	return &record, kv.Revision, nil
 }
--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -61,6 +61,8 @@
 	// Stored is the record in the store, nil if there is none; StoredEpoch is the epoch in which it was written, by its token.
 	Stored      *Record
 	StoredEpoch uint64
+	// Seen means that a gateway of the fleet has seen a record in the store.
+	Seen bool
 	// Continuous means that this process held the duty until so shortly before that nobody else can have reported since. What it remembers is complete
 	// then, whatever the store holds.
 	Continuous bool
@@ -79,6 +81,9 @@
 	active bool
 }
 
+// firstEpoch is the highest epoch of a store that was never restored. A store that tells its epoch may begin at 1.
+const firstEpoch = 1
+
 // clockSlack covers the difference of two gateways' clocks: a window that has ended for the former holder may not have ended for the new one.
 const clockSlack = time.Second
 
@@ -110,8 +115,8 @@
 		// The own memory is complete.
 		r.floor = max(r.floor, r.record.Window)
 		return oldest, oldest - 1
-	case t.Stored == nil && t.Epoch == 0:
-		// Nothing was ever reported.
+	case t.Stored == nil && t.Epoch <= firstEpoch && !t.Seen:
+		// Nothing was ever reported: the store was not restored, or before any gateway reported.
 		first, found := ledger.First()
 		if !found {
 			first = r.config.WindowAt(t.Since)
