--- a/process/gateway/usage_test.go
+++ b/process/gateway/usage_test.go
@@ -185,10 +185,9 @@
 	f := newDutyFleet(t, "one", "two", "three", "four")
 	killed := 0
 	d := f.restoreDrill(16, func(*dutyMember) {
-		if holder := f.holder(); holder != nil && killed < 2 {
-			killed++
-			f.kill(holder)
-		}
+		f.eventually("holder", func() bool { return f.holder() != nil })
+		killed++
+		f.kill(f.holder())
 	})
 	must.EqOp(t, 2, killed)
 	must.GreaterEq(t, 6, d.inTime)
--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -12,8 +12,9 @@
 // Key is the key of the record in the store.
 const Key = "fleet/usage"
 
-// maxRecordedWindows is the maximum number of windows whose counts a record holds. Older ones are given up; the default times need three.
-const maxRecordedWindows = 4
+// maxRecordedWindows is the maximum number of windows whose counts a record holds; no further window is closed before one of them is accepted or
+// overdue. The default times need three.
+const maxRecordedWindows = 64
 
 // Record is what is written to the store before a window is reported. It fixes the counts of the window: they are reported unchanged from then on, by
 // whoever holds the duty, or not at all.
@@ -22,7 +23,7 @@
 	Window int64 `json:"window"`
 	// Token is the fencing token of the holder that wrote the record. Its high bits are the store's epoch.
 	Token uint64 `json:"token"`
-	// Closed holds the latest closed windows, whose reports may not have been accepted, in ascending order.
+	// Closed holds the closed windows whose reports were not known to be accepted when the record was written, in ascending order.
 	Closed []Closed `json:"closed"`
 }
 
@@ -158,18 +159,15 @@
 	}
 	record = Record{Window: r.record.Window, Token: token}
 	for _, c := range r.record.Closed {
-		if !r.config.IsDue(now, c.Window) {
+		if _, done := r.accepted[c.Window]; !done && !r.config.IsDue(now, c.Window) {
 			record.Closed = append(record.Closed, c)
 		}
 	}
-	for window := r.floor + 1; r.isClosed(now, window, ledger, gateways); window++ {
+	for window := r.floor + 1; len(record.Closed) < maxRecordedWindows && r.isClosed(now, window, ledger, gateways); window++ {
 		record.Closed = append(record.Closed, Closed{window, ledger.Totals(window)})
 		record.Window = window
 		found = true
 	}
-	if extra := len(record.Closed) - maxRecordedWindows; extra > 0 {
-		record.Closed = record.Closed[extra:]
-	}
 	return record, found, missed
 }
 
