--- a/process/gateway/dutyfleet_test.go
+++ b/process/gateway/dutyfleet_test.go
@@ -108,12 +108,6 @@
 	s.items[key] = leasedItem{Item: mirror.Item{Key: key, Value: value, Revision: s.next()}}
 }
 
-func (s *leaseStore) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.items[key] = leasedItem{Item: mirror.Item{Key: key, Revision: s.next(), Deleted: true}}
-}
-
 func (s *leaseStore) value(key string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -291,7 +285,16 @@
 	refused    int
 	total      int
 	// answer, if set, decides on a call: it returns the error that the caller gets and whether the call is executed, and when.
-	answer func(by duty.Holder, window int64) (err error, executed bool, after time.Duration)
+	answer func(by duty.Holder, window int64) apiAnswer
+}
+
+// apiAnswer is what the API does with a call.
+type apiAnswer struct {
+	// err is the error that the caller gets.
+	err error
+	// executed means that the call is executed, the time after it arrived.
+	executed bool
+	after    time.Duration
 }
 
 type apiCall struct {
@@ -305,7 +308,7 @@
 	return &fakeAPI{lease: lease, holders: make(map[uint64]string), accepted: make(map[int64]acceptedReport)}
 }
 
-func (a *fakeAPI) setAnswer(f func(by duty.Holder, window int64) (error, bool, time.Duration)) {
+func (a *fakeAPI) setAnswer(f func(by duty.Holder, window int64) apiAnswer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.answer = f
@@ -369,18 +372,18 @@
 	if answer == nil {
 		return v.api.execute(by, window, counts)
 	}
-	err, executed, after := answer(by, window)
+	a := answer(by, window)
 	switch {
-	case executed && err != nil:
-		time.AfterFunc(after, func() { _ = v.api.execute(by, window, counts) })
-		return err
-	case executed:
-		if !sleep.For(ctx, after) {
+	case a.executed && a.err != nil:
+		time.AfterFunc(a.after, func() { _ = v.api.execute(by, window, counts) })
+		return a.err
+	case a.executed:
+		if !sleep.For(ctx, a.after) {
 			return duty.ErrOutcomeUnknown
 		}
 		return v.api.execute(by, window, counts)
 	default:
-		return err
+		return a.err
 	}
 }
 
@@ -397,6 +400,7 @@
 // dutyFleet is several gateways with the duty of usage reports, in front of one upstream that counts what it runs.
 type dutyFleet struct {
 	*fixture
+	lease    time.Duration
 	store    *leaseStore
 	api      *fakeAPI
 	upstream *fakeUpstream
@@ -416,8 +420,12 @@
 
 // newDutyFleet starts gateways with the given names.
 func newDutyFleet(t *testing.T, names ...string) *dutyFleet {
+	return newDutyFleetWithLease(t, testLease, names...)
+}
+
+func newDutyFleetWithLease(t *testing.T, lease time.Duration, names ...string) *dutyFleet {
 	f := &dutyFleet{
-		store: newLeaseStore(), api: newFakeAPI(testLease), members: make(map[string]*dutyMember), truth: make(map[int64]map[string]uint64),
+		lease: lease, store: newLeaseStore(), api: newFakeAPI(lease), members: make(map[string]*dutyMember), truth: make(map[int64]map[string]uint64),
 	}
 	f.upstream = newUpstream(t, "a", f.serve)
 	f.upstream.slots = 1000
@@ -454,7 +462,7 @@
 	s := f.settings(name)
 	s.Store.LeaseMS = 2000
 	s.Duties = settings.Duties{
-		Address: "127.0.0.1:1", CallsPerSecond: 200, Names: []settings.DutyName{settings.DutyUsage}, LeaseMS: float64(testLease.Milliseconds()),
+		Address: "127.0.0.1:1", CallsPerSecond: 200, Names: []settings.DutyName{settings.DutyUsage}, LeaseMS: float64(f.lease.Milliseconds()),
 		UsageWindowS: testWindow.Seconds(), UsageDueS: testDue.Seconds(),
 	}
 	m := &dutyMember{store: &storeView{leaseStore: f.store}, api: f.api.view()}
--- a/process/gateway/usage.go
+++ b/process/gateway/usage.go
@@ -470,7 +470,8 @@
 	}
 }
 
-// usageRan records that an upstream has begun to run the request, as its answer shows. A request that was not counted when it was sent is counted now.
+// usageRan records that an upstream has begun to run the request, as its answer shows. A request that was not counted when it was sent is counted
+// now.
 func (c *call) usageRan() {
 	if !c.countsUsage() {
 		return
--- a/process/gateway/usage_test.go
+++ b/process/gateway/usage_test.go
@@ -198,7 +198,7 @@
 func TestUsage_APIDown(t *testing.T) {
 	f := newDutyFleet(t, "one", "two", "three")
 	d := f.drill(8, func(*dutyMember) {
-		f.api.setAnswer(func(duty.Holder, int64) (error, bool, time.Duration) { return duty.ErrNotSent, false, 0 })
+		f.api.setAnswer(func(duty.Holder, int64) apiAnswer { return apiAnswer{duty.ErrNotSent, false, 0} })
 		time.Sleep(2 * time.Second)
 		f.api.setAnswer(nil)
 	})
@@ -210,7 +210,7 @@
 func TestUsage_APISlow(t *testing.T) {
 	f := newDutyFleet(t, "one", "two", "three")
 	d := f.drill(6, func(*dutyMember) {
-		f.api.setAnswer(func(duty.Holder, int64) (error, bool, time.Duration) { return nil, true, 400 * time.Millisecond })
+		f.api.setAnswer(func(duty.Holder, int64) apiAnswer { return apiAnswer{nil, true, 400 * time.Millisecond} })
 	})
 	must.EqOp(t, 6, d.inTime)
 	must.EqOp(t, 0, f.api.refused)
@@ -221,12 +221,12 @@
 	f := newDutyFleet(t, "one", "two", "three")
 	refused := make(map[uint64]int)
 	d := f.drill(8, func(*dutyMember) {
-		f.api.setAnswer(func(by duty.Holder, _ int64) (error, bool, time.Duration) {
+		f.api.setAnswer(func(by duty.Holder, _ int64) apiAnswer {
 			if len(refused) == 0 || refused[by.Token] > 0 {
 				refused[by.Token]++
-				return duty.ErrFenced, false, 0
+				return apiAnswer{duty.ErrFenced, false, 0}
 			}
-			return nil, true, 0
+			return apiAnswer{nil, true, 0}
 		})
 	})
 	must.EqOp(t, 8, d.inTime)
@@ -241,7 +241,7 @@
 	f := newDutyFleet(t, "one", "two", "three")
 	calls := 0
 	d := f.drill(8, func(*dutyMember) {
-		f.api.setAnswer(func(duty.Holder, int64) (error, bool, time.Duration) { calls++; return duty.ErrThrottled, false, 0 })
+		f.api.setAnswer(func(duty.Holder, int64) apiAnswer { calls++; return apiAnswer{duty.ErrThrottled, false, 0} })
 		time.Sleep(1500 * time.Millisecond)
 		f.api.setAnswer(nil)
 	})
@@ -255,11 +255,11 @@
 	f := newDutyFleet(t, "one", "two", "three")
 	calls := 0
 	d := f.drill(12, func(holder *dutyMember) {
-		f.api.setAnswer(func(duty.Holder, int64) (error, bool, time.Duration) {
+		f.api.setAnswer(func(duty.Holder, int64) apiAnswer {
 			if calls++; calls%3 > 0 {
-				return duty.ErrOutcomeUnknown, true, 3 * testLease
+				return apiAnswer{duty.ErrOutcomeUnknown, true, 3 * testLease}
 			}
-			return nil, true, 0
+			return apiAnswer{nil, true, 0}
 		})
 		time.Sleep(2 * testWindow)
 		f.kill(holder)
@@ -318,3 +318,17 @@
 	_, found := f.store.value(usage.Key)
 	must.True(t, found)
 }
+
+// Holders that give the duty up soon must not act in the order A, B, A within the lease. Guards against a new holder that acts without waiting.
+func TestUsage_HoldersDoNotAlternate(t *testing.T) {
+	f := newDutyFleetWithLease(t, 2*time.Second, "one", "two")
+	stop := f.sendSteadily(f.members["one"], f.members["two"])
+	defer stop()
+	holder := f.awaitReporter("")
+	for range 2 {
+		holder.usage.holder.keeper.GiveUp(time.Hour)
+		next := f.awaitReporter(holder.settings.Instance)
+		holder.usage.holder.keeper.GiveUp(0) // ends the pause
+		holder = next
+	}
+}
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -59,8 +59,8 @@
 	must.EqOp(t, time.Second, run(1, -time.Second))
 }
 
-// A request must be counted once, in the window in which it was sent, and not at all if it did not run. The counts of a window must be final only when
-// all its requests are decided.
+// A request must be counted once, in the window in which it was sent, and not at all if it did not run. The counts of a window must be final only
+// when all its requests are decided.
 func TestCounter(t *testing.T) {
 	c := NewCounter(testConfig, "one", "o", at(0))
 	must.Eq(t, []int64{window0 - 2, window0 - 1}, c.Ended(at(0)))
