--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -12,8 +12,9 @@
 // Key is the key of the record in the store.
 const Key = "fleet/usage"
 
-// maxRecordedWindows is the maximum number of windows whose counts a record holds. Older ones are given up; the default times need three.
-const maxRecordedWindows = 4
+// maxRecordedWindows is the maximum number of windows whose counts a record holds; no further window is closed before one of them is accepted or
+// overdue. The default times need three.
+const maxRecordedWindows = 64
 
 // Record is what is written to the store before a window is reported. It fixes the counts of the window: they are reported unchanged from then on, by
 // whoever holds the duty, or not at all.
@@ -22,7 +23,7 @@
 	Window int64 `json:"window"`
 	// Token is the fencing token of the holder that wrote the record. Its high bits are the store's epoch.
 	Token uint64 `json:"token"`
-	// Closed holds the latest closed windows, whose reports may not have been accepted, in ascending order.
+	// Closed holds the closed windows whose reports were not known to be accepted when the record was written, in ascending order.
 	Closed []Closed `json:"closed"`
 }
 
@@ -61,6 +62,8 @@
 	// Stored is the record in the store, nil if there is none; StoredEpoch is the epoch in which it was written, by its token.
 	Stored      *Record
 	StoredEpoch uint64
+	// Seen means that a gateway of the fleet has seen a record in the store.
+	Seen bool
 	// Continuous means that this process held the duty until so shortly before that nobody else can have reported since. What it remembers is complete
 	// then, whatever the store holds.
 	Continuous bool
@@ -79,6 +82,9 @@
 	active bool
 }
 
+// firstEpoch is the highest epoch of a store that was never restored. A store that tells its epoch may begin at 1.
+const firstEpoch = 1
+
 // clockSlack covers the difference of two gateways' clocks: a window that has ended for the former holder may not have ended for the new one.
 const clockSlack = time.Second
 
@@ -110,8 +116,8 @@
 		// The own memory is complete.
 		r.floor = max(r.floor, r.record.Window)
 		return oldest, oldest - 1
-	case t.Stored == nil && t.Epoch == 0:
-		// Nothing was ever reported.
+	case t.Stored == nil && t.Epoch <= firstEpoch && !t.Seen:
+		// Nothing was ever reported: the store was not restored, or before any gateway reported.
 		first, found := ledger.First()
 		if !found {
 			first = r.config.WindowAt(t.Since)
@@ -153,18 +159,15 @@
 	}
 	record = Record{Window: r.record.Window, Token: token}
 	for _, c := range r.record.Closed {
-		if !r.config.IsDue(now, c.Window) {
+		if _, done := r.accepted[c.Window]; !done && !r.config.IsDue(now, c.Window) {
 			record.Closed = append(record.Closed, c)
 		}
 	}
-	for window := r.floor + 1; r.isClosed(now, window, ledger, gateways); window++ {
+	for window := r.floor + 1; len(record.Closed) < maxRecordedWindows && r.isClosed(now, window, ledger, gateways); window++ {
 		record.Closed = append(record.Closed, Closed{window, ledger.Totals(window)})
 		record.Window = window
 		found = true
 	}
-	if extra := len(record.Closed) - maxRecordedWindows; extra > 0 {
-		record.Closed = record.Closed[extra:]
-	}
 	return record, found, missed
 }
 
