--- a/process/scaling/scaling_test.go
+++ b/process/scaling/scaling_test.go
@@ -38,7 +38,11 @@
 	}{
 		"enough":                            {length: time.Minute},
 		"new holder, within the first wave": {func(s *Snapshot) { s.setDemand(1) }, 15 * time.Second, nil},
-		"new holder, then":                  {func(s *Snapshot) { s.setDemand(1) }, 17 * time.Second, []Order{{"a", 2, 3, Surplus}}},
+		"new holder, then one step until it is executed": {func(s *Snapshot) { s.setDemand(1) }, 22 * time.Second, []Order{{"a", 2, 3, Surplus}}},
+		"one more than enough for sixty": {func(s *Snapshot) {
+			*s = steady(30, 180)
+			s.DataCentres[0].InProgress, s.Max = 181, 100
+		}, 10 * time.Second, nil},
 		"new holder, ordered upstreams have not registered": {func(s *Snapshot) {
 			s.setDemand(0)
 			s.DataCentres[0].Ready, s.DataCentres[1].Ready = 0, 0
@@ -106,6 +110,18 @@
 	must.SliceNotEmpty(t, run(d, &now, 2*time.Second, steady(3, 1)))
 }
 
+// Guards against a rise that is ordered in many small steps, and against upstreams that are given up at the moment at which demand returns.
+func TestDecide_SuddenDemand(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	d := New(DefaultConfig())
+	must.SliceEmpty(t, run(d, &now, 8*time.Second, steady(3, 15)))
+	must.Eq(t, []Order{{"a", 4, 3, Demand}}, run(d, &now, time.Second, steady(3, 23)))
+
+	d = New(DefaultConfig())
+	must.SliceEmpty(t, run(d, &now, 16*time.Second, steady(3, 1)))
+	must.SliceEmpty(t, run(d, &now, dayTick, steady(3, 20)))
+}
+
 // Guards against a parameter that makes the decision meaningless.
 func TestConfig_Validate(t *testing.T) {
 	must.NoError(t, DefaultConfig().Validate())
