usage: counts of killed gateways arrive, windows do not wait for gateways that have ended

A gateway lost half a window's counts when it was killed: Counter.Changes was called at each tick, but its result sent at every fourth only. The counts of a killed holder were lost too: its deputy passed them on 2.5 s after the end of the window, when the new holder had closed it; now it does when the holder changes. A window waited until the closing time for a process that had been killed, also if its gateway had restarted or was no longer registered; now such a process is waited for 2 s. The lease of a duty lasts two thirds of lease_ms, so that another gateway takes over earlier.

--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -25,14 +25,18 @@
 	dutyRankDelay = 200 * time.Millisecond
 	// maxDutyRanks is the number of gateways that try one after the other. All others come at random times in the following second.
 	maxDutyRanks = 8
+	// dutyLeaseShare is the part of the time in which holders must not alternate for which the store keeps a lease. A shorter lease lets another gateway
+	// take over earlier, but does not outlast a store that is slow for longer.
+	dutyLeaseShare = 2.0 / 3
 	// dutyMarginShare is the part of a lease by which the holder considers it expired earlier than the store does.
 	dutyMarginShare = 6
 	// dutyPause is the time for which a gateway does not try again after it has given a duty up because its calls failed, so that others try.
 	dutyPause = 10 * time.Second
 )
 
-// dutyLease returns the lease settings of a duty whose lease lasts ttl.
-func dutyLease(ttl time.Duration) lease.Config {
+// dutyLease returns the lease settings of a duty whose holders must not alternate within a time.
+func dutyLease(alternation time.Duration) lease.Config {
+	ttl := time.Duration(dutyLeaseShare * float64(alternation))
 	return lease.Config{TTL: ttl, Margin: ttl / dutyMarginShare, Jitter: 0.2, CallTimeout: ttl / 3}
 }
 
@@ -50,8 +54,8 @@
 }
 
 func newDutyLeaseHolder(g *Gateway, name string) *dutyLeaseHolder {
-	ttl := settings.FractionalMilliseconds(g.settings.Duties.LeaseMS)
-	keeper := lease.NewKeeper(dutyLease(ttl), g.store, name, g.settings.Instance, rand.Uint64()).OnDemand()
+	config := dutyLease(settings.FractionalMilliseconds(g.settings.Duties.LeaseMS))
+	keeper := lease.NewKeeper(config, g.store, name, g.settings.Instance, rand.Uint64()).OnDemand()
 	return &dutyLeaseHolder{g: g, name: name, keeper: keeper, freeSince: bootclock.Now()}
 }
 
--- a/process/gateway/usage.go
+++ b/process/gateway/usage.go
@@ -234,7 +234,8 @@
 	holder := u.holder.holderNow()
 	targets := u.targets(holder)
 	everything := holder != s.leaseSeen && holder.Holder != "" || s.resend.Swap(false) || last
-	if holder.Holder != "" && holder != s.leaseSeen {
+	changed := holder.Holder != "" && holder != s.leaseSeen
+	if changed {
 		s.leaseSeen = holder
 		clear(s.relayed)
 	}
@@ -261,7 +262,12 @@
 	u.ledger.Expire(now)
 	var relayed []usage.Report
 	if holder.Holder != "" && holder.Holder != u.g.settings.Instance {
-		relayed = u.foreignReports(now)
+		endedBefore := now.Add(-usageRelayAfter)
+		if changed {
+			// The former holder may have been killed, and its counts of the present window are known to its deputy only.
+			endedBefore = now.Add(2 * u.config.Window)
+		}
+		relayed = u.foreignReports(endedBefore)
 	}
 	u.mu.Unlock()
 	for _, to := range targets {
@@ -319,8 +325,10 @@
 			r := u.counter.Report(now, window)
 			r.Final = last
 			reports = append(reports, r)
-		} else if r, found := u.counter.Changes(window); changes && found {
-			reports = append(reports, r)
+		} else if changes {
+			if r, found := u.counter.Changes(window); found {
+				reports = append(reports, r)
+			}
 		}
 	}
 	if changes {
@@ -329,9 +337,10 @@
 	return reports
 }
 
-// foreignReports returns the reports of other gateways that are to be passed on to the holder. The caller holds u.mu.
-func (u *usageDuty) foreignReports(now time.Time) []usage.Report {
-	return slices.DeleteFunc(u.ledger.Reports(now.Add(-usageRelayAfter)), func(r usage.Report) bool {
+// foreignReports returns the reports of other gateways that are to be passed on to the holder, for windows that end before a time. The caller holds
+// u.mu.
+func (u *usageDuty) foreignReports(endedBefore time.Time) []usage.Report {
+	return slices.DeleteFunc(u.ledger.Reports(endedBefore), func(r usage.Report) bool {
 		key := relayedReport{r.Origin, r.Window}
 		if sequence, found := u.sender.relayed[key]; r.Gateway == u.g.settings.Instance || found && sequence >= r.Sequence {
 			return true
--- a/process/gateway/usagereports.go
+++ b/process/gateway/usagereports.go
@@ -63,7 +63,7 @@
 		}
 		return 0
 	}
-	r.completeUntil = grant.Until.Add(dutyLease(r.ttl()).Margin)
+	r.completeUntil = grant.Until.Add(dutyLease(r.tenure.Wait()).Margin)
 	if err := r.closeWindows(grant.Fence); err != nil {
 		return r.storeFailed(err)
 	}
@@ -73,8 +73,6 @@
 	return 0
 }
 
-func (r *usageReports) ttl() time.Duration { return r.tenure.Wait() }
-
 // storeFailed logs a failed call of the store and returns the pause before the next one.
 func (r *usageReports) storeFailed(err error) time.Duration {
 	if r.u.g.ctx.Err() == nil {
@@ -165,7 +163,7 @@
 	unreported := u.reporter.Unreported(now)
 	var missing []string
 	if found {
-		missing = u.ledger.Missing(record.Window, members)
+		missing = u.ledger.Missing(now, record.Window, members)
 	}
 	u.mu.Unlock()
 	if missed > 0 {
--- a/process/usage/ledger.go
+++ b/process/usage/ledger.go
@@ -79,29 +79,33 @@
 	return totals
 }
 
-// Complete reports whether the final counts of a window are known from all the gateways, and from all processes that have reported any for it.
-func (l *Ledger) Complete(window int64, gateways []string) bool {
-	final := make(map[string]struct{})
-	for _, e := range l.windows[window] {
-		if !e.final {
-			return false
-		}
-		final[e.gateway] = struct{}{}
-	}
-	return !slices.ContainsFunc(gateways, func(name string) bool { _, ok := final[name]; return !ok })
+// goneAfter is the time without a report after which a process that may have ended is taken to have ended. A process that runs and has requests
+// reports several times a second in small fleets.
+const goneAfter = 2 * time.Second
+
+// Complete reports whether at time now the final counts of a window are known from all the gateways, and from all processes that have reported any for
+// it. A process is not waited for if it has been silent and its gateway is not among the gateways any more or has restarted.
+func (l *Ledger) Complete(now time.Time, window int64, gateways []string) bool {
+	return len(l.Missing(now, window, gateways)) == 0
 }
 
-// Missing returns the gateways whose final counts of a window are not known.
-func (l *Ledger) Missing(window int64, gateways []string) []string {
-	missing := make(map[string]struct{})
+// Missing returns the gateways for whose counts of a window Complete waits.
+func (l *Ledger) Missing(now time.Time, window int64, gateways []string) []string {
+	missing := make(map[string]struct{}, len(gateways))
 	for _, name := range gateways {
 		missing[name] = struct{}{}
 	}
+	final := make(map[string]struct{}, len(gateways))
 	for _, e := range l.windows[window] {
-		delete(missing, e.gateway)
+		if e.final {
+			final[e.gateway] = struct{}{}
+			delete(missing, e.gateway)
+		}
 	}
 	for _, e := range l.windows[window] {
-		if !e.final {
+		_, restarted := final[e.gateway]
+		mayHaveEnded := restarted || !slices.Contains(gateways, e.gateway)
+		if !e.final && !(mayHaveEnded && now.Sub(e.at) >= goneAfter) {
 			missing[e.gateway] = struct{}{}
 		}
 	}
--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -174,7 +174,7 @@
 // isClosed reports whether a window is to be closed at time now.
 func (r *Reporter) isClosed(now time.Time, window int64, ledger *Ledger, gateways []string) bool {
 	end := r.config.End(window)
-	return !now.Before(end.Add(r.config.CloseAfter)) || !now.Before(end) && ledger.Complete(window, gateways)
+	return !now.Before(end.Add(r.config.CloseAfter)) || !now.Before(end) && ledger.Complete(now, window, gateways)
 }
 
 // Recorded takes over a record that has been written to the store.
