--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bufferbudget"
+	"github.com/jayridge/jayridge/process/duty"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/services"
@@ -43,13 +44,15 @@
 // each other's load.
 const loadFactorShare = 0.9
 
-// Options holds the settings and dependencies of a gateway. All but Headers are required.
+// Options holds the settings and dependencies of a gateway. All but Headers and Duties are required.
 type Options struct {
 	Settings *settings.Gateway
 	Store    Store
 	Decoder  Decoder
 	Headers  forward.HeaderNames
 	Prompts  PromptLister
+	// Duties is the platform's API. If nil, the gateway takes no part in fleet-wide duties.
+	Duties duty.API
 }
 
 // PromptLister defines the request that lists the prompts cached by a model upstream.
@@ -77,6 +80,10 @@
 	peers    *peers
 	rollouts *rollouts
 	crashes  *crashTracker
+	// usage is nil if usage is not reported.
+	usage *usageDuty
+	// scale is nil if the number of upstreams is not ordered.
+	scale *scaleDuty
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -154,6 +161,9 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
 	g.rollouts = newRollouts(g)
+	g.usage = newUsageDuty(g, o.Duties)
+	g.scale = newScaleDuty(g, o.Duties)
+	g.metrics.usage, g.metrics.scale = g.usage, g.scale
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.callsCtx, g.abortCalls = context.WithCancelCause(context.Background())
 	return g, nil
@@ -161,10 +171,19 @@
 
 // Start opens the listeners and starts the workers.
 func (g *Gateway) Start() error {
+	if g.usage != nil {
+		g.usage.init()
+	}
 	if err := errors.Join(g.listen(), g.peers.listen()); err != nil {
 		g.cancel()
 		return trace.Wrap(err)
 	}
+	if g.usage != nil {
+		g.usage.start()
+	}
+	if g.scale != nil {
+		g.scale.start()
+	}
 	g.startWorker(g.control)
 	g.startWorker(g.watch)
 	g.startWorker(g.probe)
@@ -224,6 +243,7 @@
 
 // Stop stops all workers and closes the remaining connections.
 func (g *Gateway) Stop(context.Context) {
+	g.usage.sendLast()
 	g.cancel()
 	g.abortCalls(errStopping)
 	for _, s := range g.servers {
