soak: crowds of callers against one gateway process

Callers that are not under the operators' control must not take the memory or the descriptors of a gateway.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,8 +32,10 @@
   run+=(-skip "$skip")
 fi
 # The simulated fleets run in virtual time on one goroutine each, where the race detector cannot find anything and makes them several times slower.
-go test -count=1 -timeout 30m -skip "${skip:+$skip|}^TestLoadFleet_" -race $(go list ./... | grep -v '/internal/bench$')
+go test -count=1 -timeout 30m -skip "${skip:+$skip|}^TestLoadFleet_|^TestCrowd_" -race $(go list ./... | grep -v '/internal/bench$')
 "${run[@]}" -run '^TestLoadFleet_' ./process/gateway
+# Crowds of callers measure the memory of a gateway process, so that they run one at a time and beside nothing else.
+"${run[@]}" -p 1 -run '^TestCrowd_' ./platform/soak
 
 # Most benchmarks simulate the decisions in virtual time on one goroutine, where the race detector cannot find anything and makes them take
 # more than five minutes. The benchmarks that start goroutines run with it as well.
