bufferbudget: messages that have stalled give way

Owners that each hold just their share could keep out one that holds nothing, for as long as they kept their connections open, and an owner's own stalled messages kept out its next one. A reservation that has not grown for 2 s is now evicted if there is no room otherwise: of any owner for one within its share, else of the same owner. TestReserve_StalledAreEvicted failed in its first two cases before: ErrNoRoom.

--- a/process/bufferbudget/budget.go
+++ b/process/bufferbudget/budget.go
@@ -2,7 +2,7 @@
 //
 // Each message that is held in memory has a reservation, which grows as the message arrives. The sum of all reservations never exceeds the budget.
 // If it is used up, owners that hold more than a fair share get no more, and messages that they are still sending are evicted in favour of owners
-// that hold less. Messages that were passed on are not evicted.
+// that hold less. If all are within their shares, messages that have not grown for a while are evicted. Messages that were passed on are not evicted.
 package bufferbudget
 
 import (
@@ -64,11 +64,12 @@
 	use    Use
 	// released belongs to the goroutine that uses the reservation.
 	released bool
-	// owner, bytes, evicted and evict are guarded by the budget's mutex.
-	owner   string
-	bytes   int64
-	evicted bool
-	evict   func()
+	// owner, bytes, progress, evicted and evict are guarded by the budget's mutex. progress is the time of the latest growth.
+	owner    string
+	bytes    int64
+	progress time.Time
+	evicted  bool
+	evict    func()
 }
 
 // Open returns an empty reservation of an owner, which is a team, the address of a caller, or an upstream. evict, unless it is nil, is called at most
@@ -123,7 +124,7 @@
 		b.ledger.wait(r, -1)
 		*waited = false
 	}
-	decision, victims := b.ledger.reserve(r, n)
+	decision, victims := b.ledger.reserve(time.Now(), r, n)
 	for _, v := range victims {
 		b.evictions++
 		go v.evict()
--- a/process/bufferbudget/budget_test.go
+++ b/process/bufferbudget/budget_test.go
@@ -110,6 +110,45 @@
 	})
 }
 
+// Many owners that each hold just their share and send no more must not keep out one that holds nothing, and an owner's own stalled messages must not
+// keep out its next one. A message that still arrives must not be given up for either.
+func TestReserve_StalledAreEvicted(t *testing.T) {
+	cases := map[string]struct {
+		owner string
+		wait  time.Duration
+		want  []string
+	}{
+		"another owner":             {"new", stalledAfter + time.Second, []string{"b"}},
+		"the same owner":            {"a", stalledAfter + time.Second, []string{"a"}},
+		"another owner, not so old": {"new", stalledAfter / 2, nil},
+		"the same owner, not yet":   {"a", stalledAfter / 2, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := New(1000)
+				var evicted []string
+				for i, owner := range []string{"a", "b", "c"} {
+					var r *Reservation
+					r = b.Open(Receiving, owner, func() {
+						evicted = append(evicted, owner)
+						r.Release()
+					})
+					must.NoError(t, r.Reserve(never, []int{180, 185, 370}[i]))
+					if owner == "c" {
+						must.NoError(t, r.Keep())
+					}
+				}
+				time.Sleep(c.wait)
+				r := open(b, Receiving, c.owner, true)
+				err := r.Reserve(t.Context(), 180)
+				must.EqOp(t, c.want == nil, err != nil, must.Sprint(err))
+				must.Eq(t, c.want, evicted)
+			})
+		})
+	}
+}
+
 func TestAssign_MovesBytes(t *testing.T) {
 	b := New(1000)
 	r := open(b, Answering, "upstream", false)
--- a/process/bufferbudget/ledger.go
+++ b/process/bufferbudget/ledger.go
@@ -1,6 +1,9 @@
 package bufferbudget
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // ledger decides who may reserve bytes and who has to give some back. It does no I/O and has no clock and no locks.
 type ledger struct {
@@ -83,9 +86,14 @@
 	o.reservations[r] = struct{}{}
 }
 
+// stalledAfter is the time without growth after which a reservation may be evicted whatever its owner holds. A body that arrives at 32 KB a second
+// grows more often.
+const stalledAfter = 2 * time.Second
+
 // reserve adds n bytes to a reservation if there is room. Otherwise an owner within its fair share gets room from those that exceed theirs: the
-// returned reservations are to be evicted. An owner that exceeds its share grows only while nobody waits for room.
-func (l *ledger) reserve(r *Reservation, n int64) (decision, []*Reservation) {
+// returned reservations are to be evicted. An owner that exceeds its share grows only while nobody waits for room. If that makes no room, reservations
+// that have stalled are evicted: of any owner for one within its share, else of the same owner.
+func (l *ledger) reserve(now time.Time, r *Reservation, n int64) (decision, []*Reservation) {
 	if r.evicted || n > l.limit {
 		return refused, nil
 	}
@@ -96,13 +104,24 @@
 	}
 	fair := o.bytes+n <= l.fairShare(r)
 	if n <= free && (fair || l.waiting == 0) {
+		r.progress = now
 		l.add(r, o, n)
 		return granted, nil
 	}
-	if !fair || r.use != Receiving {
+	if r.use != Receiving || !fair && n <= free {
 		return refused, nil
 	}
-	if victims := l.victims(r, n-free-l.promised); victims != nil || n-free <= l.promised {
+	missing := n - free - l.promised
+	if missing <= 0 {
+		return pending, nil
+	}
+	if fair {
+		share := l.fairShare(r)
+		if victims := l.victims(missing, func() *Reservation { return l.overShare(r.use, share) }); victims != nil {
+			return pending, victims
+		}
+	}
+	if victims := l.victims(missing, func() *Reservation { return l.stalled(r, fair, now.Add(-stalledAfter)) }); victims != nil {
 		return pending, victims
 	}
 	return refused, nil
@@ -115,46 +134,60 @@
 	l.total += n
 }
 
-// victims marks reservations as evicted that hold at least the missing bytes, or returns nil if there are not enough. The largest reservation of the
-// owner that holds most goes first, as long as that owner exceeds its fair share.
-func (l *ledger) victims(r *Reservation, missing int64) []*Reservation {
-	share := l.fairShare(r)
+// victims marks reservations as evicted that next returns one after the other, until they hold at least the missing bytes. It returns nil if there are
+// not enough.
+func (l *ledger) victims(missing int64, next func() *Reservation) []*Reservation {
 	var chosen []*Reservation
 	for missing > 0 {
-		victim, from := l.victim(r.use, share)
+		victim := next()
 		if victim == nil {
 			for _, c := range chosen {
 				l.unmark(c)
 			}
 			return nil
 		}
-		l.mark(victim, from)
+		l.mark(victim, l.owners[victim.use][victim.owner])
 		chosen = append(chosen, victim)
 		missing -= victim.bytes
 	}
 	return chosen
 }
 
-// victim returns the reservation that is evicted next and its owner, or nil.
-func (l *ledger) victim(u Use, share int64) (*Reservation, *owner) {
-	most, victim, from := int64(math.MinInt64), (*Reservation)(nil), (*owner)(nil)
+// overShare returns the largest reservation of the owner that holds most beyond a share, or nil.
+func (l *ledger) overShare(u Use, share int64) *Reservation {
+	most, victim := int64(math.MinInt64), (*Reservation)(nil)
 	for _, o := range l.owners[u] {
 		held := o.bytes - o.promised
 		if held <= share || held <= most {
 			continue
 		}
-		if v := o.largest(); v != nil {
-			most, victim, from = held, v, o
+		if v := o.largest(func(*Reservation) bool { return true }); v != nil {
+			most, victim = held, v
+		}
+	}
+	return victim
+}
+
+// stalled returns the largest reservation besides r that has not grown since a time, of any owner or of that of r, or nil.
+func (l *ledger) stalled(r *Reservation, ofAny bool, since time.Time) *Reservation {
+	var largest *Reservation
+	for name, o := range l.owners[r.use] {
+		if !ofAny && name != r.owner {
+			continue
+		}
+		v := o.largest(func(v *Reservation) bool { return v != r && v.progress.Before(since) })
+		if v != nil && (largest == nil || v.bytes > largest.bytes) {
+			largest = v
 		}
 	}
-	return victim, from
+	return largest
 }
 
-// largest returns the largest reservation that may be evicted, or nil.
-func (o *owner) largest() *Reservation {
+// largest returns the largest reservation that may be evicted and for which condition holds, or nil.
+func (o *owner) largest(condition func(*Reservation) bool) *Reservation {
 	var largest *Reservation
 	for r := range o.reservations {
-		evictable := r.evict != nil && !r.evicted && r.bytes > 0
+		evictable := r.evict != nil && !r.evicted && r.bytes > 0 && condition(r)
 		if evictable && (largest == nil || r.bytes > largest.bytes) {
 			largest = r
 		}
