gateway: what callers' connections hold is bounded on each listener

Callers that opened many connections, sent heads of very many fields or heads without end, or stopped half-way took the gateway's memory and descriptors: a head was charged its bytes only, beyond 4 KB, at a cost of fifteen times that; connections were not limited; the readiness and the metrics listener shared the callers' budget; a head could be evicted after its request had been passed on.

Heads are now counted as they arrive, before net/http parses them, and charged for bytes and lines. Connections are limited in all and by address (max_connections, max_connections_per_address, derived from max_files and memory_mb); the least useful one is closed first, never one whose request has been passed on. max_head_fields and max_requests_ahead bound the rest. The small listeners have bounds of their own. Server goroutines that net/http keeps after a refused body are limited too.

--- a/process/bufferbudget/ledger.go
+++ b/process/bufferbudget/ledger.go
@@ -134,8 +134,8 @@
 	l.total += n
 }
 
-// victims marks reservations as evicted that next returns one after the other, until they hold at least the missing bytes. It returns nil if there are
-// not enough.
+// victims marks reservations as evicted that next returns one after the other, until they hold at least the missing bytes. It returns nil if there
+// are not enough.
 func (l *ledger) victims(missing int64, next func() *Reservation) []*Reservation {
 	var chosen []*Reservation
 	for missing > 0 {
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -70,6 +70,8 @@
 	PartTrial          ID = 417
 	QuarantineNotSaved ID = 418
 
+	CallerConnectionClosed ID = 430
+
 	ClaimWriteLost   ID = 500
 	ClaimConflict    ID = 501
 	ClaimUnavailable ID = 502
@@ -165,6 +167,7 @@
 	{PartReleased, "requests with a prompt part are accepted again, one was answered", Info, ""},
 	{PartTrial, "request with a quarantined prompt part runs as a trial", Info, ""},
 	{QuarantineNotSaved, "quarantined prompt part could not be stored", Warning, "check the platform's store; gateways that restart learn of the part from their neighbours"},
+	{CallerConnectionClosed, "caller's connection closed or refused, its request was not run", Warning, "see the reason and docs/OPERATIONS.md, Crowds of callers"},
 
 	{ClaimWriteLost, "answer to a claim write lost, settled by reading", Info, ""},
 	{ClaimConflict, "claim write conflicted, shard read again", Info, ""},
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -60,7 +60,9 @@
 	id       string
 	body     buffer.Buffer
 	// bodyRead means that the body was read to its end.
-	bodyRead   bool
+	bodyRead bool
+	// ahead is the number of requests in a row that the caller has sent before it had the answer to the one before.
+	ahead      int
 	bodyMemory *bufferbudget.Reservation
 	prompt     forward.Prompt
 	partIDs    forward.PartIDs
@@ -172,7 +174,14 @@
 		body: http.MaxBytesReader(c.writer, c.request.Body, int64(limit)), control: control, deadline: c.deadline, ctx: ctx,
 		patience: c.conn.writes.patience,
 	}
-	err := c.body.Fill(body, int(c.request.ContentLength), limit, func(bytes int) error { return c.bodyMemory.Reserve(ctx, bytes) })
+	err := c.body.Fill(body, int(c.request.ContentLength), limit, func(bytes int) error {
+		err := c.bodyMemory.Reserve(ctx, bytes)
+		if err == nil {
+			c.conn.bodyBytes.Add(int64(bytes))
+		}
+		return err
+	})
+	c.request.Trailer = nil // trailers are not passed on
 	if err == nil {
 		err = c.bodyMemory.Keep()
 	}
@@ -190,6 +199,8 @@
 		return result.CallerStalled
 	case errors.Is(err, context.DeadlineExceeded):
 		return result.DeadlineBeforeRun
+	case c.conn.claim.Load() == connEvicted:
+		return result.NoMemory
 	case c.request.Context().Err() != nil:
 		return result.CanceledBeforeRun
 	default:
--- a/process/gateway/callerio.go
+++ b/process/gateway/callerio.go
@@ -99,6 +99,7 @@
 // acknowledged shows whether it reads.
 func (c *callerConn) Write(p []byte) (int, error) {
 	defer c.SetWriteDeadline(time.Time{}) //nolint:errcheck // fails only if the connection is closed
+	c.head.answering.Store(true)
 	written := 0
 	for queued := -1; ; {
 		start := time.Now()
--- a/process/gateway/callers.go
+++ b/process/gateway/callers.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/internal/socket"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/settings"
 )
@@ -44,8 +48,16 @@
 // connection as active only after it has read the request, which is too late: the request would be forwarded and its response lost.
 type callerConn struct {
 	*net.TCPConn
-	state atomic.Int32
-	head  headMemory
+	guard   *callerGuard
+	address netip.Addr
+	state   atomic.Int32
+	// claim tells whether the connection may be closed to make room.
+	claim atomic.Int32
+	// progress is the time at which bytes arrived last, in nanoseconds of bootclock.
+	progress atomic.Int64
+	head     headMemory
+	// bodyBytes is the memory that is reserved for the body of the request in progress.
+	bodyBytes atomic.Int64
 	// writes belongs to the goroutine that serves the connection.
 	writes callerWrites
 }
@@ -67,13 +79,15 @@
 // Read implements net.Conn. Data that arrives while the connection is being closed is dropped, so that the request is not forwarded.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.state.CompareAndSwap(connIdle, connInUse) && c.state.Load() == connClosing {
+	if n == 0 {
+		return n, err
+	}
+	if !c.state.CompareAndSwap(connIdle, connInUse) && c.state.Load() == connClosing {
 		return 0, net.ErrClosed
 	}
-	if n > 0 {
-		if headErr := c.head.add(c, n); headErr != nil {
-			return 0, headErr
-		}
+	c.progress.Store(bootclock.Now().UnixNano())
+	if headErr := c.head.add(c, p[:n]); headErr != nil {
+		return 0, c.refuseHead(p, headErr)
 	}
 	return n, err
 }
@@ -95,19 +109,30 @@
 	net.Listener
 	buffers  *bufferbudget.Budget
 	settings *settings.Gateway
+	guard    *callerGuard
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It returns only connections for which there is room.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		c := &callerConn{TCPConn: tcp}
-		c.head.budget = l.buffers
+	for {
+		l.guard.awaitRoom()
+		conn, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			l.guard.freeDescriptors() // net/http waits before the next call
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok || err != nil {
+			return conn, err
+		}
+		c := &callerConn{TCPConn: tcp, guard: l.guard, address: addressOf(tcp)}
+		c.progress.Store(bootclock.Now().UnixNano())
+		c.head.budget, c.head.maxFields = l.buffers, l.settings.MaxHeadFields
 		c.head.begin()
 		c.writes.begin(l.settings)
-		return c, err
+		if l.guard.admit(c) {
+			return c, nil
+		}
 	}
-	return conn, err
 }
 
 // track is the http.Server.ConnState hook. It is used instead of the server's idle timeout, which cannot change while the server runs.
@@ -116,7 +141,7 @@
 	defer c.mu.Unlock()
 	caller, ok := conn.(*callerConn)
 	if ok && state == http.StateClosed {
-		caller.head.end()
+		caller.ended()
 	}
 	if state != http.StateIdle {
 		delete(c.idle, conn)
@@ -125,6 +150,8 @@
 	c.idle[conn] = time.Now()
 	if ok {
 		caller.head.begin()
+		caller.bodyBytes.Store(0)
+		caller.claim.CompareAndSwap(connPassedOn, connOpen)
 		caller.state.Store(connIdle)
 	}
 }
--- a/process/gateway/callers_test.go
+++ b/process/gateway/callers_test.go
@@ -23,7 +23,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
 	defaults := settings.GatewayDefaults()
-	ours, err = callerListener{inner, bufferbudget.New(1 << 20), &defaults}.Accept()
+	ours, err = callerListener{inner, bufferbudget.New(1 << 20), &defaults, newCallerGuard("callers", smallLimits(8), smallServing)}.Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = ours.Close() })
 	calls.track(ours, http.StateIdle)
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 
+	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 )
 
@@ -30,13 +31,19 @@
 	ready.HandleFunc("/readyz", g.serveReady)
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", g.metrics)
+	files := availableFiles(g.settings)
+	readyGuard := newCallerGuard("ready", readyLimits(files), smallServing)
+	metricsGuard := newCallerGuard("metrics", smallLimits(metricsConnections), smallServing)
+	callersGuard := newCallerGuard("callers", callerLimits(g.settings, files), callerServing)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		buffers *bufferbudget.Budget
+		guard   *callerGuard
 	}{
-		{g.settings.ReadyAddress, ready},
-		{g.settings.MetricsAddress, metrics},
-		{g.settings.CallersAddress, http.HandlerFunc(g.serveCaller)},
+		{g.settings.ReadyAddress, smallHandler(ready), smallBudget(g.settings), readyGuard},
+		{g.settings.MetricsAddress, smallHandler(metrics), smallBudget(g.settings), metricsGuard},
+		{g.settings.CallersAddress, http.HandlerFunc(g.serveCaller), g.buffers, callersGuard},
 	} {
 		if l.address == "" {
 			continue
@@ -55,7 +62,8 @@
 			ConnContext:       withCallerConn,
 			ErrorLog:          log.New(serverLog{}, "", 0),
 		}
-		listener := callerListener{inner, g.buffers, g.settings}
+		listener := callerListener{inner, l.buffers, g.settings, l.guard}
+		g.metrics.addGuard(l.guard)
 		g.servers = append(g.servers, server)
 		g.listeners = append(g.listeners, listener)
 		g.startWorker(func() { _ = server.Serve(listener) }) // ends when the listener or the server is closed
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -36,6 +36,8 @@
 	buffers         *bufferbudget.Budget
 
 	mu sync.Mutex
+	// guards are those of the listeners.
+	guards []*callerGuard
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
 	// microseconds.
 	latency, firstEvent *hdrhistogram.Histogram
@@ -46,6 +48,12 @@
 	return &metrics{buffers: buffers, latency: histogram(), firstEvent: histogram()}
 }
 
+func (m *metrics) addGuard(g *callerGuard) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.guards = append(m.guards, g)
+}
+
 func (m *metrics) countResult(code result.Code) { m.results[code].Add(1) }
 
 func (m *metrics) record(h *hdrhistogram.Histogram, d time.Duration) {
@@ -77,6 +85,14 @@
 	line("jayridge_buffer_evictions_total", buffers.Evictions)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, g := range m.guards {
+		line("jayridge_caller_connections{listener=\""+g.name+"\"}", int64(g.connections()))
+		for reason := range closedReasons {
+			if n := g.closed[reason].Load(); n > 0 {
+				line(fmt.Sprintf("jayridge_caller_connections_closed_total{listener=%q,reason=%q}", g.name, reason), n)
+			}
+		}
+	}
 	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent} {
 		for _, q := range []float64{50, 95, 99, 100} {
 			line(fmt.Sprintf("jayridge_%s_microseconds{quantile=\"%g\"}", name, q/100), h.ValueAtQuantile(q))
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -19,10 +19,13 @@
 	g.callers.requests.Add(1)
 	defer g.callers.requests.Add(-1)
 	c := &call{g: g, writer: w, control: http.NewResponseController(w), conn: callerConnOf(r), request: r, started: time.Now()}
-	c.conn.head.complete()
+	c.ahead = c.conn.head.complete(r.ContentLength)
 	c.conn.writes.begin(g.settings)
 	defer c.releaseMemory()
 	code := c.admit()
+	if code == result.OK && !c.conn.passOn() {
+		code = result.NoMemory
+	}
 	if code == result.OK {
 		g.budgets.request(bootclock.Now(), c.service)
 		code = c.run()
@@ -85,10 +88,10 @@
 	_, _ = c.writer.Write([]byte(text)) // fails only if the caller has disconnected or does not read
 }
 
-// announceLeaving asks the caller to send its next request over a new connection if the gateway is leaving. It is called as late as possible: a request
-// that was read before the gateway began to leave must not keep its connection either.
+// announceLeaving asks the caller to send its next request over a new connection if the gateway is leaving or the caller has sent too many requests
+// ahead. It is called as late as possible: a request that was read before the gateway began to leave must not keep its connection either.
 func (c *call) announceLeaving() {
-	if c.g.leaving.Load() {
+	if c.g.leaving.Load() || c.ahead > c.g.settings.MaxRequestsAhead {
 		c.writer.Header().Set("Connection", "close")
 	}
 }
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -31,6 +31,19 @@
 	MemoryMB float64 `json:"memory_mb" validate:"min=32,max=1048576"`
 	// MaxFiles is the maximum number of file descriptors of the process. Default 4096.
 	MaxFiles int `json:"max_files" validate:"min=256,max=10000000"`
+	// MaxConnections is the maximum number of callers' connections. If there are more, those without a complete request are closed. Default 0, which
+	// derives it: three quarters of max_files without 200 for files and without those of the other listeners, but not more than take a quarter of
+	// memory_mb at 20 KB each.
+	MaxConnections int `json:"max_connections" validate:"min=0,max=10000000"`
+	// MaxConnectionsPerAddress is the maximum number of callers' connections of one IP address, which may be that of a load balancer. Default 0, which
+	// means nine tenths of max_connections.
+	MaxConnectionsPerAddress int `json:"max_connections_per_address" validate:"min=0,max=10000000"`
+	// MaxHeadFields is the maximum number of fields in the head of a request; a request with more gets status 431. Default 24000, more than fit into
+	// a head of 64 KiB.
+	MaxHeadFields int `json:"max_head_fields" validate:"min=20,max=10000000"`
+	// MaxRequestsAhead is how many requests in a row a caller may send on one connection before it has the answer to the one before. The answer to
+	// the next announces that the connection is closed. Default 100.
+	MaxRequestsAhead int `json:"max_requests_ahead" validate:"min=1,max=10000000"`
 	// MaxResponseMB is the maximum size of the body of a response that is not a stream, in megabytes. Such bodies are held in memory until they
 	// are complete; an upstream that sends more is treated as broken. Default 4.
 	MaxResponseMB float64 `json:"max_response_mb" validate:"min=0.01,max=1024"`
@@ -97,6 +110,8 @@
 		MemoryMB: 256,
 		MaxFiles: 4096,
 
+		MaxHeadFields: 24_000, MaxRequestsAhead: 100,
+
 		MaxResponseMB: 4, BufferShare: 0.25, CallerStallMS: 5000, LateCallerStallMS: 1500, UpstreamStallMS: 5000,
 		Store: Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
