forward: load headers with four figures are accepted

An upstream may state a fourth figure, its slowdown in percent. Such headers were rejected as malformed, so that the total load of the upstream was lost too. Three and four figures are accepted now; a malformed rest leaves valid first three usable, and figures are bounded. Load headers of which a part or all is ignored are counted in jayridge_load_headers_malformed_total.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -20,6 +20,7 @@
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/buffer"
+	"github.com/jayridge/jayridge/request/forward"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/routing"
 )
@@ -291,9 +292,13 @@
 	c := a.call
 	a.headLatency.Store(int64(time.Since(a.started)))
 	total := -1
-	if load, ok := c.g.headers.ParseLoad(response.Header); ok {
+	load, status := c.g.headers.ParseLoad(response.Header)
+	if status == forward.LoadValid || status == forward.LoadPartial {
 		total = load.Running + load.Waiting
 	}
+	if status == forward.LoadPartial || status == forward.LoadMalformed {
+		c.g.metrics.loadsMalformed.Add(1)
+	}
 	a.choice.AnswerStarted(bootclock.Now(), total)
 	a.recordRateLimit(response)
 	if c.progress.first == 0 {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -33,7 +33,9 @@
 	storeBytes, peerCopyBytes atomic.Int64
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
-	buffers         *bufferbudget.Budget
+	// loadsMalformed counts load headers of which a part or all was ignored.
+	loadsMalformed atomic.Int64
+	buffers        *bufferbudget.Budget
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
@@ -69,6 +71,7 @@
 	line("jayridge_store_bytes_total", m.storeBytes.Load())
 	line("jayridge_peer_copy_bytes_total", m.peerCopyBytes.Load())
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
+	line("jayridge_load_headers_malformed_total", m.loadsMalformed.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
 	buffers := m.buffers.Stats()
 	line("jayridge_buffer_limit_bytes", buffers.Limit)
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -34,7 +34,7 @@
 	TokenCounts string
 	// FetchFrom is the address of the upstream from which the cached part of a prompt is copied.
 	FetchFrom string
-	// Load is an upstream's load as running requests, waiting requests and slots, separated by commas.
+	// Load is an upstream's load as running requests, waiting requests, slots and optionally the present slowdown in percent, separated by commas.
 	Load string
 	// RateLimit is the number of requests a second that an upstream takes from all entries together, a decimal number. Without the header there is no
 	// limit.
--- a/request/forward/prompt.go
+++ b/request/forward/prompt.go
@@ -133,15 +133,63 @@
 
 // Load is the load that an upstream reports.
 type Load struct {
+	// Running and Waiting are numbers of requests, Slots the number of requests that run at once.
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the upstream at this moment in percent of what it usually takes, 100 meaning as usual. Zero means that the
+	// upstream did not state it.
+	Slowdown int
 }
 
-// ParseLoad parses the load header of a response. It returns false if the header is missing or malformed.
-func (n *HeaderNames) ParseLoad(h http.Header) (Load, bool) {
-	fields := strings.Split(h.Get(n.Load), ",")
-	if len(fields) != 3 {
-		return Load{}, false
+// LoadStatus tells how much of a load header is usable.
+type LoadStatus int
+
+const (
+	// LoadMissing means that the response has no load header.
+	LoadMissing LoadStatus = iota
+	// LoadValid means that all figures are usable.
+	LoadValid
+	// LoadPartial means that the first three figures are usable and what follows them is malformed and ignored.
+	LoadPartial
+	// LoadMalformed means that nothing is usable.
+	LoadMalformed
+)
+
+const (
+	// maxLoadFigure is the highest number of requests or slots that is accepted. Upstreams run some hundred at once.
+	maxLoadFigure = 1_000_000
+	// maxSlowdown is the highest slowdown that is accepted, in percent.
+	maxSlowdown = 10_000
+)
+
+// ParseLoad parses the load header of a response: three figures, or four with the slowdown. The load is zero unless the first three are usable.
+func (n *HeaderNames) ParseLoad(h http.Header) (Load, LoadStatus) {
+	if len(h.Values(n.Load)) == 0 {
+		return Load{}, LoadMissing
+	}
+	// The last field holds all that follows the fourth figure, so that a long header costs no more than a short one.
+	fields := strings.SplitN(h.Get(n.Load), ",", 5)
+	if len(fields) < 3 {
+		return Load{}, LoadMalformed
+	}
+	l := Load{Running: loadFigure(fields[0]), Waiting: loadFigure(fields[1]), Slots: loadFigure(fields[2])}
+	if l.Running < 0 || l.Waiting < 0 || l.Slots < 0 {
+		return Load{}, LoadMalformed
+	}
+	if len(fields) == 3 {
+		return l, LoadValid
+	}
+	slowdown := atoiOr(fields[3], 0)
+	if len(fields) > 4 || slowdown < 1 || slowdown > maxSlowdown {
+		return l, LoadPartial
+	}
+	l.Slowdown = slowdown
+	return l, LoadValid
+}
+
+// loadFigure parses a number of requests or slots. It returns -1 if it is malformed or out of bounds.
+func loadFigure(text string) int {
+	if n := atoiOr(text, -1); n <= maxLoadFigure {
+		return n
 	}
-	l := Load{atoiOr(fields[0], -1), atoiOr(fields[1], -1), atoiOr(fields[2], -1)}
-	return l, l.Running >= 0 && l.Waiting >= 0 && l.Slots >= 0
+	return -1
 }
