balancer: decisions use what each upstream takes

The estimates of package capacity scale the costs of prefill, queueing, running requests and cached chats, and no upstream gets more than its useful load while others can take the request. The load bound is unchanged. A total that an upstream reports is bounded by four times its slots, so that it cannot lift the bound of the others.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
+	"github.com/jayridge/jayridge/process/capacity"
 	"github.com/jayridge/jayridge/process/directory"
 	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/request/placement"
@@ -29,6 +30,9 @@
 	PeerLoadMaxAge time.Duration
 	// ReportedTotalMaxAge is how long the total load that an upstream reported is used if load reports of some peers are missing.
 	ReportedTotalMaxAge time.Duration
+	// Capacity configures the estimates of what each upstream takes. LearnCapacity applies them.
+	Capacity      capacity.Config
+	LearnCapacity bool
 	// Seed is the seed of the random tie breaker. It also sets the phase of the entry's rate window while its position is unknown.
 	Seed uint64
 }
@@ -41,6 +45,8 @@
 		Health:              health.DefaultConfig(),
 		PeerLoadMaxAge:      1200 * time.Millisecond, // three times the longest interval between a peer's reports
 		ReportedTotalMaxAge: 2 * time.Second,         // about the duration of a long answer
+		Capacity:            capacity.DefaultConfig(),
+		LearnCapacity:       true,
 	}
 }
 
@@ -54,6 +60,8 @@
 	backends map[string]*backend
 	byHash   map[uint64]*backend
 	services map[string][]*backend
+	// capacities are the upstreams with their estimates.
+	capacities capacities
 	// entries is the number of entries that share the limits of the fleet, position this entry's place among them, negative if it is unknown.
 	// timeOfDay is added to a time to get the time of day, which all entries have in common.
 	entries, position int
@@ -94,6 +102,9 @@
 	// the time of the answer that it comes from.
 	rateLimit   float64
 	rateLimitAt time.Time
+	// capacity is what is known of the speed of the upstream. shared and announced are the latest estimates that peers were told and that were logged.
+	capacity          *capacity.Upstream
+	shared, announced announcedCapacity
 	// answeredSinceLoads is set if the upstream answered a request of this entry since the last call of Loads.
 	answeredSinceLoads bool
 }
@@ -145,6 +156,7 @@
 		e := b.backends[u.ID]
 		if e == nil || e.Started != u.Started || e.Address != u.Address {
 			e = b.newBackend(u, service)
+			e.capacity = b.capacities.estimator(u.Service, b.config.Capacity).NewUpstream()
 		}
 		coldUntil := e.ColdUntil
 		e.Upstream = u
@@ -154,11 +166,13 @@
 		e.leaving = i >= len(upstreams)
 		e.coldRate = max(0, service.MaxColdRate)
 		e.fetchRate = service.FetchTokensPerMS
+		e.capacity.SetSlots(u.Slots)
 		next[u.ID] = e
 		b.byHash[e.hash] = e
 		b.services[u.Service] = append(b.services[u.Service], e)
 	}
 	b.backends = next
+	b.capacities.set(b.services)
 }
 
 func (b *Balancer) newBackend(u directory.Upstream, service *routing.Service) *backend {
@@ -220,6 +234,8 @@
 	Tried []string
 	// Versions reports which versions may run the request; nil permits all.
 	Versions Versions
+	// Class distinguishes requests to a plain service that take different times, for instance by their route.
+	Class uint64
 	// Started means that the caller has part of the answer. Such a request takes precedence over those that can still be refused.
 	Started bool
 }
@@ -253,6 +269,7 @@
 	backend       *backend
 	chosenAt      time.Time
 	pendingTokens int
+	observed      observation
 }
 
 // Pick selects the upstream for a request. It returns nil if none can take it.
@@ -299,6 +316,9 @@
 		c.Fetched = b.scratch[source].CachedTokens - c.Cached
 		c.pendingTokens = max(0, c.pendingTokens-c.Fetched)
 	}
+	c.observed = observation{
+		prompt: c.pendingTokens, pending: int(b.scratch[index].PendingTokens), load: c.Load + 1, plain: q.Placement.Tokens == 0, class: q.Class,
+	}
 	c.recordPassedOver(group, index)
 	e.inFlight++
 	e.pendingTokens += c.pendingTokens
@@ -335,6 +355,10 @@
 		Serving:       !e.monitor.Down(),
 		FetchSource:   !e.monitor.Down(),
 	}
+	if b.config.LearnCapacity {
+		estimate := e.capacity.Estimate(now)
+		u.Speed, u.UsefulLoad = estimate.Speed, estimate.UsefulLoad
+	}
 	for _, id := range q.Tried {
 		u.Excluded = u.Excluded || id == e.ID
 	}
@@ -413,7 +437,7 @@
 			continue
 		}
 		if at := now.Add(-l.Age); at.After(e.reportedAt) {
-			e.reportedTotal, e.reportedAt = l.Total, at
+			e.reportedTotal, e.reportedAt = e.plausibleTotal(l.Total), at
 		}
 	}
 }
@@ -452,11 +476,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.markPromptRead()
+	c.observed.answered = now
 	if total >= 0 {
+		total = c.backend.plausibleTotal(total)
 		c.backend.reportedTotal, c.backend.reportedAt, c.backend.answeredSinceLoads = total, now, true
 	}
 }
 
+// maxTotalFactor bounds the total that an upstream reports, as a multiple of its slots. A higher one would raise the mean of the service, and with it
+// the load bound of all upstreams.
+const maxTotalFactor = 4
+
+func (e *backend) plausibleTotal(total int) int {
+	if e.Slots <= 0 {
+		return total
+	}
+	return min(total, max(maxTotalFactor*e.Slots, e.inFlight))
+}
+
 func (c *Choice) markPromptRead() {
 	c.backend.pendingTokens -= c.pendingTokens
 	c.pendingTokens = 0
@@ -490,6 +527,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.markPromptRead()
+	if o == health.Answered {
+		c.observePlainResponse(now)
+	}
 	c.backend.inFlight--
 	b.creditOf(c.Service).ended()
 	return c.backend.monitor.Record(now, o)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -25,6 +25,9 @@
 	PrefillFactor float64
 	// RunningRequestCost is the cost of each request that already runs on a model upstream.
 	RunningRequestCost time.Duration
+	// AnswerTimeCost is the cost of an answer that takes twice as long as on the typical upstream. It is much lower than the time itself, since a slow
+	// upstream has to get a share of the requests: its capacity counts when the others are busy, and its recovery shows in answers.
+	AnswerTimeCost time.Duration
 	// CachedChatCost is the cost of each chat that an upstream has cached. It applies to the initial placement of a chat.
 	CachedChatCost time.Duration
 	// RendezvousBonus is subtracted from the cost of the upstream with the highest rendezvous hash. It applies to the initial placement of
@@ -57,10 +60,11 @@
 		PrefillTokensPerMS:   60,
 		PrefillFactor:        6,
 		FetchFactor:          2,
-		FetchSetupTime:       3 * time.Millisecond, // as specified by engines that support fetches
-		MinFetchTokens:       64,                   // prefilled in about 1 ms, less than FetchSetupTime
-		RunningRequestCost:   2 * time.Millisecond, // each running request slows down every step slightly
-		CachedChatCost:       8 * time.Millisecond, // a short cached prefix offsets a few more chats than other upstreams have cached
+		FetchSetupTime:       3 * time.Millisecond,  // as specified by engines that support fetches
+		MinFetchTokens:       64,                    // prefilled in about 1 ms, less than FetchSetupTime
+		RunningRequestCost:   2 * time.Millisecond,  // each running request slows down every step slightly
+		AnswerTimeCost:       30 * time.Millisecond, // 80 ms gave 2% fewer answers in time at 1.2 times the load, see docs/design/learned-capacity.md
+		CachedChatCost:       8 * time.Millisecond,  // a short cached prefix offsets a few more chats than other upstreams have cached
 		RendezvousBonus:      4 * time.Millisecond,
 		CrossDataCentreCost:  2 * time.Millisecond, // one round trip
 		FailurePenalty:       2 * time.Second,
@@ -90,6 +94,10 @@
 	Chats int
 	// FailureRate is the fraction of requests that fail on the upstream.
 	FailureRate float64
+	// Speed is the speed of the upstream compared with the typical one of its service; zero or less means unknown, which counts as 1.
+	Speed float64
+	// UsefulLoad is the number of requests beyond which the upstream slows down; zero or less means that there is no such number.
+	UsefulLoad float64
 	// FetchSource reports whether other upstreams can fetch cached prompts from this one. It is independent of Excluded.
 	FetchSource bool
 	// Excluded reports that the upstream cannot take the request: it is down, full, cold with its cold-start rate exhausted, or has already
@@ -154,11 +162,44 @@
 // A request of a chat goes to an upstream that has the chat cached or to one of those that rank highest by rendezvous hash. Entries learn of each
 // other's requests late; if each of them looked for the best of all upstreams, all would choose the same one until then.
 func (c *Config) cheapest(r Request, upstreams []Upstream, available int, tie float64) int {
+	if differ(upstreams) {
+		for _, a := range []avoidance{{slow: true, waits: true}, {waits: true}} {
+			if best := c.cheapestWithin(r, upstreams, available, tie, a); best >= 0 {
+				return best
+			}
+		}
+	}
+	return c.cheapestWithin(r, upstreams, available, tie, avoidance{})
+}
+
+// avoidance tells which upstreams are avoided as long as others can take the request.
+type avoidance struct {
+	// slow are upstreams beyond their useful load, waits model upstreams without a free slot. Without the latter, the costs of slow upstreams would make
+	// requests wait at full ones while slots are free.
+	slow, waits bool
+}
+
+func (a avoidance) includes(r Request, u *Upstream) bool {
+	return a.slow && u.UsefulLoad > 0 && u.Load+1 > max(1, u.UsefulLoad) || a.waits && r.Tokens > 0 && u.Slots > 0 && u.Load+1 > float64(u.Slots)
+}
+
+// differ reports whether any upstream is known to differ from the typical one.
+func differ(upstreams []Upstream) bool {
+	for i := range upstreams {
+		if u := &upstreams[i]; u.speed() != 1 || u.UsefulLoad > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapestWithin returns the index of the upstream with the lowest cost of those that are not avoided, or -1.
+func (c *Config) cheapestWithin(r Request, upstreams []Upstream, available int, tie float64, avoided avoidance) int {
 	limit := c.LoadLimit(upstreams)
 	tolerated := lowestFailureRate(upstreams) + c.FailureRateTolerance
 	takes := func(i int) bool {
 		u := &upstreams[i]
-		return !u.Excluded && u.Load+1 <= limit && !c.isFull(r, u)
+		return !u.Excluded && u.Load+1 <= limit && !c.isFull(r, u) && !avoided.includes(r, u)
 	}
 	ranked := rank(r.Session, upstreams, func(i int) bool { return takes(i) && upstreams[i].FailureRate <= tolerated })
 	initial := needsInitialPlacement(r, upstreams)
@@ -173,7 +214,7 @@
 		}
 		cost := c.cost(r, u, available) + max(0, u.FailureRate-tolerated)*milliseconds(c.FailurePenalty)
 		if initial {
-			cost += float64(u.Chats) * milliseconds(c.CachedChatCost)
+			cost += float64(u.Chats) / u.speed() * milliseconds(c.CachedChatCost)
 		}
 		if initial && ranked.first() == i {
 			cost -= milliseconds(c.RendezvousBonus)
@@ -318,15 +359,24 @@
 		cost += milliseconds(c.CrossDataCentreCost)
 	}
 	if r.Tokens == 0 {
-		return cost + queueingDelay(u)
+		return cost + queueingDelay(u)/u.speed() + (1/u.speed()-1)*milliseconds(plainServiceTime)
 	}
 	fetched := c.fetchTokens(available, u)
 	if fetched > 0 {
 		cost += c.FetchFactor * (float64(fetched)/r.FetchTokensPerMS + milliseconds(c.FetchSetupTime))
 	}
 	prefill := float64(max(0, r.Tokens-u.CachedTokens-fetched))
-	cost += (c.PrefillFactor*prefill + u.PendingTokens) / c.PrefillTokensPerMS
-	return cost + u.Load*milliseconds(c.RunningRequestCost)
+	cost += (c.PrefillFactor*prefill + u.PendingTokens) / (c.PrefillTokensPerMS * u.speed())
+	// The request itself runs longer on a slow upstream too.
+	return cost + u.Load/u.speed()*milliseconds(c.RunningRequestCost) + (1/u.speed()-1)*milliseconds(c.AnswerTimeCost)
+}
+
+// speed returns Speed, or 1 if it is unknown.
+func (u *Upstream) speed() float64 {
+	if u.Speed <= 0 {
+		return 1
+	}
+	return u.Speed
 }
 
 // plainServiceTime is the assumed run time of a request to a plain service. The latency objective is several times that.
