gateway: estimates of upstreams are learned, shared and shown

Each gateway feeds the estimates from its answers: the time to the first event, the pace of events unless the caller reads slowly, the response time of plain services by route, and the reported slowdown. FleetState carries the own estimates that changed by more than a tenth, at most 16 a message; a neighbour that connects gets all that differ from the typical upstream. Estimates out of bounds are ignored and counted. Metrics show speed and useful load of at most 50 upstreams; event 317 tells of large changes.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -403,6 +403,20 @@
 	Parts *PartReport `msgpack:"q,omitempty"`
 	// Limits are the rate limits of upstreams that changed since the last message.
 	Limits []UpstreamLimit `msgpack:"m,omitempty"`
+	// Capacities are the sender's own estimates of what upstreams take, of those that changed since the last message; at most 16.
+	Capacities []UpstreamCapacity `msgpack:"s,omitempty"`
+}
+
+// UpstreamCapacity is a gateway's estimate of what an upstream takes, from the answers that it got itself.
+type UpstreamCapacity struct {
+	// Upstream is a hash of the upstream's name and start.
+	Upstream uint64 `msgpack:"u"`
+	// SpeedPercent is the speed compared with the typical upstream of the service, in percent.
+	SpeedPercent uint32 `msgpack:"s"`
+	// UsefulLoad is the number of requests beyond which the upstream slows down, zero if there is no such number.
+	UsefulLoad uint32 `msgpack:"l,omitempty"`
+	// AgeMS is the time since the estimate was made, in milliseconds.
+	AgeMS uint32 `msgpack:"a"`
 }
 
 // UpstreamLimit reports the rate of requests that an upstream takes from all gateways together.
--- a/process/balancer/capacity.go
+++ b/process/balancer/capacity.go
@@ -129,7 +129,8 @@
 	}
 }
 
-// EventsDelayed discards the events since the latest observation, for instance because the caller did not read: the gaps say nothing about the upstream.
+// EventsDelayed discards the events since the latest observation, for instance because the caller did not read: the gaps say nothing about the
+// upstream.
 func (c *Choice) EventsDelayed() { c.observed.events, c.observed.eventsSince = 0, time.Time{} }
 
 func (c *Choice) presentLoad(now time.Time) int {
@@ -180,8 +181,8 @@
 	At time.Time
 }
 
-// TakeCapacities returns the estimates to tell the peers: those that changed since they were last told, and those of upstreams that are not typical if
-// that was some time ago. There are at most maxSharedCapacities; the next call goes on after them.
+// TakeCapacities returns the estimates to tell the peers: those that changed since they were last told, and those of upstreams that are not
+// typical if that was some time ago. There are at most maxSharedCapacities; the next call goes on after them.
 func (b *Balancer) TakeCapacities(now time.Time) []Capacity {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -219,8 +220,8 @@
 	return slices.Collect(slices.Chunk(all, maxSharedCapacities))
 }
 
-// AddCapacities takes over estimates of a peer. Those of unknown or restarted upstreams, and old ones, have no effect; those out of bounds are ignored
-// and counted.
+// AddCapacities takes over estimates of a peer. Those of unknown or restarted upstreams, and old ones, have no effect; those out of bounds are
+// ignored and counted.
 func (b *Balancer) AddCapacities(now time.Time, peer string, estimates []Capacity) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -244,8 +245,8 @@
 	capacity.Estimate
 }
 
-// CapacityStatus returns the estimates of the upstreams that differ most from the typical one, at most limit, and the number of estimates of peers that
-// were ignored.
+// CapacityStatus returns the estimates of the upstreams that differ most from the typical one, at most limit, and the number of estimates of peers
+// that were ignored.
 func (b *Balancer) CapacityStatus(now time.Time, limit int) (estimates []UpstreamCapacity, ignored int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/capacity/capacity.go
+++ b/process/capacity/capacity.go
@@ -1,11 +1,12 @@
 // Package capacity learns from answers how fast each upstream of a service is compared with the others, and from which load on it slows down.
 //
 // An observation is compared with what the typical upstream of the service takes for the same work: the time to read as many prompt tokens, the gap
-// between events at as many requests, the response time of the same class of request at as many requests. Each of these expectations is learned too, so
-// that a demanding request or a slow model is not taken for a slow machine. Deviations are relative to the median upstream: if all are slow, none is.
+// between events at as many requests, the response time of the same class of request at as many requests. Each of these expectations is learned
+// too, so that a demanding request or a slow model is not taken for a slow machine. Deviations are relative to the median upstream: if all are
+// slow, none is.
 //
-// Observations lose weight with time, and an upstream without recent ones counts as typical. A slow upstream therefore gets requests again after some
-// seconds, whose answers show whether it has recovered; nothing is probed.
+// Observations lose weight with time, and an upstream without recent ones counts as typical. A slow upstream therefore gets requests again after
+// some seconds, whose answers show whether it has recovered; nothing is probed.
 //
 // The package uses no clock and no I/O. Its types are not safe for concurrent use.
 package capacity
@@ -24,7 +25,8 @@
 	CurveMemory time.Duration
 	// Prior is the number of observations that the assumption of a typical upstream is worth.
 	Prior float64
-	// Tolerance is the deviation that is mostly ignored, as a logarithm of the time: phases of slowness and chance cause as much among equal upstreams.
+	// Tolerance is the deviation that is mostly ignored, as a logarithm of the time: phases of slowness and chance cause as much among equal
+	// upstreams.
 	Tolerance float64
 	// SlowFactor is the increase of the time over that at lower loads from which an upstream counts as slowed down by its load.
 	SlowFactor float64
@@ -63,7 +65,8 @@
 	loadLevels = 8
 	// levelInterval is the time between observations of full weight at a load.
 	levelInterval = 100 * time.Millisecond
-	// belowShare is the fraction of Config.MinCurveTime, as a divisor, that is needed at lower loads: an upstream that slows down is seldom seen there.
+	// belowShare is the fraction of Config.MinCurveTime, as a divisor, that is needed at lower loads: an upstream that slows down is seldom seen
+	// there.
 	belowShare = 4
 	// refreshInterval is the time after which derived figures are computed anew.
 	refreshInterval = 100 * time.Millisecond
@@ -82,8 +85,8 @@
 	Requests int
 	// Class distinguishes requests to a plain service that take different times, for instance by their route.
 	Class uint64
-	// PromptTokens is the number of tokens that had to be read, PendingTokens the number that were to be read before them, and FirstEvent the time from
-	// sending the request to the first event.
+	// PromptTokens is the number of tokens that had to be read, PendingTokens the number that were to be read before them, and FirstEvent the time
+	// from sending the request to the first event.
 	PromptTokens, PendingTokens int
 	FirstEvent                  time.Duration
 	// EventGap is the mean time between successive events.
@@ -96,8 +99,8 @@
 type Estimate struct {
 	// Speed is relative to the typical upstream of the service, within MinSpeed and MaxSpeed; 1 is typical.
 	Speed float64
-	// UsefulLoad is the number of requests beyond which the upstream slows down, at least 1 and at most MaxUsefulFactor times its slots. Zero means that
-	// there is no such number.
+	// UsefulLoad is the number of requests beyond which the upstream slows down, at least 1 and at most MaxUsefulFactor times its slots. Zero means
+	// that there is no such number.
 	UsefulLoad float64
 }
 
@@ -204,7 +207,8 @@
 	}
 }
 
-// RecordSlowdown records the slowdown that the upstream reported, in percent. A speed above the usual one is not believed: only observed times show it.
+// RecordSlowdown records the slowdown that the upstream reported, in percent. A speed above the usual one is not believed: only observed times
+// show it.
 func (u *Upstream) RecordSlowdown(now time.Time, percent int) {
 	u.reported, u.reportedAt = 0, now
 	if percent > 100 {
@@ -233,8 +237,8 @@
 	return Estimate{Speed: speedOf(slowness), UsefulLoad: u.ownUsefulLoad(now)}, weight >= s.config.Prior/2
 }
 
-// AddPeerEstimate takes over a peer's own estimate of the time at. A later one of the same peer replaces it; older ones and repetitions are ignored. It
-// returns false if the figures are out of bounds.
+// AddPeerEstimate takes over a peer's own estimate of the time at. A later one of the same peer replaces it; older ones and repetitions are
+// ignored. It returns false if the figures are out of bounds.
 func (u *Upstream) AddPeerEstimate(peer uint64, at time.Time, e Estimate) bool {
 	if !(e.Speed >= MinSpeed && e.Speed <= MaxSpeed) || !(e.UsefulLoad == 0 || e.UsefulLoad >= 1) {
 		return false
--- a/process/capacity/capacity_test.go
+++ b/process/capacity/capacity_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// The load from which an upstream slows down must be found from answers at different loads, and given up when it slows down no more. Phases of slowness
-// at any load must not look like it.
+// The load from which an upstream slows down must be found from answers at different loads, and given up when it slows down no more. Phases of
+// slowness at any load must not look like it.
 func TestEstimate_UsefulLoad(t *testing.T) {
 	s := newService(8, 64)
 	s.slowness = func(i, n int) float64 {
@@ -180,7 +180,8 @@
 	must.True(t, e.Speed >= MinSpeed && e.Speed <= MaxSpeed)
 }
 
-// Estimates of peers must be used where own answers are missing, once each, in the order in which they were made, within bounds, and for a few seconds.
+// Estimates of peers must be used where own answers are missing, once each, in the order in which they were made, within bounds, and for a few
+// seconds.
 func TestAddPeerEstimate(t *testing.T) {
 	s := newService(3, 64)
 	u := s.ups[0]
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -49,6 +49,7 @@
 	UpstreamLimitChanged    ID = 314
 	UpstreamLimitInvalid    ID = 315
 	ForeignResponse         ID = 316
+	UpstreamCapacityChanged ID = 317
 
 	RequestFailed      ID = 400
 	UpstreamCold       ID = 401
@@ -143,6 +144,7 @@
 	{UpstreamLimitChanged, "upstream changed the rate of requests that it takes", Info, ""},
 	{UpstreamLimitInvalid, "upstream named a rate of requests that cannot be read", Warning, "look at the upstream's version; the previous rate stays in force"},
 	{ForeignResponse, "upstream sent responses that belong to other requests", Warning, "look at the upstream's version; the responses are skipped"},
+	{UpstreamCapacityChanged, "upstream became slower or faster than the others of its service, or slows down at another load", Info, ""},
 	{PromptCacheReported, "upstream told which prompts it holds", Info, ""},
 	{StoreCopyTooLarge, "copy of the store is too large for a peer's question", Warning, "the peer reads the store itself; look for what fills it"},
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -299,7 +299,11 @@
 	if status == forward.LoadPartial || status == forward.LoadMalformed {
 		c.g.metrics.loadsMalformed.Add(1)
 	}
-	a.choice.AnswerStarted(bootclock.Now(), total)
+	now := bootclock.Now()
+	a.choice.AnswerStarted(now, total)
+	if load.Slowdown > 0 {
+		a.choice.RecordSlowdown(now, load.Slowdown)
+	}
 	a.recordRateLimit(response)
 	if c.progress.first == 0 {
 		c.progress.first = time.Since(c.started)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jayridge/jayridge/internal/sleep"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
@@ -157,6 +159,7 @@
 		},
 		Parts: c.prompt.SharedParts(),
 		Tried: c.progress.tried,
+		Class: xxhash.Sum64String(c.route.Name),
 
 		Started: c.progress.answered,
 	}
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/capacity"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/request/placement"
 )
@@ -73,6 +75,26 @@
 		}
 		b.AddHolder(now, holder)
 	}
+	b.AddCapacities(now, name, capacitiesOf(now, m.Capacities))
+}
+
+func capacitiesOf(now time.Time, all []wire.UpstreamCapacity) []balancer.Capacity {
+	var out []balancer.Capacity
+	for _, c := range all {
+		estimate := capacity.Estimate{Speed: float64(c.SpeedPercent) / 100, UsefulLoad: float64(c.UsefulLoad)}
+		out = append(out, balancer.Capacity{Upstream: c.Upstream, Estimate: estimate, At: ago(now, c.AgeMS)})
+	}
+	return out
+}
+
+func wireCapacities(now time.Time, all []balancer.Capacity) []wire.UpstreamCapacity {
+	var out []wire.UpstreamCapacity
+	for _, c := range all {
+		out = append(out, wire.UpstreamCapacity{
+			Upstream: c.Upstream, SpeedPercent: uint32(math.Round(100 * c.Speed)), UsefulLoad: uint32(c.UsefulLoad), AgeMS: age(now, c.At),
+		})
+	}
+	return out
 }
 
 func loadsOf(m *wire.FleetState) map[uint32]balancer.Load {
@@ -89,6 +111,7 @@
 func (p *peers) sendState() {
 	m := takeFleetState(p.g.balancer, bootclock.Now())
 	p.broadcast(m)
+	p.logCapacityChanges()
 	loads := loadsOnly(m)
 	for _, c := range p.loadPeerConns() {
 		_ = c.Send(loads) // a dead peer is detected by its silence
@@ -109,6 +132,7 @@
 	}
 	m.Holders = promptHolders(b.TakeHolderUpdates())
 	m.Limits = wireLimits(now, b.TakeRateLimits())
+	m.Capacities = wireCapacities(now, b.TakeCapacities(now))
 	return m
 }
 
@@ -154,6 +178,21 @@
 	}
 }
 
+// sendKnownCapacities sends a new neighbour the estimates of upstreams that differ from the typical one.
+func (p *peers) sendKnownCapacities(c *link.Conn) {
+	now := bootclock.Now()
+	for _, some := range p.g.balancer.Capacities(now) {
+		_ = c.Send(&wire.FleetState{Partial: true, Capacities: wireCapacities(now, some)}) // a lost message is replaced by the next change
+	}
+}
+
+// logCapacityChanges logs which upstreams have become much slower or faster.
+func (p *peers) logCapacityChanges() {
+	for _, c := range p.g.balancer.CapacityChanges(bootclock.Now()) {
+		event.LogSampled(event.UpstreamCapacityChanged, "upstream", c.ID, "service", c.Service, "speed", c.Speed, "useful_load", c.UsefulLoad)
+	}
+}
+
 // sendKnownFaults sends a new neighbour what it must know before it sends requests: the prompt parts that crash upstreams, and the rate limits of
 // upstreams.
 func (p *peers) sendKnownFaults(c *link.Conn) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -127,6 +127,7 @@
 	config := balancer.DefaultConfig(o.Settings.DataCentre)
 	config.Seed = rand.Uint64()
 	config.Placement.LoadFactor = loadFactorShare * o.Settings.Fleet.LoadFactor
+	config.LearnCapacity = o.Settings.Fleet.LearnCapacity
 	g := &Gateway{
 		settings:      o.Settings,
 		store:         o.Store,
@@ -143,7 +144,7 @@
 		tasks:         make(chan func(), maxQueuedTasks),
 		registerNow:   make(chan struct{}, 1),
 	}
-	g.metrics = newMetrics(g.buffers)
+	g.metrics = newMetrics(g.buffers, g.balancer)
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/request/result"
@@ -36,6 +39,7 @@
 	// loadsMalformed counts load headers of which a part or all was ignored.
 	loadsMalformed atomic.Int64
 	buffers        *bufferbudget.Budget
+	balancer       *balancer.Balancer
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
@@ -43,9 +47,9 @@
 	latency, firstEvent *hdrhistogram.Histogram
 }
 
-func newMetrics(buffers *bufferbudget.Budget) *metrics {
+func newMetrics(buffers *bufferbudget.Budget, b *balancer.Balancer) *metrics {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
-	return &metrics{buffers: buffers, latency: histogram(), firstEvent: histogram()}
+	return &metrics{buffers: buffers, balancer: b, latency: histogram(), firstEvent: histogram()}
 }
 
 func (m *metrics) countResult(code result.Code) { m.results[code].Add(1) }
@@ -78,6 +82,7 @@
 	line("jayridge_buffer_bytes", buffers.Reserved)
 	line("jayridge_buffer_refusals_total", buffers.Refusals)
 	line("jayridge_buffer_evictions_total", buffers.Evictions)
+	m.writeCapacities(line)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent} {
@@ -88,6 +93,18 @@
 	}
 }
 
+// maxCapacityMetrics is the maximum number of upstreams whose estimates are written: those that differ most from the typical one.
+const maxCapacityMetrics = 50
+
+func (m *metrics) writeCapacities(line func(name string, value int64)) {
+	estimates, ignored := m.balancer.CapacityStatus(bootclock.Now(), maxCapacityMetrics)
+	for _, c := range estimates {
+		line(fmt.Sprintf("jayridge_upstream_speed_percent{upstream=%q}", c.ID), int64(math.Round(100*c.Speed)))
+		line(fmt.Sprintf("jayridge_upstream_useful_load{upstream=%q}", c.ID), int64(c.UsefulLoad))
+	}
+	line("jayridge_peer_capacities_ignored_total", int64(ignored))
+}
+
 // ServeHTTP implements http.Handler.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -335,6 +335,7 @@
 		p.sendKnownPrompts(l.conn)
 	}
 	p.sendKnownFaults(l.conn)
+	p.sendKnownCapacities(l.conn)
 }
 
 // wouldBeNeighbour reports whether a gateway that is not registered yet would be a neighbour. The caller holds p.mu.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jayridge/jayridge/connection/upstream"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/request/eventstream"
 	"github.com/jayridge/jayridge/request/result"
@@ -14,6 +15,9 @@
 // maxHeldBytes is the maximum size of what an upstream may send before the first data of a stream without it being forwarded.
 const maxHeldBytes = 4 << 10
 
+// maxUnnoticedWrite is the time that the caller may take to read events without an effect on the observed pace of the upstream.
+const maxUnnoticedWrite = 5 * time.Millisecond
+
 // stream forwards a response's events as they arrive. Only complete events are forwarded, so that a broken stream can be resumed after the
 // last one.
 func (a *attempt) stream(response *upstream.Response) result.Code {
@@ -49,11 +53,18 @@
 		c.beginStream(response)
 		chunk, held = append(held, chunk...), nil
 		a.reportEvents(chunk)
-		if a.events += eventstream.Count(chunk); a.events >= soundEvents {
+		count := eventstream.Count(chunk)
+		a.choice.Events(bootclock.Now(), count)
+		if a.events += count; a.events >= soundEvents {
 			a.proveSound()
 		}
+		writtenAt := time.Now()
 		_, err = c.writer.Write(chunk)
-		if err = errors.Join(err, c.control.Flush()); err != nil {
+		err = errors.Join(err, c.control.Flush())
+		if time.Since(writtenAt) > maxUnnoticedWrite {
+			a.choice.EventsDelayed()
+		}
+		if err != nil {
 			a.inconclusive = true
 			return callerGoneCode(err)
 		}
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -87,6 +87,8 @@
 	RetrySlack float64 `json:"retry_slack" validate:"min=0,max=1000000"`
 	// LoadFactor is the maximum number of requests held by a runner, as a multiple of the mean of its service. Default 2.
 	LoadFactor float64 `json:"load_factor" validate:"min=1,max=100"`
+	// LearnCapacity makes the gateway send less to upstreams that answer more slowly than the others of their service. Default true.
+	LearnCapacity bool `json:"learn_capacity"`
 	// PromptReuseS is how long after its last use a prompt prefix is worth keeping in a cache, in seconds. Default 10.
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
 }
@@ -100,7 +102,7 @@
 		MaxResponseMB: 4, BufferShare: 0.25, CallerStallMS: 5000, LateCallerStallMS: 1500, UpstreamStallMS: 5000,
 		Store: Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
-			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
+			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, LearnCapacity: true, PromptReuseS: 10,
 		},
 	}
 }
