balancer: entries pool their observations of upstreams

In a fleet of 68 gateways and 120 upstreams each gateway sees an answer of an upstream every 10 s: its own estimate stayed below the threshold for sharing, and the mean speed learned of upstreams 2.5 times slower was 0.97.

--- a/connection/wire/fleet_test.go
+++ b/connection/wire/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -29,4 +30,11 @@
 	frame, err := Encode(ControlStream, &FleetState{Loads: loads})
 	must.NoError(t, err)
 	must.LessEq(t, 14*len(loads)+32, len(frame))
+	capacities := make([]UpstreamCapacity, 16)
+	for i := range capacities {
+		capacities[i] = UpstreamCapacity{Upstream: math.MaxUint64, SpeedPercent: 500, UsefulLoad: 1000, Observations: 1000, AgeMS: 1000}
+	}
+	frame, err = Encode(ControlStream, &FleetState{Capacities: capacities})
+	must.NoError(t, err)
+	must.LessEq(t, 32*len(capacities)+32, len(frame))
 }
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -415,6 +415,8 @@
 	SpeedPercent uint32 `msgpack:"s"`
 	// UsefulLoad is the number of requests beyond which the upstream slows down, zero if there is no such number.
 	UsefulLoad uint32 `msgpack:"l,omitempty"`
+	// Observations is the number of observations that the estimate is based on, zero if that is unknown.
+	Observations uint32 `msgpack:"n,omitempty"`
 	// AgeMS is the time since the estimate was made, in milliseconds.
 	AgeMS uint32 `msgpack:"a"`
 }
--- a/process/balancer/capacity.go
+++ b/process/balancer/capacity.go
@@ -177,10 +177,20 @@
 	// Upstream is the hash of the upstream's ID and start.
 	Upstream uint64
 	capacity.Estimate
+	// Weight is the number of observations that it is based on.
+	Weight float64
 	// At is when it was computed.
 	At time.Time
 }
 
+// minSharedWeight is the number of observations from which the peers are told: in a large fleet, an entry alone sees few answers of each upstream.
+const minSharedWeight = 1
+
+// isAtypical reports whether an estimate differs from the typical one by more than sharedChange.
+func isAtypical(e capacity.Estimate) bool {
+	return e.UsefulLoad > 0 || math.Abs(e.Speed-1) > sharedChange
+}
+
 // TakeCapacities returns the estimates to tell the peers: those that changed since they were last told, and those of upstreams that are not
 // typical if that was some time ago. There are at most maxSharedCapacities; the next call goes on after them.
 func (b *Balancer) TakeCapacities(now time.Time) []Capacity {
@@ -194,14 +204,14 @@
 		}
 		b.capacities.next = (b.capacities.next + 1) % len(all)
 		e := all[b.capacities.next]
-		own, ok := e.capacity.Own(now)
-		if !ok {
+		own, weight := e.capacity.Own(now)
+		if weight < minSharedWeight {
 			continue
 		}
-		stale := own != capacity.Typical && now.Sub(e.shared.at) >= resendCapacityAfter
+		stale := isAtypical(own) && now.Sub(e.shared.at) >= resendCapacityAfter
 		if stale || e.shared.differs(own, sharedChange) {
 			e.shared = announcedCapacity{own, now}
-			out = append(out, Capacity{e.processHash(), own, now})
+			out = append(out, Capacity{e.processHash(), own, weight, now})
 		}
 	}
 	return out
@@ -213,8 +223,8 @@
 	defer b.mu.Unlock()
 	var all []Capacity
 	for _, e := range b.capacities.ordered {
-		if own, ok := e.capacity.Own(now); ok && own != capacity.Typical {
-			all = append(all, Capacity{e.processHash(), own, now})
+		if own, weight := e.capacity.Own(now); weight >= minSharedWeight && isAtypical(own) {
+			all = append(all, Capacity{e.processHash(), own, weight, now})
 		}
 	}
 	return slices.Collect(slices.Chunk(all, maxSharedCapacities))
@@ -233,7 +243,7 @@
 		if now.Sub(c.At) > maxPeerCapacityAge {
 			continue
 		}
-		if e := b.capacities.byProcess[c.Upstream]; e != nil && !e.capacity.AddPeerEstimate(upstreamHash(peer), c.At, c.Estimate) {
+		if e := b.capacities.byProcess[c.Upstream]; e != nil && !e.capacity.AddPeerEstimate(upstreamHash(peer), c.At, c.Estimate, c.Weight) {
 			b.capacities.ignored++
 		}
 	}
@@ -267,16 +277,16 @@
 	return estimates[:min(limit, len(estimates))], b.capacities.ignored
 }
 
-// CapacityChanges returns the upstreams whose own estimate changed much since they were last returned.
+// CapacityChanges returns the upstreams whose estimate, without the reported slowdown, changed much since they were last returned.
 func (b *Balancer) CapacityChanges(now time.Time) []UpstreamCapacity {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var changes []UpstreamCapacity
 	for _, e := range b.capacities.ordered {
-		own, _ := e.capacity.Own(now)
-		if e.announced.differs(own, announcedChange) {
-			e.announced = announcedCapacity{own, now}
-			changes = append(changes, UpstreamCapacity{e.ID, e.Service, own})
+		learned := e.capacity.Learned(now)
+		if e.announced.differs(learned, announcedChange) {
+			e.announced = announcedCapacity{learned, now}
+			changes = append(changes, UpstreamCapacity{e.ID, e.Service, learned})
 		}
 	}
 	return changes
--- a/process/capacity/capacity.go
+++ b/process/capacity/capacity.go
@@ -34,23 +34,23 @@
 	MinCurveTime time.Duration
 	// ReportMaxAge is the age at which a reported slowdown is worth nothing. Its weight falls linearly until then.
 	ReportMaxAge time.Duration
-	// PeerWeight is the number of observations that a peer's fresh estimate is worth, PeerMemory the time in which that falls to 1/e.
-	PeerWeight float64
-	PeerMemory time.Duration
+	// MaxPeerWeight is the largest number of observations that a peer's estimate is worth, PeerMemory the time in which its worth falls to 1/e.
+	MaxPeerWeight float64
+	PeerMemory    time.Duration
 }
 
 // DefaultConfig returns the default constants.
 func DefaultConfig() Config {
 	return Config{
-		Memory:       2 * time.Second, // a few phases of slowness of 600 ms, so that one of them does not count as a slow machine
-		CurveMemory:  20 * time.Second,
-		Prior:        6,
-		Tolerance:    0.2,                    // phases that take 2.5 times as long and 15% of the time cause 0.18 within Memory
-		SlowFactor:   1.5,                    // a phase of slowness also raises the load, but is over before the load has fallen again
-		MinCurveTime: 2 * time.Second,        // several phases of slowness
-		ReportMaxAge: 600 * time.Millisecond, // the length of a phase: at half of it, half of the phases that were reported are over
-		PeerWeight:   3,
-		PeerMemory:   3 * time.Second,
+		Memory:        2 * time.Second, // a few phases of slowness of 600 ms, so that one of them does not count as a slow machine
+		CurveMemory:   20 * time.Second,
+		Prior:         6,                      // with 3, chance made equal upstreams differ
+		Tolerance:     0.2,                    // phases that take 2.5 times as long and 15% of the time cause 0.18 within Memory
+		SlowFactor:    1.5,                    // a phase of slowness also raises the load, but is over before the load has fallen again
+		MinCurveTime:  2 * time.Second,        // several phases of slowness
+		ReportMaxAge:  600 * time.Millisecond, // the length of a phase: at half of it, half of the phases that were reported are over
+		MaxPeerWeight: 10,                     // a peer that errs must not outweigh own observations for long
+		PeerMemory:    3 * time.Second,
 	}
 }
 
@@ -60,9 +60,11 @@
 	// MaxUsefulFactor bounds Estimate.UsefulLoad as a multiple of the upstream's slots.
 	MaxUsefulFactor = 1.25
 	// maxPeers is the number of peers whose estimates of an upstream are kept, the latest of each.
-	maxPeers = 4
+	maxPeers = 9
 	// loadLevels is the number of ranges of load, up to MaxUsefulFactor times the slots, that are judged separately.
 	loadLevels = 8
+	// minMedianWeight is the number of observations from which an upstream counts for the median.
+	minMedianWeight = 1
 	// levelInterval is the time between observations of full weight at a load.
 	levelInterval = 100 * time.Millisecond
 	// belowShare is the fraction of Config.MinCurveTime, as a divisor, that is needed at lower loads: an upstream that slows down is seldom seen
@@ -143,6 +145,7 @@
 	peer     uint64
 	slowness float64
 	useful   float64
+	weight   float64
 	at       time.Time
 }
 
@@ -228,19 +231,28 @@
 	return Estimate{Speed: speedOf(slowness), UsefulLoad: u.usefulLoad(now)}
 }
 
-// Own returns the estimate without what peers and the upstream itself have told. ok is false if there are too few recent observations.
-func (u *Upstream) Own(now time.Time) (e Estimate, ok bool) {
+// Learned returns the estimate without the slowdown that the upstream reported, which changes many times a second.
+func (u *Upstream) Learned(now time.Time) Estimate {
+	s := u.estimator
+	s.refreshMedian(now)
+	return Estimate{Speed: speedOf(s.ignoreTolerated(u.slowness(now))), UsefulLoad: u.usefulLoad(now)}
+}
+
+// Own returns what the own observations alone show, for peers to combine with theirs, and the number of observations that it is based on.
+func (u *Upstream) Own(now time.Time) (e Estimate, weight float64) {
 	s := u.estimator
 	s.refreshMedian(now)
 	sum, weight := u.speed.decayed(now, s.config.Memory)
-	slowness := s.ignoreTolerated((sum - weight*s.median) / (weight + s.config.Prior))
-	return Estimate{Speed: speedOf(slowness), UsefulLoad: u.ownUsefulLoad(now)}, weight >= s.config.Prior/2
+	if weight == 0 {
+		return Typical, 0
+	}
+	return Estimate{Speed: speedOf(sum/weight - s.median), UsefulLoad: u.ownUsefulLoad(now)}, weight
 }
 
-// AddPeerEstimate takes over a peer's own estimate of the time at. A later one of the same peer replaces it; older ones and repetitions are
-// ignored. It returns false if the figures are out of bounds.
-func (u *Upstream) AddPeerEstimate(peer uint64, at time.Time, e Estimate) bool {
-	if !(e.Speed >= MinSpeed && e.Speed <= MaxSpeed) || !(e.UsefulLoad == 0 || e.UsefulLoad >= 1) {
+// AddPeerEstimate takes over a peer's own estimate of the time at, based on weight observations. A later one of the same peer replaces it; older
+// ones ignored. It returns false if the figures are out of bounds.
+func (u *Upstream) AddPeerEstimate(peer uint64, at time.Time, e Estimate, weight float64) bool {
+	if !(weight >= 0) || !(e.Speed >= MinSpeed && e.Speed <= MaxSpeed) || !(e.UsefulLoad == 0 || e.UsefulLoad >= 1) {
 		return false
 	}
 	if limit := MaxUsefulFactor * float64(u.slots); u.slots > 0 && e.UsefulLoad > limit {
@@ -257,7 +269,7 @@
 		}
 	}
 	if p := &u.peers[replaced]; at.After(p.at) {
-		*p = peerEstimate{peer: peer, slowness: -math.Log(e.Speed), useful: e.UsefulLoad, at: at}
+		*p = peerEstimate{peer: peer, slowness: -math.Log(e.Speed), useful: e.UsefulLoad, at: at, weight: min(weight, u.estimator.config.MaxPeerWeight)}
 	}
 	return true
 }
@@ -269,7 +281,7 @@
 	sum -= weight * s.median
 	for i := range u.peers {
 		if p := &u.peers[i]; !p.at.IsZero() {
-			w := s.config.PeerWeight * decay(now.Sub(p.at), s.config.PeerMemory)
+			w := p.weight * decay(now.Sub(p.at), s.config.PeerMemory)
 			sum += w * p.slowness
 			weight += w
 		}
@@ -357,7 +369,7 @@
 	s.medianAt = now
 	s.scratch = s.scratch[:0]
 	for _, u := range s.upstreams {
-		if sum, weight := u.speed.decayed(now, s.config.Memory); weight >= s.config.Prior/3 {
+		if sum, weight := u.speed.decayed(now, s.config.Memory); weight >= minMedianWeight {
 			s.scratch = append(s.scratch, sum/weight)
 		}
 	}
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -82,7 +82,8 @@
 	var out []balancer.Capacity
 	for _, c := range all {
 		estimate := capacity.Estimate{Speed: float64(c.SpeedPercent) / 100, UsefulLoad: float64(c.UsefulLoad)}
-		out = append(out, balancer.Capacity{Upstream: c.Upstream, Estimate: estimate, At: ago(now, c.AgeMS)})
+		weight := max(1, float64(c.Observations)) // zero means unknown
+		out = append(out, balancer.Capacity{Upstream: c.Upstream, Estimate: estimate, Weight: weight, At: ago(now, c.AgeMS)})
 	}
 	return out
 }
@@ -91,7 +92,8 @@
 	var out []wire.UpstreamCapacity
 	for _, c := range all {
 		out = append(out, wire.UpstreamCapacity{
-			Upstream: c.Upstream, SpeedPercent: uint32(math.Round(100 * c.Speed)), UsefulLoad: uint32(c.UsefulLoad), AgeMS: age(now, c.At),
+			Upstream: c.Upstream, SpeedPercent: uint32(math.Round(100 * c.Speed)), UsefulLoad: uint32(c.UsefulLoad),
+			Observations: uint32(math.Ceil(c.Weight)), AgeMS: age(now, c.At),
 		})
 	}
 	return out
