balancer: quick rejections and a report of usual speed do not count as speed

The response time of an answer that is not successful is not learned: an upstream that rejects everything at once seemed fast. TestServe_QuickRejectionsAreNotFast fails without this. A reported slowdown of 100 set the speed of an upstream that is faster than the others to 1 (TestRecordSlowdown_FastUpstream).

--- a/process/balancer/capacity.go
+++ b/process/balancer/capacity.go
@@ -133,6 +133,9 @@
 // upstream.
 func (c *Choice) EventsDelayed() { c.observed.events, c.observed.eventsSince = 0, time.Time{} }
 
+// IgnoreResponseTime discards the response time, for instance because the upstream refused to do the work: else one that fails at once seems fast.
+func (c *Choice) IgnoreResponseTime() { c.observed.plain = false }
+
 func (c *Choice) presentLoad(now time.Time) int {
 	b := c.balancer
 	b.mu.Lock()
--- a/process/balancer/capacity_test.go
+++ b/process/balancer/capacity_test.go
@@ -142,6 +142,28 @@
 	must.EqOp(t, 0, first())
 }
 
+// What an upstream says of its speed must neither draw requests to it nor keep all away.
+func TestRecordSlowdown_OfLiars(t *testing.T) {
+	b := capacityBalancer(4, 1)
+	counts := make(map[string]int)
+	const requests = 2000
+	for i := range requests {
+		ms := 10 * i
+		c := b.Pick(at(ms), Query{Service: "s"})
+		counts[c.ID]++
+		c.AnswerStarted(at(ms+30), 1)
+		switch c.ID {
+		case "u0":
+			c.RecordSlowdown(at(ms+30), 10_000)
+		case "u3": // not the next after u0, which gets the latter's part of the ties
+			c.RecordSlowdown(at(ms+30), 1)
+		}
+		c.Done(at(ms+30), health.Answered)
+	}
+	must.Between(t, requests/100, counts["u0"], requests/4)
+	must.Between(t, requests/5, counts["u3"], requests*3/10)
+}
+
 // An upstream that reports an absurd number of requests must not lift the load bound of the others.
 func TestAnswerStarted_AbsurdTotal(t *testing.T) {
 	b := capacityBalancer(3, 1)
--- a/process/capacity/capacity.go
+++ b/process/capacity/capacity.go
@@ -224,7 +224,7 @@
 	s := u.estimator
 	s.refreshMedian(now)
 	slowness := s.ignoreTolerated(u.slowness(now))
-	if age := now.Sub(u.reportedAt); age < s.config.ReportMaxAge {
+	if age := now.Sub(u.reportedAt); u.reported > 0 && age < s.config.ReportMaxAge {
 		worth := 1 - float64(max(0, age))/float64(s.config.ReportMaxAge)
 		slowness = max(slowness, worth*u.reported)
 	}
--- a/process/capacity/capacity_test.go
+++ b/process/capacity/capacity_test.go
@@ -162,6 +162,17 @@
 	must.EqOp(t, 1, at(time.Second))
 }
 
+// The report of an upstream that is faster than the others that it works as usual must not make it seem slower.
+func TestRecordSlowdown_FastUpstream(t *testing.T) {
+	s := newService(5, 64)
+	s.slowness = func(i, _ int) float64 { return map[bool]float64{true: 0.4, false: 1}[i == 1] }
+	s.run(5 * time.Second)
+	must.Between(t, 1.6, s.speed(1), 2.6)
+	known := s.speed(1)
+	s.ups[1].RecordSlowdown(s.now, 100)
+	must.EqOp(t, known, s.speed(1))
+}
+
 // Impossible observations must change nothing.
 func TestRecord_Nonsense(t *testing.T) {
 	s := newService(3, 6)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -304,6 +304,9 @@
 	if load.Slowdown > 0 {
 		a.choice.RecordSlowdown(now, load.Slowdown)
 	}
+	if response.Status < http.StatusOK || response.Status >= http.StatusMultipleChoices {
+		a.choice.IgnoreResponseTime()
+	}
 	a.recordRateLimit(response)
 	if c.progress.first == 0 {
 		c.progress.first = time.Since(c.started)
--- a/process/gateway/capacity_test.go
+++ b/process/gateway/capacity_test.go
@@ -57,6 +57,26 @@
 	f.eventually("a gateway that started later knows it", learned(other))
 }
 
+// An upstream that rejects all requests at once must not be taken for a fast one and get more of them.
+func TestServe_QuickRejectionsAreNotFast(t *testing.T) {
+	ups := []*fakeUpstream{newUpstream(t, "broken", func(conn net.Conn, r *http.Request, _ string) bool {
+		return respond(conn, r.Header.Get("Test-Id"), 404, "", "")
+	})}
+	for _, id := range []string{"a", "b", "c"} {
+		ups = append(ups, newUpstream(t, id, answerAfter(20*time.Millisecond, "1,0,4")))
+	}
+	f := newFixture(t, ups...)
+	f.gateway.balancer.SetLearnCapacity(false) // so that all get requests
+	for i := range 150 {
+		f.send(f.gateway, http.MethodGet, fmt.Sprint("/look/", i), nil)
+		estimates, _ := f.gateway.balancer.CapacityStatus(bootclock.Now(), 4)
+		for _, e := range estimates {
+			must.True(t, e.ID != "broken" || e.Speed == 1)
+		}
+	}
+	must.Positive(t, len(ups[0].received()))
+}
+
 // An older build's message has no estimates, and a nonsensical one must change nothing.
 func TestApplyFleetState_Capacities(t *testing.T) {
 	f := newFixture(t, newUpstream(t, "a", succeed), newUpstream(t, "b", succeed))
