--- a/process/capacity/capacity.go
+++ b/process/capacity/capacity.go
@@ -129,6 +129,9 @@
 	// useful is the last computed load from which the upstream slows down by its own observations, zero if there is none.
 	useful   float64
 	usefulAt time.Time
+	// learned is the last computed estimate without the reported slowdown.
+	learned   Estimate
+	learnedAt time.Time
 	// reported is the logarithm of the reported slowdown, at least zero.
 	reported   float64
 	reportedAt time.Time
@@ -222,20 +225,28 @@
 // Estimate returns what the upstream takes, from all that is known. It does not allocate.
 func (u *Upstream) Estimate(now time.Time) Estimate {
 	s := u.estimator
-	s.refreshMedian(now)
-	slowness := s.ignoreTolerated(u.slowness(now))
+	e := u.Learned(now)
 	if age := now.Sub(u.reportedAt); u.reported > 0 && age < s.config.ReportMaxAge {
 		worth := 1 - float64(max(0, age))/float64(s.config.ReportMaxAge)
-		slowness = max(slowness, worth*u.reported)
+		e.Speed = min(e.Speed, speedOf(worth*u.reported))
 	}
-	return Estimate{Speed: speedOf(slowness), UsefulLoad: u.usefulLoad(now)}
+	return e
 }
 
 // Learned returns the estimate without the slowdown that the upstream reported, which changes many times a second.
 func (u *Upstream) Learned(now time.Time) Estimate {
-	s := u.estimator
-	s.refreshMedian(now)
-	return Estimate{Speed: speedOf(s.ignoreTolerated(u.slowness(now))), UsefulLoad: u.usefulLoad(now)}
+	if isOld(now, u.learnedAt) {
+		s := u.estimator
+		s.refreshMedian(now)
+		u.learned, u.learnedAt = Estimate{Speed: speedOf(s.ignoreTolerated(u.slowness(now))), UsefulLoad: u.usefulLoad(now)}, now
+	}
+	return u.learned
+}
+
+// isOld reports whether a figure derived at a time has to be computed anew.
+func isOld(now, at time.Time) bool {
+	elapsed := now.Sub(at)
+	return at.IsZero() || elapsed < 0 || elapsed >= refreshInterval
 }
 
 // Own returns what the own observations alone show, for peers to combine with theirs, and the number of observations that it is based on.
@@ -269,6 +280,7 @@
 		}
 	}
 	if p := &u.peers[replaced]; at.After(p.at) {
+		u.learnedAt = time.Time{}
 		*p = peerEstimate{peer: peer, slowness: -math.Log(e.Speed), useful: e.UsefulLoad, at: at, weight: min(weight, u.estimator.config.MaxPeerWeight)}
 	}
 	return true
@@ -333,7 +345,7 @@
 	if u.slots <= 0 {
 		return 0
 	}
-	if elapsed := now.Sub(u.usefulAt); u.usefulAt.IsZero() || elapsed < 0 || elapsed >= refreshInterval {
+	if isOld(now, u.usefulAt) {
 		u.useful, u.usefulAt = u.computeUsefulLoad(now), now
 	}
 	return u.useful
@@ -363,7 +375,7 @@
 
 // refreshMedian computes the median of the upstreams that have recent observations.
 func (s *Estimator) refreshMedian(now time.Time) {
-	if elapsed := now.Sub(s.medianAt); !s.medianAt.IsZero() && elapsed >= 0 && elapsed < refreshInterval {
+	if !isOld(now, s.medianAt) {
 		return
 	}
 	s.medianAt = now
