capacity: milliseconds of the network do not count as slowness

Response times of 0.5 ms and 1.5 ms differ by three times, and an upstream of a quick service in another data centre seemed slow (TestEstimate_Network fails without the 5 ms that are added to each time now). A stream without observed events counted as a plain response; its response time is ignored.

--- a/process/capacity/capacity.go
+++ b/process/capacity/capacity.go
@@ -74,8 +74,9 @@
 	refreshInterval = 100 * time.Millisecond
 	// maxSampleTime is the longest time that is taken for an observation.
 	maxSampleTime = time.Minute
-	// minSampleTime replaces shorter times, which the clocks and the network do not resolve.
-	minSampleTime = 100 * time.Microsecond
+	// timeOffset is added to each time, so that differences of some milliseconds, which the network between data centres and the scheduling of
+	// processes make, do not count as slowness of upstreams that answer within as much.
+	timeOffset = 5 * time.Millisecond
 	// fullPromptTokens is the number of tokens from which an observation of reading them has full weight. The time until the first event of a shorter
 	// prompt consists mostly of other things.
 	fullPromptTokens = 1000
@@ -195,7 +196,7 @@
 		return
 	}
 	s := u.estimator
-	value := math.Log(float64(max(took, minSampleTime)))
+	value := math.Log(float64(took + timeOffset))
 	deviation, usable := s.expected[k].compare(value, u.speed.mean(s.config.Prior), level, x.Class)
 	if !usable {
 		return
--- a/process/capacity/capacity_test.go
+++ b/process/capacity/capacity_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// An upstream of a quick service must not seem slow because its answers cross the network between data centres.
+func TestEstimate_Network(t *testing.T) {
+	s := newService(3, 6)
+	for range 300 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		for i, u := range s.ups {
+			network := []time.Duration{200 * time.Microsecond, 200 * time.Microsecond, 1200 * time.Microsecond}[i]
+			u.Record(s.now, Sample{Requests: 1, Response: s.scaled(i, 1, 0.5) + network})
+		}
+	}
+	for i := range s.ups {
+		must.EqOp(t, 1, s.speed(i))
+	}
+}
+
 // An upstream that gets the demanding requests must not be taken for a slow one.
 func TestEstimate_DemandingRequests(t *testing.T) {
 	s := newService(3, 6)
--- a/process/gateway/capacity_test.go
+++ b/process/gateway/capacity_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,6 +58,42 @@
 	f.eventually("a gateway that started later knows it", learned(other))
 }
 
+// streamWithGap returns a handler that sends events with a pause between them.
+func streamWithGap(gap time.Duration) func(net.Conn, *http.Request, string) bool {
+	return func(conn net.Conn, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Test-Id"))
+		for end, id := time.Now().Add(500*time.Millisecond), 1; time.Now().Before(end); id++ {
+			text := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+			time.Sleep(gap)
+		}
+		_, err := fmt.Fprint(conn, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// The pace of streams must show which upstream is slow, although their first events arrive equally soon.
+func TestStream_SlowPaceIsLearned(t *testing.T) {
+	ups := []*fakeUpstream{newUpstream(t, "slow", streamWithGap(60*time.Millisecond))}
+	for _, id := range []string{"a", "b", "c"} {
+		ups = append(ups, newUpstream(t, id, streamWithGap(12*time.Millisecond)))
+	}
+	f := newFixture(t, ups...)
+	f.gateway.balancer.SetLearnCapacity(false) // the slow one must get enough requests
+	sent := 0
+	f.eventually("the gateway knows the slow upstream", func() bool {
+		var streams sync.WaitGroup
+		for range 8 {
+			sent++
+			path := fmt.Sprint("/chat/", sent)
+			streams.Go(func() { f.send(f.gateway, http.MethodPost, path, nil) })
+		}
+		streams.Wait()
+		return slowIn(f.gateway)
+	})
+}
+
 // An upstream that rejects all requests at once must not be taken for a fast one and get more of them.
 func TestServe_QuickRejectionsAreNotFast(t *testing.T) {
 	ups := []*fakeUpstream{newUpstream(t, "broken", func(conn net.Conn, r *http.Request, _ string) bool {
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -26,6 +26,7 @@
 		a.outcome = health.Broken
 		return result.BadAnswer
 	}
+	a.choice.IgnoreResponseTime() // the times of the events are recorded
 	// held is what came before the first data. Until then, the request may be sent to another upstream.
 	var held []byte
 	events := eventstream.NewReader(response.Body, a.reserve)
