--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/request/result"
@@ -33,11 +36,14 @@
 	storeBytes, peerCopyBytes atomic.Int64
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
-	buffers         *bufferbudget.Budget
 	// usage is nil if usage is not reported.
 	usage *usageDuty
 	// scale is nil if the number of upstreams is not ordered.
 	scale *scaleDuty
+	// loadsMalformed counts load headers of which a part or all was ignored.
+	loadsMalformed atomic.Int64
+	buffers        *bufferbudget.Budget
+	balancer       *balancer.Balancer
 
 	mu sync.Mutex
 	// guards are those of the listeners.
@@ -47,9 +53,9 @@
 	latency, firstEvent *hdrhistogram.Histogram
 }
 
-func newMetrics(buffers *bufferbudget.Budget) *metrics {
+func newMetrics(buffers *bufferbudget.Budget, b *balancer.Balancer) *metrics {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
-	return &metrics{buffers: buffers, latency: histogram(), firstEvent: histogram()}
+	return &metrics{buffers: buffers, balancer: b, latency: histogram(), firstEvent: histogram()}
 }
 
 func (m *metrics) addGuard(g *callerGuard) {
@@ -81,6 +87,7 @@
 	line("jayridge_store_bytes_total", m.storeBytes.Load())
 	line("jayridge_peer_copy_bytes_total", m.peerCopyBytes.Load())
 	line("jayridge_rollout_outcomes_dropped_total", m.outcomesDropped.Load())
+	line("jayridge_load_headers_malformed_total", m.loadsMalformed.Load())
 	line("jayridge_log_lines_dropped_total", event.Dropped())
 	m.usage.writeMetrics(line)
 	m.scale.writeMetrics(line)
@@ -89,6 +96,7 @@
 	line("jayridge_buffer_bytes", buffers.Reserved)
 	line("jayridge_buffer_refusals_total", buffers.Refusals)
 	line("jayridge_buffer_evictions_total", buffers.Evictions)
+	m.writeCapacities(line)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range m.guards {
@@ -107,6 +115,18 @@
 	}
 }
 
+// maxCapacityMetrics is the maximum number of upstreams whose estimates are written: those that differ most from the typical one.
+const maxCapacityMetrics = 50
+
+func (m *metrics) writeCapacities(line func(name string, value int64)) {
+	estimates, ignored := m.balancer.CapacityStatus(bootclock.Now(), maxCapacityMetrics)
+	for _, c := range estimates {
+		line(fmt.Sprintf("jayridge_upstream_speed_percent{upstream=%q}", c.ID), int64(math.Round(100*c.Speed)))
+		line(fmt.Sprintf("jayridge_upstream_useful_load{upstream=%q}", c.ID), int64(c.UsefulLoad))
+	}
+	line("jayridge_peer_capacities_ignored_total", int64(ignored))
+}
+
 // ServeHTTP implements http.Handler.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
