gateway: requests wait for places in order instead of being refused at once

Cause: a gateway refused at once what no upstream took, in the order of arrival, and sent requests of plain services to upstreams without regard to their slots, where they were refused or late. Priorities were decoded and not used.

Change: requests without a place wait in the queue of their service (process/queueing). Requests of plain services are sent at the rate at which the gateway's share of the places becomes free (process/balancer/pace.go). Gateways tell each other what waits and which teams surge, and give up places for more urgent requests elsewhere. Upstreams are told the effective priority if a service has different ones. fleet.queue_requests switches it off.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -403,6 +403,18 @@
 	Parts *PartReport `msgpack:"q,omitempty"`
 	// Limits are the rate limits of upstreams that changed since the last message.
 	Limits []UpstreamLimit `msgpack:"m,omitempty"`
+	// Waiting has an element for each service of which requests waited for a place or a team surged at the sender since the last message that was not partial.
+	Waiting []ServiceWaiting `msgpack:"w,omitempty"`
+}
+
+// ServiceWaiting reports how many requests of a service waited at once for a place, and whose.
+type ServiceWaiting struct {
+	// Service is a hash of the service's name.
+	Service uint64 `msgpack:"s"`
+	// Counts holds the numbers of requests by priority, from 0 on. Priorities beyond its end have none.
+	Counts []uint16 `msgpack:"c,omitempty"`
+	// Surging are hashes of the teams that send many times their usual to the sender.
+	Surging []uint64 `msgpack:"g,omitempty"`
 }
 
 // UpstreamLimit reports the rate of requests that an upstream takes from all gateways together.
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -59,8 +59,12 @@
 	entries, position int
 	timeOfDay         time.Duration
 	credits           map[string]*credit
-	peers             map[string]peerLoad
-	remote            remoteLoads
+	// queueing is set while requests wait for places instead of being refused. paces and claims then hold the state of services by name.
+	queueing bool
+	paces    map[string]*pace
+	claims   map[string]float64
+	peers    map[string]peerLoad
+	remote   remoteLoads
 	// limitUpdates are the changed rate limits that the peers have not been told.
 	limitUpdates []RateLimit
 	updates      holderUpdates
@@ -123,6 +127,8 @@
 		byHash:   make(map[uint64]*backend),
 		services: make(map[string][]*backend),
 		credits:  make(map[string]*credit),
+		paces:    make(map[string]*pace),
+		claims:   make(map[string]float64),
 		peers:    make(map[string]peerLoad),
 		entries:  1,
 		position: -1,
@@ -222,6 +228,9 @@
 	Versions Versions
 	// Started means that the caller has part of the answer. Such a request takes precedence over those that can still be refused.
 	Started bool
+	// Reserve returns the number of places that the request has to leave free for more urgent ones, nil means none. perSecond is the rate at which this
+	// entry gets places, zero if it is not known. It is called only while places are scarce, under the balancer's lock.
+	Reserve func(perSecond float64) float64
 }
 
 // Versions reports whether upstreams of a version may run a request.
@@ -248,11 +257,14 @@
 	// its load, PassedPending the number of prompt tokens that it has yet to process.
 	PassedOver                string
 	PassedLoad, PassedPending int
+	// Scarce means that the entries had to share the free places of the service at the time of the decision.
+	Scarce bool
 
 	balancer      *Balancer
 	backend       *backend
 	chosenAt      time.Time
 	pendingTokens int
+	plain         bool
 }
 
 // Pick selects the upstream for a request. It returns nil if none can take it.
@@ -274,14 +286,14 @@
 	}
 	q.Placement.FetchTokensPerMS = group[0].fetchRate
 	free, scarce := freeSlots(b.scratch)
-	limited := scarce && q.Placement.Tokens > 0 && !q.Started
-	if limited && !b.creditOf(q.Service).take(now, free, b.entries) {
+	limited := scarce && !q.Started && (q.Placement.Tokens > 0 || b.queueing)
+	if limited && !b.takePlace(now, &q, free) {
 		return nil
 	}
 	index, source := placement.Choose(b.config.Placement, q.Placement, b.scratch, b.random.Float64())
 	if index < 0 {
 		if limited {
-			b.creditOf(q.Service).ended()
+			b.returnPlace(&q)
 		}
 		return nil
 	}
@@ -293,6 +305,7 @@
 		Upstream: e.Upstream, Cached: b.scratch[index].CachedTokens, Load: int(b.scratch[index].Load), Candidates: candidates,
 		LoadLimit: b.config.Placement.LoadLimit(b.scratch), TotalAge: e.totalAge(now),
 		balancer: b, backend: e, chosenAt: now, pendingTokens: max(0, q.Placement.Tokens-b.scratch[index].CachedTokens),
+		Scarce: limited, plain: q.Placement.Tokens == 0,
 	}
 	if source >= 0 {
 		c.FetchFrom = group[source].Address
@@ -492,6 +505,9 @@
 	c.markPromptRead()
 	c.backend.inFlight--
 	b.creditOf(c.Service).ended()
+	if c.plain && o == health.Answered {
+		b.paceOf(c.Service).answered(now.Sub(c.chosenAt))
+	}
 	return c.backend.monitor.Record(now, o)
 }
 
--- a/process/balancer/credit.go
+++ b/process/balancer/credit.go
@@ -20,18 +20,18 @@
 // minCredit is the number of requests that an entry may send at once, however few slots are free.
 const minCredit = 1
 
-// take takes the credit for one request. It returns false if there is none. free is the number of free slots of the service, entries the number of
-// entries that share them.
-func (c *credit) take(now time.Time, free float64, entries int) bool {
-	share := free / float64(entries)
-	limit := max(minCredit, share)
+// take takes the credit for one request and leaves reserve. It returns false if there is not as much. share is this entry's share of the free slots of
+// the service.
+// saved is the credit beyond minCredit that is kept while no request takes it.
+func (c *credit) take(now time.Time, share, reserve, saved float64) bool {
+	limit := max(minCredit+saved, share)
 	if c.updatedAt.IsZero() {
-		c.requests = limit
+		c.requests, c.updatedAt = max(minCredit, share), now
 	}
 	elapsed := max(0, now.Sub(c.updatedAt))
 	c.updatedAt = now
 	c.requests = min(limit, c.requests+share*elapsed.Seconds()/creditWindow.Seconds())
-	if c.requests < 1 {
+	if c.requests < 1+reserve {
 		return false
 	}
 	c.requests--
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -32,6 +32,7 @@
 	StoreItemInvalid  ID = 205
 	StoreHistoryLost  ID = 206
 	StoreRestored     ID = 207
+	PriorityClamped   ID = 208
 
 	PeerConnected           ID = 300
 	PeerLost                ID = 301
@@ -128,6 +129,7 @@
 	{StoreItemInvalid, "an item of the platform's store cannot be used", Warning, "look at who wrote the key"},
 	{StoreRestored, "the store was restored from an older copy, its content is read again", Warning, "check that all changes since last_revision are written again"},
 	{StoreHistoryLost, "the store's history is gone or larger than its content, everything is read again", Info, ""},
+	{PriorityClamped, "priorities of the configuration are out of range and taken as the nearest in 0 to 9", Warning, "correct the routes and teams"},
 
 	{PeerConnected, "peer connected", Info, ""},
 	{PeerLost, "peer connection lost", Info, ""},
--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -66,6 +66,9 @@
 	partIDs    forward.PartIDs
 	header     http.Header
 	progress   progress
+	// priority is the effective priority of the request, 0 is the most urgent. statesPriority means that the upstream is told.
+	priority       int
+	statesPriority bool
 	// quarantinedFor is the remaining time of the quarantine of the request's fingerprint or of one of its prompt parts, quarantinedPart the
 	// hash of that part.
 	quarantinedFor  time.Duration
@@ -104,6 +107,7 @@
 		return result.Quarantined
 	}
 	c.header = c.g.headers.UpstreamHeaders(h, c.team)
+	c.setPriority()
 	return result.OK
 }
 
@@ -206,11 +210,10 @@
 }
 
 // allowedIn reports whether the route's regions allow the request to run in a data centre.
-func (c *call) allowedIn(dataCentre string) bool {
-	if len(c.route.Regions) == 0 {
-		return true
-	}
-	return slices.Contains(c.route.Regions, c.g.regionOf(dataCentre))
+func (c *call) allowedIn(dataCentre string) bool { return c.g.isAllowedIn(c.route, dataCentre) }
+
+func (g *Gateway) isAllowedIn(route *routing.Route, dataCentre string) bool {
+	return len(route.Regions) == 0 || slices.Contains(route.Regions, g.regionOf(dataCentre))
 }
 
 func (g *Gateway) regionOf(dataCentre string) string {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -63,9 +63,9 @@
 		return result.DeadlineBeforeRun, false
 	}
 	plan := c.g.rollouts.driver.Plan(c.service)
-	choice := c.pickUpstream(plan)
+	choice, code := c.place(plan)
 	if choice == nil {
-		return result.NoUpstream, false
+		return code, false
 	}
 	p := &c.progress
 	p.upstream, p.cached, p.load = choice.ID, choice.Cached, choice.Load
@@ -193,6 +193,7 @@
 	if accepted && (incomplete || a.mayBeTruncated) {
 		a.call.g.crashes.recordBroken(now, a)
 	}
+	defer a.call.g.places.freed(now, a.call.service)
 	if a.inconclusive {
 		a.choice.Release()
 		return
@@ -263,6 +264,9 @@
 	header := c.header.Clone()
 	header.Set(c.g.headers.Upstream, a.choice.ID)
 	header.Set(c.g.headers.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	if c.statesPriority {
+		header.Set(c.g.headers.Priority, strconv.Itoa(c.priority))
+	}
 	if a.choice.FetchFrom != "" {
 		header.Set(c.g.headers.FetchFrom, a.choice.FetchFrom)
 	}
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/jayridge/jayridge/process/balancer"
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/queueing"
 	"github.com/jayridge/jayridge/process/shift"
 	"github.com/jayridge/jayridge/request/buffer"
 	"github.com/jayridge/jayridge/request/placement"
@@ -49,6 +50,11 @@
 	answering time.Duration
 	// fetched is the number of prompt tokens whose cache entries the upstream copies from another upstream.
 	fetched int
+	// waited is how long the request waited for places. refusalReason and retryAfter say why the latest wait for a place, or its refusal, ended without
+	// one, and when the caller should return.
+	waited        time.Duration
+	refusalReason queueing.Reason
+	retryAfter    time.Duration
 	// passedOver is an upstream that has more of the prompt cached and was not chosen, with its load and pending tokens.
 	passedOver                        string
 	passedOverLoad, passedOverPending int
@@ -145,11 +151,12 @@
 	return code
 }
 
-// pickUpstream chooses an upstream and reserves capacity there. It returns nil if there is none.
-func (c *call) pickUpstream(plan *shift.Plan) *balancer.Choice {
+// seeker returns what chooses the next upstream by a rollout's plan.
+func (c *call) seeker(plan *shift.Plan) *callSeeker {
+	g, route := c.g, c.route
 	q := balancer.Query{
 		Service:    c.service,
-		DataCentre: c.allowedIn,
+		DataCentre: func(name string) bool { return g.isAllowedIn(route, name) },
 		Placement: placement.Request{
 			Session:      c.prompt.Session(),
 			SharedTokens: c.prompt.SharedTokens(),
@@ -160,13 +167,7 @@
 
 		Started: c.progress.answered,
 	}
-	for _, versions := range c.versions(plan) {
-		q.Versions = versions
-		if choice := c.g.balancer.Pick(bootclock.Now(), q); choice != nil {
-			return choice
-		}
-	}
-	return nil
+	return &callSeeker{balancer: g.balancer, query: q, versions: c.versions(plan)}
 }
 
 // setFailure sets the error response that the caller gets if no other upstream succeeds.
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -239,6 +239,7 @@
 	event.Log(event.ConfigAdopted, "version", table.Version(), "routes", len(decoded.Config.Routes), "teams", len(decoded.Config.Teams),
 		"idle_ms", table.Limits().IdleTimeout.Milliseconds(),
 		"revision", revision, "source", source)
+	logClampedPriorities(table.Version(), table.ClampedPriorities())
 }
 
 func (s *state) applyUpstream(now time.Time, decoded DecodedItem, err error, revision uint64, source string) {
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -48,6 +48,9 @@
 func (p *peers) applyFleetState(name string, m *wire.FleetState) {
 	now := bootclock.Now()
 	applyBalancerState(p.g.balancer, now, name, m)
+	if !m.Partial {
+		p.g.places.hear(now, name, m.Waiting)
+	}
 	if len(m.Crashes) > 0 {
 		p.g.crashes.recordFromPeer(now, m.Crashes)
 	}
@@ -87,7 +90,9 @@
 
 // sendState sends this gateway's loads to all gateways that it is connected to, and its new prompts and the changed rate limits to the neighbours.
 func (p *peers) sendState() {
-	m := takeFleetState(p.g.balancer, bootclock.Now())
+	now := bootclock.Now()
+	m := takeFleetState(p.g.balancer, now)
+	m.Waiting = p.g.places.takeReport(now)
 	p.broadcast(m)
 	loads := loadsOnly(m)
 	for _, c := range p.loadPeerConns() {
@@ -96,7 +101,9 @@
 }
 
 // loadsOnly returns the part of the periodic message that goes to gateways that are not neighbours.
-func loadsOnly(m *wire.FleetState) *wire.FleetState { return &wire.FleetState{Loads: m.Loads} }
+func loadsOnly(m *wire.FleetState) *wire.FleetState {
+	return &wire.FleetState{Loads: m.Loads, Waiting: m.Waiting}
+}
 
 // takeFleetState returns the periodic message of a gateway, with what has changed since the last call.
 func takeFleetState(b *balancer.Balancer, now time.Time) *wire.FleetState {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -76,6 +76,9 @@
 	peers    *peers
 	rollouts *rollouts
 	crashes  *crashTracker
+	// places are the requests that wait for places at upstreams. placesWaiting wakes dispatchPlaces when there are any.
+	places        *placeQueues
+	placesWaiting chan struct{}
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -142,8 +145,11 @@
 		mirrorQueries: make(chan func(*mirror.Mirror), maxQueuedBatches),
 		tasks:         make(chan func(), maxQueuedTasks),
 		registerNow:   make(chan struct{}, 1),
+		placesWaiting: make(chan struct{}, 1),
 	}
-	g.metrics = newMetrics(g.buffers)
+	g.places = newPlaceQueues(g.balancer, func() int { return int(g.gatewayCount.Load()) }, g.wakeDispatch)
+	g.places.setEnabled(o.Settings.Fleet.QueueRequests)
+	g.metrics = newMetrics(g.buffers, g.places)
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
@@ -165,6 +171,7 @@
 	g.startWorker(g.register)
 	g.startWorker(g.saveQuarantines)
 	g.startWorker(g.peers.run)
+	g.startWorker(g.dispatchPlaces)
 	g.startWorker(g.fetchHeldPrompts)
 	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
 	return nil
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/queueing"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -34,16 +35,19 @@
 	// outcomesDropped counts outcomes that were not reported to a rollout because its queue was full.
 	outcomesDropped atomic.Int64
 	buffers         *bufferbudget.Budget
+	places          *placeQueues
 
 	mu sync.Mutex
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
 	// microseconds.
 	latency, firstEvent *hdrhistogram.Histogram
+	// waited is the time for which requests waited for a place, in microseconds.
+	waited *hdrhistogram.Histogram
 }
 
-func newMetrics(buffers *bufferbudget.Budget) *metrics {
+func newMetrics(buffers *bufferbudget.Budget, places *placeQueues) *metrics {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
-	return &metrics{buffers: buffers, latency: histogram(), firstEvent: histogram()}
+	return &metrics{buffers: buffers, places: places, latency: histogram(), firstEvent: histogram(), waited: histogram()}
 }
 
 func (m *metrics) countResult(code result.Code) { m.results[code].Add(1) }
@@ -75,9 +79,16 @@
 	line("jayridge_buffer_bytes", buffers.Reserved)
 	line("jayridge_buffer_refusals_total", buffers.Refusals)
 	line("jayridge_buffer_evictions_total", buffers.Evictions)
+	for _, q := range m.places.all() {
+		line("jayridge_waiting_requests{service=\""+q.service+"\"}", q.waiting.Load())
+	}
+	line("jayridge_places_after_wait_total", m.places.waited.Load())
+	for _, r := range queueing.Reasons() {
+		line("jayridge_place_refusals_total{reason=\""+r.String()+"\"}", m.places.refusals[r].Load())
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent} {
+	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent, "wait": m.waited} {
 		for _, q := range []float64{50, 95, 99, 100} {
 			line(fmt.Sprintf("jayridge_%s_microseconds{quantile=\"%g\"}", name, q/100), h.ValueAtQuantile(q))
 		}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -209,6 +209,7 @@
 		event.Log(event.PeerLost, "peer", name, "heard_ms_ago", time.Since(l.lastMessageAt).Milliseconds())
 	}
 	p.g.balancer.RemovePeerLoad(name)
+	p.g.places.forget(name)
 	p.puller.RemovePeer(bootclock.Now(), name)
 }
 
@@ -359,6 +360,7 @@
 	if l := p.links[name]; l != nil && l.conn == c {
 		l.conn, l.lostAt = nil, time.Now()
 		p.g.balancer.RemovePeerLoad(name)
+		p.g.places.forget(name)
 		p.puller.RemovePeer(bootclock.Now(), name)
 		event.Log(event.PeerLost, "peer", name)
 	}
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -15,6 +15,7 @@
 	g.fleet.Store(&fleet)
 	g.budgets.setFleet(fleet)
 	g.balancer.SetLoadFactor(loadFactorShare * fleet.LoadFactor)
+	g.places.setEnabled(fleet.QueueRequests)
 	event.Log(event.SettingsReloaded, "needs_restart", needsRestart, "revoke_ms", fleet.RevokeMS, "retry_ratio", fleet.RetryRatio,
-		"load_factor", fleet.LoadFactor)
+		"load_factor", fleet.LoadFactor, "queue_requests", fleet.QueueRequests)
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/queueing"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -25,6 +26,10 @@
 	code := c.admit()
 	if code == result.OK {
 		g.budgets.request(bootclock.Now(), c.service)
+		if g.places.enabled.Load() {
+			r := c.placeRequest()
+			g.places.queue(c.service).arrived(bootclock.Now(), &r)
+		}
 		code = c.run()
 	}
 	g.metrics.countResult(code)
@@ -71,6 +76,10 @@
 			after = overloadRetryAfter
 		}
 		after = max(after, c.quarantinedFor)
+		if c.progress.retryAfter > 0 && c.quarantinedFor == 0 {
+			h.Set("Retry-After", strconv.FormatFloat(c.progress.retryAfter.Seconds(), 'f', 3, 64)) // already spread
+			break
+		}
 		// Up to 100% jitter, so that callers that were refused together do not retry together.
 		after += time.Duration(hashFraction(c.id) * float64(after))
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -117,6 +126,9 @@
 		fields = append(fields, "upstream", p.upstream, "attempts", p.sends, "first_ms", milliseconds(p.first), "load", p.load,
 			"load_limit", math.Round(p.loadLimit*10)/10, "load_age_ms", p.totalAge.Milliseconds())
 	}
+	if p := &c.progress; p.waited > 0 || p.refusalReason != queueing.NotRefused {
+		fields = append(fields, "waited_ms", milliseconds(p.waited), "refusal", p.refusalReason.String(), "priority", c.priority)
+	}
 	if c.prompt.Tokens > 0 {
 		fields = append(fields, "session", strconv.FormatUint(c.prompt.Session(), 36), "tokens", c.prompt.Tokens, "shared", c.prompt.SharedTokens(),
 			"cached", c.progress.cached, "fetched", c.progress.fetched)
--- a/process/queueing/queue.go
+++ b/process/queueing/queue.go
@@ -36,8 +36,8 @@
 	WaitShare, SureShare float64
 	// SureFactor is the factor by which the estimated time until a request's turn is multiplied before it is taken for sure.
 	SureFactor float64
-	// DefaultObjective applies to requests without a latency objective.
-	DefaultObjective time.Duration
+	// DeadlineShare is the fraction of the time until its deadline for which a request without a latency objective may wait.
+	DeadlineShare float64
 	// TurnAfter is the number of requests that are sent before those of a less urgent class that waits, until it gets one place.
 	TurnAfter int
 	// MaxRetryAfter is the longest time after which a refused caller is told to return.
@@ -49,14 +49,14 @@
 // DefaultConfig returns the settings of a gateway.
 func DefaultConfig() Config {
 	return Config{
-		MaxWaiting:       256,
-		WaitShare:        1.0 / 8,
-		SureShare:        1.0 / 3, // leaves two thirds for the upstream, whose work takes a fifth of the objective
-		SureFactor:       1.5,
-		DefaultObjective: 400 * time.Millisecond,
-		TurnAfter:        20, // costs the more urgent classes at most a twentieth
-		MaxRetryAfter:    2 * time.Second,
-		ReportMaxAge:     1200 * time.Millisecond, // the maximum age of loads
+		MaxWaiting:    256,
+		WaitShare:     1.0 / 8,
+		SureShare:     1.0 / 2, // leaves half to the upstream, whose work takes a quarter of the objective
+		SureFactor:    1.5,
+		DeadlineShare: 0.75,
+		TurnAfter:     20, // costs the more urgent classes at most a twentieth
+		MaxRetryAfter: 2 * time.Second,
+		ReportMaxAge:  1200 * time.Millisecond, // the maximum age of loads
 	}
 }
 
@@ -71,8 +71,10 @@
 		return trace.BadParameter("SureFactor must be at least 1")
 	case c.TurnAfter < 1:
 		return trace.BadParameter("TurnAfter must be positive")
-	case c.DefaultObjective <= 0 || c.MaxRetryAfter <= 0 || c.ReportMaxAge <= 0:
-		return trace.BadParameter("DefaultObjective, MaxRetryAfter and ReportMaxAge must be positive")
+	case !(c.DeadlineShare >= 0 && c.DeadlineShare <= 1):
+		return trace.BadParameter("DeadlineShare must be in 0..1")
+	case c.MaxRetryAfter <= 0 || c.ReportMaxAge <= 0:
+		return trace.BadParameter("MaxRetryAfter and ReportMaxAge must be positive")
 	default:
 		return nil
 	}
@@ -155,6 +157,8 @@
 	// tag is the request's place in the order of teams, chatTag that within its team. A lower tag comes first.
 	tag, chatTag float64
 	serial       uint64
+	// exceeds means that the request's team exceeded its share when it arrived.
+	exceeds bool
 }
 
 // Queue holds the waiting requests of one service.
@@ -171,6 +175,8 @@
 	places meter
 	// refusals is the rate of refused requests, whose callers return.
 	refusals meter
+	// reserved is the latest result of Reserve.
+	reserved float64
 	// scratch is reused between decisions.
 	scratch []float64
 	// arrivals are the rates of requests by class.
@@ -191,27 +197,47 @@
 func (q *Queue) TakePeaks() [Classes]int {
 	peaks := q.peaks
 	q.peaks = q.counts
+	q.own(peaks)
 	return peaks
 }
 
 // Arrived records the arrival of a request, whether or not there is a place for it.
 func (q *Queue) Arrived(now time.Time, priority int, team string) {
-	q.arrivals[Clamp(priority)].add(now, fastWindow)
-	q.shares.arrived(now, team)
+	if !q.shares.arrived(now, team, q.surgesElsewhere) {
+		q.arrivals[Clamp(priority)].add(now, fastWindow, 1)
+	}
 }
 
 // PlaceFree records that a request of this entry ended at an upstream.
-func (q *Queue) PlaceFree(now time.Time) { q.places.add(now, fastWindow) }
+func (q *Queue) PlaceFree(now time.Time) { q.places.add(now, fastWindow, 1) }
+
+// ComesFirst reports whether a request that has just arrived comes before all that wait.
+func (q *Queue) ComesFirst(now time.Time, r Request) bool {
+	if len(q.entries) == 0 {
+		return true
+	}
+	w := q.newWaiting(now, r)
+	q.insert(w)
+	q.sort()
+	first := q.entries[0] == w
+	q.remove(w, false)
+	return first
+}
 
-// Offer decides on a request for which there was no place.
-func (q *Queue) Offer(now time.Time, r Request) Decision {
+func (q *Queue) newWaiting(now time.Time, r Request) *waiting {
 	r.Priority = Clamp(r.Priority)
 	q.serial++
-	w := &waiting{Request: r, serial: q.serial}
+	w := &waiting{Request: r, serial: q.serial, exceeds: q.shares.exceeds(now, r.Team, q.surgesElsewhere)}
 	w.tag, w.chatTag = q.shares.tags(r.Team, r.Chat)
+	return w
+}
+
+// Offer decides on a request for which there was no place. placeIn is the time until there is one for it if no other takes it, zero if that is not known.
+func (q *Queue) Offer(now time.Time, r Request, placeIn time.Duration) Decision {
+	w := q.newWaiting(now, r)
 	q.insert(w)
 	q.sort()
-	limit, reason := q.waitLimit(now, w)
+	limit, reason := q.waitLimit(now, w, placeIn)
 	if last := q.entries[len(q.entries)-1]; reason == NotRefused && len(q.entries) > q.config.MaxWaiting && last == w {
 		reason = QueueFull
 	}
@@ -232,25 +258,37 @@
 	return d
 }
 
+// placeMargin is added to the time at which a place is known to become free: requests that wait are tried every few milliseconds, and the rate of
+// places changes a little.
+const placeMargin = 10 * time.Millisecond
+
 // waitLimit returns how long a request that is in the sorted queue may wait, or why it must not.
-func (q *Queue) waitLimit(now time.Time, w *waiting) (time.Duration, Reason) {
-	objective := w.Objective
-	if objective <= 0 {
-		objective = q.config.DefaultObjective
+func (q *Queue) waitLimit(now time.Time, w *waiting, placeIn time.Duration) (time.Duration, Reason) {
+	limit, sureLimit := scale(w.Objective, q.config.WaitShare), scale(w.Objective, q.config.SureShare)
+	if w.Objective <= 0 {
+		limit = scale(w.Deadline.Sub(now), q.config.DeadlineShare)
+		sureLimit = limit
 	}
-	limit := scale(objective, q.config.WaitShare)
 	if !w.Deadline.After(now) {
 		return 0, PastDeadline
 	}
-	turn, known := q.timeFor(now, slices.Index(q.entries, w)+1)
+	ahead := slices.Index(q.entries, w)
+	turn, known := q.timeFor(now, ahead+1, w.Priority)
+	sure := scale(turn, q.config.SureFactor)
+	if w.exceeds || q.reserved > 0 {
+		sure, placeIn = math.MaxInt64, 0 // others that arrive meanwhile come first
+	}
+	if placeIn > 0 && ahead == 0 {
+		turn, known = placeIn, true
+		sure = placeIn + placeMargin
+	}
 	if !known {
 		return limit, NotRefused
 	}
-	sure := scale(turn, q.config.SureFactor)
 	switch {
 	case now.Add(turn).After(w.Deadline):
 		return 0, PastDeadline
-	case sure <= scale(objective, q.config.SureShare):
+	case sure <= sureLimit:
 		return max(limit, sure), NotRefused
 	case turn > limit:
 		return 0, NoPlaceSoon
@@ -269,7 +307,7 @@
 // refused records a refusal and returns when the caller should return.
 func (q *Queue) refused(now time.Time, w *waiting) time.Duration {
 	after := q.retryAfter(now, w)
-	q.refusals.add(now, fastWindow)
+	q.refusals.add(now, fastWindow, 1)
 	return after
 }
 
@@ -315,16 +353,17 @@
 }
 
 // Sent removes a waiting request because it is sent.
-func (q *Queue) Sent(id uint64) {
+func (q *Queue) Sent(now time.Time, id uint64) {
 	if w := q.find(id); w != nil {
 		q.remove(w, true)
+		q.shares.get(w.Team).sent.add(now, fastWindow, 1)
 		q.pass(w.Priority)
 	}
 }
 
 // SentAtOnce records that a request was sent without waiting while places were scarce.
-func (q *Queue) SentAtOnce(priority int, team string, chat uint64) {
-	q.shares.sent(team, chat)
+func (q *Queue) SentAtOnce(now time.Time, priority int, team string, chat uint64) {
+	q.shares.sentAtOnce(now, team, chat)
 	q.pass(Clamp(priority))
 }
 
@@ -378,18 +417,18 @@
 // sort puts the waiting requests in order. A team's requests of a class exchange their tags, so that the order among them is that of its chats.
 func (q *Queue) sort() {
 	slices.SortFunc(q.entries, func(a, b *waiting) int {
-		return cmp.Or(cmp.Compare(q.rank(a.Priority), q.rank(b.Priority)), cmp.Compare(a.Team, b.Team), cmp.Compare(a.chatTag, b.chatTag), a.compareTime(b))
+		return cmp.Or(cmp.Compare(q.rank(a), q.rank(b)), cmp.Compare(a.Team, b.Team), cmp.Compare(a.chatTag, b.chatTag), a.compareTime(b))
 	})
 	for from := 0; from < len(q.entries); {
 		to := from + 1
-		for to < len(q.entries) && q.entries[to].Team == q.entries[from].Team && q.rank(q.entries[to].Priority) == q.rank(q.entries[from].Priority) {
+		for to < len(q.entries) && q.entries[to].Team == q.entries[from].Team && q.rank(q.entries[to]) == q.rank(q.entries[from]) {
 			to++
 		}
 		q.exchangeTags(q.entries[from:to])
 		from = to
 	}
 	slices.SortFunc(q.entries, func(a, b *waiting) int {
-		return cmp.Or(cmp.Compare(q.rank(a.Priority), q.rank(b.Priority)), cmp.Compare(a.tag, b.tag), a.compareTime(b))
+		return cmp.Or(cmp.Compare(q.rank(a), q.rank(b)), cmp.Compare(a.tag, b.tag), a.compareTime(b))
 	})
 }
 
@@ -413,24 +452,35 @@
 	return cmp.Or(w.Deadline.Compare(other.Deadline), cmp.Compare(w.serial, other.serial))
 }
 
-// rank returns the rank of a class: its number, or -1 if it has been passed over so often that it is its turn.
-func (q *Queue) rank(class int) int {
-	if q.passed[class] >= q.config.TurnAfter {
+// rank returns the rank of a request: its class, or -1 if that has been passed over so often that it is its turn. Requests of a team that exceeds its
+// share come after those of all other teams, among each other by class.
+func (q *Queue) rank(w *waiting) int {
+	switch {
+	case w.exceeds:
+		return Classes + w.Priority
+	case q.passed[w.Priority] >= q.config.TurnAfter:
 		return -1
+	default:
+		return w.Priority
 	}
-	return class
 }
 
 // minKnownPlaces is the number of places that must have become free recently for their rate to be known. With fewer, an estimate of the time until a
 // request's turn is off by more than half.
 const minKnownPlaces = 4
 
-// timeFor returns the time until n places are expected to become free. It returns false if their rate is not known.
-func (q *Queue) timeFor(now time.Time, n int) (time.Duration, bool) {
-	count := q.places.count(now, fastWindow)
-	if count < minKnownPlaces {
+// timeFor returns the time until n places are expected to become free for requests of a class, besides those that more urgent requests will take as
+// they arrive. It returns false if the rate of places is not known.
+func (q *Queue) timeFor(now time.Time, n, class int) (time.Duration, bool) {
+	all := q.places.count(now, fastWindow)
+	if all < minKnownPlaces {
 		return 0, false
 	}
+	count := all
+	for c := range class {
+		count -= q.arrivals[c].count(now, fastWindow)
+	}
+	count = max(count, all/float64(q.config.TurnAfter))
 	return time.Duration(float64(n) / (count / fastWindow.Seconds()) * float64(time.Second)), true
 }
 
@@ -438,7 +488,7 @@
 // that were refused recently, which return as well.
 func (q *Queue) retryAfter(now time.Time, w *waiting) time.Duration {
 	const shortest, unknown = 100 * time.Millisecond, 250 * time.Millisecond
-	room, known := q.timeFor(now, 1+len(q.entries)+int(q.refusals.count(now, fastWindow)))
+	room, known := q.timeFor(now, 1+len(q.entries)+int(q.refusals.count(now, fastWindow)), 0)
 	if !known {
 		room = unknown
 	}
@@ -451,28 +501,53 @@
 	return after
 }
 
-// Reserve returns the number of places that a request has to leave free for requests that come before it and will arrive soon.
-func (q *Queue) Reserve(now time.Time, priority int, team string) float64 {
+// Reserve returns the number of places that a request has to leave free for requests that come before it and will arrive soon. perSecond is the rate at
+// which this entry gets places, zero if it is to be taken from PlaceFree.
+func (q *Queue) Reserve(now time.Time, priority int, team string, perSecond float64) float64 {
+	q.reserved = q.reserve(now, priority, team, perSecond)
+	return q.reserved
+}
+
+func (q *Queue) reserve(now time.Time, priority int, team string, perSecond float64) float64 {
 	class := Clamp(priority)
+	if q.shares.exceeds(now, team, q.surgesElsewhere) {
+		return MaxReserve
+	}
 	if q.passed[class] >= q.config.TurnAfter {
 		return 0
 	}
-	reserve := 0.0
-	for c := range class {
-		if q.arrivals[c].count(now, fastWindow) >= activeArrivals || q.counts[c] > 0 {
-			reserve = 1
-			break
+	places := perSecond * fastWindow.Seconds()
+	if places <= 0 {
+		places = q.places.count(now, fastWindow)
+	}
+	urgent, all := 0.0, 0.0
+	for c := range Classes {
+		n := q.arrivals[c].count(now, fastWindow)
+		all += n
+		if c < class {
+			urgent += n
 		}
 	}
-	if q.shares.exceeds(now, team) {
-		reserve++
+	switch {
+	case urgent < activeArrivals || all < enoughShare*places:
+		return 0
+	case urgent < busyShare*places:
+		return 1
+	default:
+		return MaxReserve
 	}
-	return reserve
 }
 
 // MaxReserve is the highest result of Reserve.
 const MaxReserve = 2
 
+const (
+	// enoughShare is the fraction of the places up to which requests can take all of them without more urgent ones finding none.
+	enoughShare = 1.1
+	// busyShare is the fraction of the places that more urgent requests need from which more than one place is left to them.
+	busyShare = 0.6
+)
+
 // activeArrivals is the number of requests within about fastWindow from which a class is expected to send more soon.
 const activeArrivals = 1
 
--- a/process/queueing/shares.go
+++ b/process/queueing/shares.go
@@ -8,15 +8,16 @@
 const (
 	// fastWindow is the time constant of present rates. At one entry of 28 the largest teams send a few requests of a service in it.
 	fastWindow = 2 * time.Second
-	// slowWindow is the time constant of the usual rate of a team. A surge of 7.5 times stays above twice the usual for about a minute.
+	// slowWindow is the time constant of the usual rate of a team.
 	slowWindow = 2 * time.Minute
 	// surgeFactor is the multiple of its usual rate from which a team exceeds its share, surgeRequests the number of requests within about fastWindow
 	// below which it never does: single requests show no surge.
 	surgeFactor   = 2.5
-	surgeRequests = 4
-	// surgeShare is the fraction of all requests from which a team exceeds its share, whatever its usual rate, if there are others. An entry that has
-	// just started knows no usual rates.
-	surgeShare = 0.5
+	surgeRequests = 5
+	// surgeAllowance is the multiple of its usual rate that a team may send in a surge as any other.
+	surgeAllowance = 1.25
+	// surgeWeight is the weight of the requests of a surge in the usual rate. It makes a rate that lasts the usual one after some minutes.
+	surgeWeight = 0.1
 	// minHistory is the shortest time for which arrivals make a usual rate.
 	minHistory = 5 * time.Second
 	// maxTeams and maxChats bound the state that is kept.
@@ -30,8 +31,8 @@
 	at    time.Time
 }
 
-func (m *meter) add(now time.Time, window time.Duration) {
-	m.value = m.count(now, window) + 1
+func (m *meter) add(now time.Time, window time.Duration, n float64) {
+	m.value = m.count(now, window) + n
 	m.at = now
 }
 
@@ -45,8 +46,11 @@
 
 // share is the state of one team.
 type share struct {
+	hash       uint64
 	fast, slow meter
-	firstAt    time.Time
+	// sent are the requests that were sent while places were scarce.
+	sent    meter
+	firstAt time.Time
 	// next is the tag of the team's next request, waiting the number of its waiting ones.
 	next    float64
 	waiting int
@@ -80,7 +84,7 @@
 				return t
 			}
 		}
-		t = &share{chats: make(map[uint64]float64)}
+		t = &share{hash: TeamHash(team), chats: make(map[uint64]float64)}
 		s.teams[team] = t
 	}
 	return t
@@ -98,15 +102,22 @@
 	}
 }
 
-func (s *shares) arrived(now time.Time, team string) {
+// arrived records a request of a team and reports whether the team surges.
+func (s *shares) arrived(now time.Time, team string, elsewhere func(now time.Time, team uint64) bool) bool {
 	t := s.get(team)
 	if t.firstAt.IsZero() {
 		t.firstAt = now
 	}
-	t.fast.add(now, fastWindow)
-	t.slow.add(now, slowWindow)
-	s.all.add(now, fastWindow)
-	s.allSlow.add(now, slowWindow)
+	weight := 1.0
+	_, surges := t.surge(now, elsewhere(now, t.hash))
+	if surges {
+		weight = surgeWeight
+	}
+	t.fast.add(now, fastWindow, 1)
+	t.slow.add(now, slowWindow, weight)
+	s.all.add(now, fastWindow, 1)
+	s.allSlow.add(now, slowWindow, weight)
+	return surges
 }
 
 // weight returns a team's share relative to an average one: its part of the requests of the last minutes, within bounds.
@@ -150,9 +161,10 @@
 	s.virtual = max(s.virtual, w.tag)
 }
 
-// sent records that a request is sent that did not wait.
-func (s *shares) sent(team string, chat uint64) {
+// sentAtOnce records that a request is sent that did not wait.
+func (s *shares) sentAtOnce(now time.Time, team string, chat uint64) {
 	t := s.get(team)
+	t.sent.add(now, fastWindow, 1)
 	tag := max(t.next, s.virtual)
 	t.next = tag + 1/s.weight(t)
 	chatTag := max(t.chats[chat], t.chatFloor)
@@ -163,26 +175,33 @@
 	}
 }
 
-// exceeds reports whether a team sends so much more than usual, or than all others, that places are left to them.
-func (s *shares) exceeds(now time.Time, team string) bool {
+// exceeds reports whether a team sends many times its usual, or more than all others, and has got its part: its further requests come after all others.
+func (s *shares) exceeds(now time.Time, team string, elsewhere func(now time.Time, team uint64) bool) bool {
 	t := s.teams[team]
 	if t == nil {
 		return false
 	}
-	fast := t.fast.count(now, fastWindow)
-	if fast < surgeRequests {
-		return false
-	}
-	all := s.all.count(now, fastWindow)
-	if fast > surgeShare*all && all-fast >= activeArrivals {
+	fast, sent := t.fast.count(now, fastWindow), t.sent.count(now, fastWindow)
+	if usual, surges := t.surge(now, elsewhere(now, t.hash)); surges && sent > surgeAllowance*usual {
 		return true
 	}
-	history := min(now.Sub(t.firstAt), slowWindow)
+	others := s.all.count(now, fastWindow) - fast
+	return fast >= surgeRequests && fast > others && others >= activeArrivals && sent > others
+}
+
+// surge returns the team's usual number of requests in fastWindow, and whether it sends many times as many. It knows no usual number at first. elsewhere
+// means that other entries see a surge of the team, for which a slight one here suffices.
+func (t *share) surge(now time.Time, elsewhere bool) (usual float64, surges bool) {
+	history := now.Sub(t.firstAt)
 	if history < minHistory {
-		return false
+		return 0, false
+	}
+	// The weights of a window that has not passed entirely sum up to less.
+	full := slowWindow.Seconds() * (1 - math.Exp(-history.Seconds()/slowWindow.Seconds()))
+	usual = t.slow.count(now, slowWindow) / full * fastWindow.Seconds()
+	fast := t.fast.count(now, fastWindow)
+	if elsewhere {
+		return usual, fast > usual
 	}
-	// The sum of the weights of a window that has not passed entirely is smaller.
-	full := slowWindow.Seconds() * (1 - math.Exp(-now.Sub(t.firstAt).Seconds()/slowWindow.Seconds()))
-	usual := t.slow.count(now, slowWindow) / full * fastWindow.Seconds()
-	return fast > surgeFactor*usual
+	return usual, fast >= surgeRequests && fast > surgeFactor*usual
 }
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -89,6 +89,9 @@
 	LoadFactor float64 `json:"load_factor" validate:"min=1,max=100"`
 	// PromptReuseS is how long after its last use a prompt prefix is worth keeping in a cache, in seconds. Default 10.
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
+	// QueueRequests makes requests wait a short time for a place in the order of their priorities while upstreams have none, instead of refusing them at
+	// once. Upstreams are then told the priorities. Default true.
+	QueueRequests bool `json:"queue_requests"`
 }
 
 // GatewayDefaults returns the default values of a gateway's settings.
@@ -101,6 +104,7 @@
 		Store: Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
 			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, PromptReuseS: 10,
+			QueueRequests: true,
 		},
 	}
 }
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -18,6 +18,9 @@
 	Deadline string
 	// Team tells the upstream to which team the caller's key belongs.
 	Team string
+	// Priority tells the upstream how urgent the request is, a number from 0, the most urgent, to 9. It is sent only if the requests of the service
+	// have different priorities.
+	Priority string
 	// Upstream names the only upstream that may run the request.
 	Upstream string
 	// Signature marks a response that was produced by an upstream.
--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -15,8 +16,16 @@
 	services map[string]*Service
 	// teams maps a key to its team.
 	teams map[string]*Team
+	// mixed holds the services whose requests have different priorities, clamped what has a priority out of range.
+	mixed   map[string]bool
+	clamped []string
 }
 
+// MaxPriority is the least urgent priority; 0 is the most urgent one.
+const MaxPriority = 9
+
+func clampPriority(p int) int { return min(max(0, p), MaxPriority) }
+
 // NewTable validates and compiles a configuration, which must not be modified afterwards.
 func NewTable(c *Config) (*Table, error) {
 	if err := c.Validate(); err != nil {
@@ -40,9 +49,64 @@
 			t.teams[key] = &c.Teams[i]
 		}
 	}
+	t.setPriorities()
 	return t, nil
 }
 
+// setPriorities finds the services whose requests have different priorities, and priorities that are out of range.
+func (t *Table) setPriorities() {
+	t.mixed = make(map[string]bool)
+	seen := make(map[string]int)
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		if clampPriority(r.Priority) != r.Priority {
+			t.clamped = append(t.clamped, "route "+r.Name)
+		}
+		for _, share := range r.TrafficSplit {
+			if share.Weight <= 0 {
+				continue
+			}
+			for _, p := range t.prioritiesOf(r) {
+				if first, found := seen[share.Service]; found && first != p {
+					t.mixed[share.Service] = true
+				}
+				seen[share.Service] = p
+			}
+		}
+	}
+	for i := range t.config.Teams {
+		if team := &t.config.Teams[i]; team.Priority != nil && clampPriority(*team.Priority) != *team.Priority {
+			t.clamped = append(t.clamped, "team "+team.Name)
+		}
+	}
+}
+
+// prioritiesOf returns the priorities that requests of a route may have.
+func (t *Table) prioritiesOf(r *Route) []int {
+	if r.Public || !t.NeedsKeys() {
+		return []int{t.Priority(r, nil)}
+	}
+	var all []int
+	for i := range t.config.Teams {
+		all = append(all, t.Priority(r, &t.config.Teams[i]))
+	}
+	return all
+}
+
+// Priority returns the priority of a request in 0..MaxPriority: that of its team, else that of its route. team is nil if the request has none.
+func (t *Table) Priority(r *Route, team *Team) int {
+	if team != nil && team.Priority != nil {
+		return clampPriority(*team.Priority)
+	}
+	return clampPriority(r.Priority)
+}
+
+// HasPriorities reports whether the requests of a service have different priorities.
+func (t *Table) HasPriorities(service string) bool { return t.mixed[service] }
+
+// ClampedPriorities returns the routes and teams whose priority is out of range, as "route NAME" and "team NAME".
+func (t *Table) ClampedPriorities() []string { return t.clamped }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.config.Version }
 
@@ -94,6 +158,11 @@
 	return nil
 }
 
+// Uses reports whether the route's requests may go to a service.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.TrafficSplit, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService returns the service for a request to the route, chosen by weight. point is a uniformly distributed value in [0, 1).
 func (r *Route) PickService(point float64) string {
 	total := 0.0
