--- a/process/gateway/waiting_test.go
+++ b/process/gateway/waiting_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/queueing"
 	"github.com/jayridge/jayridge/version/routing"
 )
@@ -79,11 +80,13 @@
 	fillAndHold(t, f)
 	got := f.sendLater("/book/1")
 	f.eventually("the request waits", func() bool { return f.waiting() == 1 })
+	must.EqOp(t, 3*int64(len("hello")), f.gateway.buffers.Stats().Reserved, must.Sprint("its body is in the budget"))
 	for range 3 {
 		u.release <- struct{}{}
 	}
 	must.EqOp(t, http.StatusOK, (<-got).status)
 	must.EqOp(t, 0, f.waiting())
+	f.eventually("the memory is released", func() bool { return f.gateway.buffers.Stats().Reserved == 0 })
 	must.EqOp(t, 1, f.gateway.places.waited.Load())
 }
 
@@ -259,6 +262,28 @@
 	must.EqOp(t, 0, f.waiting())
 }
 
+// What waits at a gateway must reach the other gateways, and be forgotten when it is gone.
+func TestPeers_WaitingRequests(t *testing.T) {
+	u := newHeldUpstream(t, "a")
+	f := newFixture(t, u.fakeUpstream)
+	other := f.start("two")
+	f.waitReady(other)
+	f.eventually("gateways are connected", func() bool { return len(other.peers.neighbourConns()) > 0 && len(f.gateway.peers.neighbourConns()) > 0 })
+	q := other.places.queue("plain")
+	share := func() float64 {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.order.FreeShare(bootclock.Now(), 1, 2)
+	}
+	must.EqOp(t, 0.5, share())
+	fillAndHold(t, f)
+	got := f.sendLater("/book/1")
+	f.eventually("the other gateway leaves the free place to it", func() bool { return share() == 0 })
+	f.gateway.abortCalls(errStopping)
+	<-got
+	f.eventually("the report is forgotten", func() bool { return share() == 0.5 })
+}
+
 // The metrics must name what waits and why requests were refused.
 func TestMetrics_Waiting(t *testing.T) {
 	f := newFixture(t, newUpstream(t, "a", succeed))
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -96,3 +96,36 @@
 	must.Nil(t, table.TeamByKey(""))
 	must.NotNil(t, table.TeamByKey("k1"))
 }
+
+// A request's priority must be that of its team, else of its route, in range; upstreams are told it only if a service has different ones.
+func TestPriority(t *testing.T) {
+	far, first := 40, -1
+	share := func(service string) []Share { return []Share{{Service: service, Weight: 1}, {Service: "unused"}} }
+	config := func(public, withoutKeys bool, priorities ...int) *Config {
+		c := &Config{Version: 1, WithoutKeys: withoutKeys, Services: []Service{{Name: "a"}, {Name: "b"}, {Name: "unused"}}}
+		for i, p := range priorities {
+			c.Routes = append(c.Routes, Route{Name: string(rune('r' + i)), PathPrefix: "/" + string(rune('r'+i)) + "/", Priority: p, Public: public, TrafficSplit: share("a")})
+		}
+		c.Routes = append(c.Routes, Route{Name: "other", PathPrefix: "/other/", Priority: 3, Public: public, TrafficSplit: share("b")})
+		c.Teams = []Team{{Name: "plain"}, {Name: "far", Priority: &far}, {Name: "first", Priority: &first}}
+		return c
+	}
+	table, err := NewTable(config(false, false, 2, 12))
+	must.NoError(t, err)
+	must.EqOp(t, 2, table.Priority(&table.config.Routes[0], nil))
+	must.EqOp(t, 2, table.Priority(&table.config.Routes[0], &table.config.Teams[0]))
+	must.EqOp(t, MaxPriority, table.Priority(&table.config.Routes[0], &table.config.Teams[1]))
+	must.EqOp(t, 0, table.Priority(&table.config.Routes[0], &table.config.Teams[2]))
+	must.EqOp(t, MaxPriority, table.Priority(&table.config.Routes[1], nil))
+	must.Eq(t, []string{"route s", "team far", "team first"}, table.ClampedPriorities())
+	must.True(t, table.HasPriorities("a") && table.HasPriorities("b"))
+	must.False(t, table.HasPriorities("unused"))
+	for name, c := range map[string]*Config{"public": config(true, false, 2, 2), "without keys": config(false, true, 2, 2)} {
+		table, err := NewTable(c)
+		must.NoError(t, err)
+		must.False(t, table.HasPriorities("a"), must.Sprint(name, ": teams have no part in it"))
+	}
+	table, err = NewTable(config(true, false, 2, 4))
+	must.NoError(t, err)
+	must.True(t, table.HasPriorities("a"))
+}
