gateway: requests that an upstream refused free no place

Cause: a refusal by an upstream counted as a place that became free, and the time until a place was kept after one was taken.

Change: only requests that may have run count; the time is unknown once a place was taken.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -403,7 +403,8 @@
 	Parts *PartReport `msgpack:"q,omitempty"`
 	// Limits are the rate limits of upstreams that changed since the last message.
 	Limits []UpstreamLimit `msgpack:"m,omitempty"`
-	// Waiting has an element for each service of which requests waited for a place or a team surged at the sender since the last message that was not partial.
+	// Waiting has an element for each service of which requests waited for a place or a team surged at the sender since the last message that was
+	// not partial.
 	Waiting []ServiceWaiting `msgpack:"w,omitempty"`
 }
 
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -228,8 +228,8 @@
 	Versions Versions
 	// Started means that the caller has part of the answer. Such a request takes precedence over those that can still be refused.
 	Started bool
-	// Reserve returns the number of places that the request has to leave free for more urgent ones, nil means none. perSecond is the rate at which this
-	// entry gets places, zero if it is not known. It is called only while places are scarce, under the balancer's lock.
+	// Reserve returns the number of places that the request has to leave free for more urgent ones, nil means none. perSecond is the rate at which
+	// this entry gets places, zero if it is not known. It is called only while places are scarce, under the balancer's lock.
 	Reserve func(perSecond float64) float64
 }
 
--- a/process/balancer/credit.go
+++ b/process/balancer/credit.go
@@ -23,9 +23,9 @@
 // maxCreditDebt is the number of its requests that have to end before an entry sends another, if upstreams have more than they can run.
 const maxCreditDebt = 1
 
-// take takes the credit for one request and leaves reserve. It returns false if there is not as much. share is this entry's share of the free slots of
-// the service, or of the requests beyond the slots if it is negative: these wait at upstreams until fewer are sent. saved is the credit beyond minCredit
-// that is kept while no request takes it.
+// take takes the credit for one request and leaves reserve. It returns false if there is not as much. share is this entry's share of the free
+// slots of the service, or of the requests beyond the slots if it is negative: these wait at upstreams until fewer are sent. saved is the credit
+// beyond minCredit that is kept while no request takes it.
 func (c *credit) take(now time.Time, share, reserve, saved float64) bool {
 	fill := max(minCredit, share)
 	if c.updatedAt.IsZero() {
--- a/process/balancer/credit_test.go
+++ b/process/balancer/credit_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Credit that is kept for more urgent requests must not grow with the slots that it leaves free, and requests that wait at upstreams must be sent back
-// to the entries: at 3 times the load, every gateway kept three more requests at upstreams and half of the requests were late.
+// Credit that is kept for more urgent requests must not grow with the slots that it leaves free, and requests that wait at upstreams must be sent
+// back to the entries: at 3 times the load, every gateway kept three more requests at upstreams and half of the requests were late.
 func TestCredit_SavedAndOverfull(t *testing.T) {
 	var c credit
 	must.True(t, c.take(at(0), 0.5, 0, 3))
--- a/process/balancer/pace.go
+++ b/process/balancer/pace.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// A plain service has fewer slots than there are entries: 12 to 18 before 28. Loads are known 0.2 s late, in which each slot runs five requests. Free slots
-// therefore say nothing about the present, and an entry may not even have one request at an upstream all the time. Each entry sends at such a rate that
-// its requests take its share of the places on average, by the time that its own requests take. This time grows with the requests that wait at the
-// upstreams, which lowers the rates of all entries before upstreams refuse.
+// A plain service has fewer slots than there are entries: 12 to 18 before 28. Loads are known 0.2 s late, in which each slot runs five requests.
+// Free slots therefore say nothing about the present, and an entry may not even have one request at an upstream all the time. Each entry sends at
+// such a rate that its requests take its share of the places on average, by the time that its own requests take. This time grows with the
+// requests that wait at the upstreams, which lowers the rates of all entries before upstreams refuse.
 const (
 	// placesPerSlot is the number of requests that upstreams of a plain service should hold for each slot. More than one keeps slots from being idle
 	// when requests come unevenly.
@@ -23,8 +23,8 @@
 	maxPaceWait = time.Minute
 	// latencyGrowth limits a response time to a multiple of the mean: a few requests that wait for a failing upstream must not stop the entry.
 	latencyGrowth = 4
-	// savedPlaces is the number of places beyond its share that an entry keeps while no request takes them: as many as some requests have to leave free
-	// for more urgent ones, and one.
+	// savedPlaces is the number of places beyond its share that an entry keeps while no request takes them: as many as some requests have to leave
+	// free for more urgent ones, and one.
 	savedPlaces = 3
 )
 
@@ -70,6 +70,7 @@
 		return false
 	}
 	p.tokens--
+	p.wait = 0 // if no upstream takes the request, it is not for want of places
 	return true
 }
 
@@ -83,8 +84,8 @@
 	return p
 }
 
-// SetQueueing sets whether requests that get no place wait for one. Only then are requests of plain services limited by their share of the places: they
-// would be refused otherwise.
+// SetQueueing sets whether requests that get no place wait for one. Only then are requests of plain services limited by their share of the
+// places: they would be refused otherwise.
 func (b *Balancer) SetQueueing(on bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -193,7 +193,7 @@
 	if accepted && (incomplete || a.mayBeTruncated) {
 		a.call.g.crashes.recordBroken(now, a)
 	}
-	defer a.call.g.places.freed(now, a.call.service)
+	defer a.call.g.places.freed(now, a.call.service, accepted)
 	if a.inconclusive {
 		a.choice.Release()
 		return
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -50,8 +50,8 @@
 	answering time.Duration
 	// fetched is the number of prompt tokens whose cache entries the upstream copies from another upstream.
 	fetched int
-	// waited is how long the request waited for places. refusalReason and retryAfter say why the latest wait for a place, or its refusal, ended without
-	// one, and when the caller should return.
+	// waited is how long the request waited for places. refusalReason and retryAfter say why the latest wait for a place, or its refusal, ended
+	// without one, and when the caller should return.
 	waited        time.Duration
 	refusalReason queueing.Reason
 	retryAfter    time.Duration
--- a/process/gateway/fixture_test.go
+++ b/process/gateway/fixture_test.go
@@ -192,7 +192,8 @@
 func (fakePrompts) Decode([]byte) ([]placement.Part, error) { return nil, nil }
 
 var testHeaders = forward.HeaderNames{
-	RequestID: "Test-Id", Deadline: "Test-Deadline", Team: "Test-Team", Priority: "Test-Priority", Upstream: "Test-Upstream", Signature: "Test-Signature",
+	RequestID: "Test-Id", Deadline: "Test-Deadline", Team: "Test-Team",
+	Priority: "Test-Priority", Upstream: "Test-Upstream", Signature: "Test-Signature",
 	NotRun: "Test-Not-Run", LastEventID: "Last-Event-Id", PromptParts: "Test-Parts", TokenCounts: "Test-Tokens", Model: "Test-Model",
 	Load: "Test-Load", RateLimit: "Test-Limit", UpstreamID: "Test-Upstream-Id", ColdFor: "Test-Cold", Authorization: "Authorization", KeyScheme: "Bearer",
 	Reserved: []string{"Test-Team", "Test-Priority", "Test-Upstream", "Authorization", "Test-Reserved"},
--- a/process/gateway/placefleet_test.go
+++ b/process/gateway/placefleet_test.go
@@ -19,7 +19,8 @@
 	"github.com/jayridge/jayridge/version/routing"
 )
 
-// placeSim simulates one service in virtual time: the queues and balancers of the gateways, the messages between them, and upstreams with few slots.
+// placeSim simulates one service in virtual time: the queues and balancers of the gateways, the messages between them, and upstreams with few
+// slots.
 type placeSim struct {
 	simClock
 	config    placeSimConfig
@@ -71,7 +72,8 @@
 func (c counts) share() float64 { return float64(c.inTime) / float64(max(1, c.calls)) }
 
 func (c counts) String() string {
-	return fmt.Sprintf("%.3f in time of %d, %d late, %d refused at once, %d after waiting, %d of %d sends refused by upstreams, %d refused early", c.share(), c.calls, c.late,
+	const format = "%.3f in time of %d, %d late, %d refused at once, %d after waiting, %d of %d sends refused by upstreams, %d refused early"
+	return fmt.Sprintf(format, c.share(), c.calls, c.late,
 		c.refusedAtOnce, c.refusedAfterWait, c.refusedThere, c.sends, c.early)
 }
 
@@ -326,7 +328,7 @@
 // refusedBy applies the refusal of an upstream.
 func (s *placeSim) refusedBy(c *simCall, choice *balancer.Choice) {
 	choice.Done(s.now, health.Rejected)
-	c.gateway.places.freed(s.now, "service")
+	c.gateway.places.freed(s.now, "service", false)
 	if c.sends >= maxSends || c.gateway.retries < 1 {
 		s.refuse(c)
 		return
@@ -360,7 +362,7 @@
 	})
 	s.after(work+simHop, func() {
 		choice.Done(s.now, health.Answered)
-		c.gateway.places.freed(s.now, "service")
+		c.gateway.places.freed(s.now, "service", true)
 	})
 }
 
@@ -422,8 +424,8 @@
 	return sum
 }
 
-// A team at many times its usual load must not take the places of other teams while an upstream of a plain service is lost, and requests must wait at
-// gateways instead of upstreams.
+// A team at many times its usual load must not take the places of other teams while an upstream of a plain service is lost, and requests must
+// wait at gateways instead of upstreams.
 func TestLoadFleet_PlainServiceInSurge(t *testing.T) {
 	t.Parallel()
 	for _, queue := range []int{6, 40} {
@@ -492,7 +494,8 @@
 	return s
 }
 
-// Beyond the load that a model service can take, the more urgent classes must be served first, and gateways instead of upstreams must refuse the rest.
+// Beyond the load that a model service can take, the more urgent classes must be served first, and gateways instead of upstreams must refuse the
+// rest.
 func TestLoadFleet_ModelServicePriorities(t *testing.T) {
 	t.Parallel()
 	for _, overload := range []float64{1.2, 1.5, 2, 3} {
--- a/process/gateway/placequeue.go
+++ b/process/gateway/placequeue.go
@@ -72,7 +72,7 @@
 	now     time.Time
 	current placeRequest
 	reserve func(perSecond float64) float64
-	// waiting is the number of waiters, urgentElsewhere is set once another gateway reported waiting requests. Both can be read without the lock.
+	// waiting is the number of waiters, which can be read without the lock.
 	waiting atomic.Int64
 }
 
@@ -144,8 +144,8 @@
 	q.order.Arrived(now, r.Priority, r.Team)
 }
 
-// place returns a place for a request, or makes it wait and returns its ID, by which it can be withdrawn; done is then called with the result unless it
-// is withdrawn. Both results are zero if the request is refused.
+// place returns a place for a request, or makes it wait and returns its ID, by which it can be withdrawn; done is then called with the result
+// unless it is withdrawn. Both results are zero if the request is refused.
 func (q *placeQueue) place(now time.Time, r placeRequest, seeker placeSeeker, done func(placeResult)) (got placeResult, waits uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -268,15 +268,17 @@
 	}
 }
 
-// freed records that a request of this gateway has ended, and gives its place to a waiting one.
-func (qs *placeQueues) freed(now time.Time, service string) {
+// freed gives the place of a request of this gateway that has ended to a waiting one. ran means that the request held a place of the upstream.
+func (qs *placeQueues) freed(now time.Time, service string, ran bool) {
 	if !qs.enabled.Load() {
 		return
 	}
 	q := qs.queue(service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.order.PlaceFree(now)
+	if ran {
+		q.order.PlaceFree(now)
+	}
 	if len(q.waiters) > 0 {
 		q.dispatch(now)
 	}
--- a/process/gateway/waiting.go
+++ b/process/gateway/waiting.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// place returns an upstream with reserved capacity. If none has a place, the call waits for one in the order of its service. It returns nil and why if
-// the call is to be refused.
+// place returns an upstream with reserved capacity. If none has a place, the call waits for one in the order of its service. It returns nil and
+// why if the call is to be refused.
 func (c *call) place(plan *shift.Plan) (*balancer.Choice, result.Code) {
 	seeker := c.seeker(plan)
 	if !c.g.places.enabled.Load() || c.progress.answered {
@@ -141,11 +141,12 @@
 func (c *call) returnPlace(r placeResult) {
 	if r.choice != nil {
 		r.choice.Release()
-		c.g.places.freed(bootclock.Now(), c.service)
+		c.g.places.freed(bootclock.Now(), c.service, false)
 	}
 }
 
-// readmit checks a call that has waited against the configuration now in force, and updates its priority. It returns result.OK if the call may be sent.
+// readmit checks a call that has waited against the configuration now in force, and updates its priority. It returns result.OK if the call may be
+// sent.
 func (c *call) readmit() result.Code {
 	if c.mayBeCut() {
 		return result.Leaving
--- a/process/queueing/elsewhere.go
+++ b/process/queueing/elsewhere.go
@@ -19,15 +19,15 @@
 // maxDebt bounds the places that an entry gives up for requests that wait elsewhere: reports repeat what still waits.
 const maxDebt = 3
 
-// maxBoost is the highest multiple of its equal share of the free places that an entry may fill. The others learn late of what it fills, and may have
-// requests that wait by then.
+// maxBoost is the highest multiple of its equal share of the free places that an entry may fill. The others learn late of what it fills, and may
+// have requests that wait by then.
 const maxBoost = 2
 
 const (
 	// maxSurging is the maximum number of surging teams in a report.
 	maxSurging = 8
-	// minSurgeReports is the number of other entries, and surgeReportShare the fraction of those that report, from which a team is taken to surge. At one
-	// entry of 28 a team sends so few requests that some entries always seem to see a surge, and some see none.
+	// minSurgeReports is the number of other entries, and surgeReportShare the fraction of those that report, from which a team is taken to surge.
+	// At one entry of 28 a team sends so few requests that some entries always seem to see a surge, and some see none.
 	minSurgeReports  = 2
 	surgeReportShare = 0.2
 )
@@ -45,8 +45,8 @@
 	expiredAt time.Time
 }
 
-// Hear records another entry's report, which replaces its earlier one. entries is the number of entries that share the service. Numbers out of range
-// are clamped. Each entry gives up its share of the places that more urgent requests elsewhere need, before it sends less urgent ones.
+// Hear records another entry's report, which replaces its earlier one. entries is the number of entries that share the service. Numbers out of
+// range are clamped. Each entry gives up its share of the places that more urgent requests elsewhere need, before it sends less urgent ones.
 //
 // surging are the hashes of the teams that surge there. They are kept until the entry reports others or is forgotten.
 func (q *Queue) Hear(now time.Time, peer string, waiting [Classes]int, surging []uint64, entries int) {
--- a/process/queueing/queue.go
+++ b/process/queueing/queue.go
@@ -6,8 +6,8 @@
 // entries' requests 0.2 to 0.3 s late.
 //
 // The order is: priority, fair share of teams, fair share of a team's chats, time left. Two rules keep it at low rates, at which a queue in which
-// requests may wait for some tens of milliseconds seldom holds more than one: Reserve leaves places to more urgent requests that will arrive soon, and
-// Yields gives up places for more urgent requests that wait at other entries.
+// requests may wait for some tens of milliseconds seldom holds more than one: Reserve leaves places to more urgent requests that will arrive
+// soon, and Yields gives up places for more urgent requests that wait at other entries.
 //
 // All types are state machines without a clock, I/O or goroutine. They are not safe for concurrent use.
 package queueing
@@ -31,8 +31,8 @@
 type Config struct {
 	// MaxWaiting is the maximum number of waiting requests.
 	MaxWaiting int
-	// WaitShare is the fraction of its latency objective for which a request may wait in hope of a place, SureShare that for which it waits if its turn
-	// is expected by then.
+	// WaitShare is the fraction of its latency objective for which a request may wait in hope of a place, SureShare that for which it waits if its
+	// turn is expected by then.
 	WaitShare, SureShare float64
 	// SureFactor is the factor by which the estimated time until a request's turn is multiplied before it is taken for sure.
 	SureFactor float64
@@ -171,8 +171,8 @@
 	counts, peaks [Classes]int
 	// passed is the number of requests that were sent before a class that waited, since it was last sent one.
 	passed [Classes]int
-	// places are the places that became free while places were scarce, since scarceSince; they were last scarce at scarceAt. perSecond is the rate at which
-	// places become free, zero if the entry only knows places.
+	// places are the places that became free while places were scarce, since scarceSince; they were last scarce at scarceAt. perSecond is the rate
+	// at which places become free, zero if the entry only knows places.
 	places                meter
 	scarceSince, scarceAt time.Time
 	perSecond             float64
@@ -219,8 +219,8 @@
 }
 
 const (
-	// scarcePause is the time without scarcity after which the places that become free are counted anew. While there are places for all, as many become
-	// free as requests come, which says nothing about how many could.
+	// scarcePause is the time without scarcity after which the places that become free are counted anew. While there are places for all, as many
+	// become free as requests come, which says nothing about how many could.
 	scarcePause = time.Second
 	// minScarceTime is the time for which places are counted before their rate is known.
 	minScarceTime = 200 * time.Millisecond
@@ -268,7 +268,8 @@
 	return w
 }
 
-// Offer decides on a request for which there was no place. placeIn is the time until there is one for it if no other takes it, zero if that is not known.
+// Offer decides on a request for which there was no place. placeIn is the time until there is one for it if no other takes it, zero if that is
+// not known.
 func (q *Queue) Offer(now time.Time, r Request, placeIn time.Duration) Decision {
 	q.scarce(now)
 	w := q.newWaiting(now, r)
@@ -489,8 +490,8 @@
 	return cmp.Or(w.Deadline.Compare(other.Deadline), cmp.Compare(w.serial, other.serial))
 }
 
-// rank returns the rank of a request: its class, or -1 if that has been passed over so often that it is its turn. Requests of a team that exceeds its
-// share come after those of all other teams, among each other by class.
+// rank returns the rank of a request: its class, or -1 if that has been passed over so often that it is its turn. Requests of a team that exceeds
+// its share come after those of all other teams, among each other by class.
 func (q *Queue) rank(w *waiting) int {
 	switch {
 	case w.exceeds:
@@ -502,8 +503,8 @@
 	}
 }
 
-// minKnownPlaces is the number of places that must have become free recently for their rate to be known. With fewer, an estimate of the time until a
-// request's turn is off by more than half.
+// minKnownPlaces is the number of places that must have become free recently for their rate to be known. With fewer, an estimate of the time
+// until a request's turn is off by more than half.
 const minKnownPlaces = 4
 
 // timeFor returns the time until n places are expected to become free for requests of a class, besides those that more urgent requests will take as
@@ -538,8 +539,8 @@
 	return after
 }
 
-// Reserve returns the number of places that a request has to leave free for requests that come before it and will arrive soon. perSecond is the rate at
-// which this entry gets places, zero if it is to be taken from PlaceFree.
+// Reserve returns the number of places that a request has to leave free for requests that come before it and will arrive soon. perSecond is the
+// rate at which this entry gets places, zero if it is to be taken from PlaceFree.
 func (q *Queue) Reserve(now time.Time, priority int, team string, perSecond float64) float64 {
 	q.scarce(now)
 	q.perSecond = perSecond
--- a/process/queueing/queue_test.go
+++ b/process/queueing/queue_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// A request must not be held without hope: only for an eighth of its objective, longer if its turn is sure to come, and not at all if that is known to
-// come too late.
+// A request must not be held without hope: only for an eighth of its objective, longer if its turn is sure to come, and not at all if that is
+// known to come too late.
 func TestOffer_Wait(t *testing.T) {
 	offer := func(places int, r Request, waiting int) Decision {
 		q := New(DefaultConfig())
@@ -96,8 +96,8 @@
 	}
 }
 
-// The rate of places must be right soon after requests began to wait: a queue that takes it for lower refuses at once what could be served. What became
-// free while there were places for all says nothing.
+// The rate of places must be right soon after requests began to wait: a queue that takes it for lower refuses at once what could be served. What
+// became free while there were places for all says nothing.
 func TestOffer_RateOfPlaces(t *testing.T) {
 	q := New(DefaultConfig())
 	for ms := -5000; ms < 0; ms += 200 { // few requests, no scarcity
@@ -208,8 +208,8 @@
 	must.EqOp(t, 400, small)
 }
 
-// Requests of a team at many times its usual rate, and less urgent ones, must leave a place for others that will come soon. Otherwise an entry that gets
-// ten places a second refuses a more urgent request most of the time.
+// Requests of a team at many times its usual rate, and less urgent ones, must leave a place for others that will come soon. Otherwise an entry
+// that gets ten places a second refuses a more urgent request most of the time.
 func TestReserve(t *testing.T) {
 	q := New(DefaultConfig())
 	now := start
--- a/process/queueing/shares.go
+++ b/process/queueing/shares.go
@@ -59,8 +59,8 @@
 	chatFloor float64
 }
 
-// shares divides places among teams by start-time fair queueing: each request gets a tag when it arrives, teams that sent less have lower ones. A tag
-// depends on earlier requests only, so that a large request does not come later for its own size.
+// shares divides places among teams by start-time fair queueing: each request gets a tag when it arrives, teams that sent less have lower ones. A
+// tag depends on earlier requests only, so that a large request does not come later for its own size.
 type shares struct {
 	teams map[string]*share
 	// virtual is the highest tag of a request that was sent.
@@ -175,7 +175,8 @@
 	}
 }
 
-// exceeds reports whether a team sends many times its usual, or more than all others, and has got its part: its further requests come after all others.
+// exceeds reports whether a team sends many times its usual, or more than all others, and has got its part: its further requests come after all
+// others.
 func (s *shares) exceeds(now time.Time, team string, elsewhere func(now time.Time, team uint64) bool) bool {
 	t := s.teams[team]
 	if t == nil {
@@ -189,8 +190,8 @@
 	return fast >= surgeRequests && fast > others && others >= activeArrivals && sent > others
 }
 
-// surge returns the team's usual number of requests in fastWindow, and whether it sends many times as many. It knows no usual number at first. elsewhere
-// means that other entries see a surge of the team, for which a slight one here suffices.
+// surge returns the team's usual number of requests in fastWindow, and whether it sends many times as many. It knows no usual number at first.
+// elsewhere means that other entries see a surge of the team, for which a slight one here suffices.
 func (t *share) surge(now time.Time, elsewhere bool) (usual float64, surges bool) {
 	history := now.Sub(t.firstAt)
 	if history < minHistory {
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -89,8 +89,8 @@
 	LoadFactor float64 `json:"load_factor" validate:"min=1,max=100"`
 	// PromptReuseS is how long after its last use a prompt prefix is worth keeping in a cache, in seconds. Default 10.
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
-	// QueueRequests makes requests wait a short time for a place in the order of their priorities while upstreams have none, instead of refusing them at
-	// once. Upstreams are then told the priorities. Default true.
+	// QueueRequests makes requests wait a short time for a place in the order of their priorities while upstreams have none, instead of refusing
+	// them at once. Upstreams are then told the priorities. Default true.
 	QueueRequests bool `json:"queue_requests"`
 }
 
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -104,7 +104,8 @@
 	config := func(public, withoutKeys bool, priorities ...int) *Config {
 		c := &Config{Version: 1, WithoutKeys: withoutKeys, Services: []Service{{Name: "a"}, {Name: "b"}, {Name: "unused"}}}
 		for i, p := range priorities {
-			c.Routes = append(c.Routes, Route{Name: string(rune('r' + i)), PathPrefix: "/" + string(rune('r'+i)) + "/", Priority: p, Public: public, TrafficSplit: share("a")})
+			name := string(rune('r' + i))
+			c.Routes = append(c.Routes, Route{Name: name, PathPrefix: "/" + name + "/", Priority: p, Public: public, TrafficSplit: share("a")})
 		}
 		c.Routes = append(c.Routes, Route{Name: "other", PathPrefix: "/other/", Priority: 3, Public: public, TrafficSplit: share("b")})
 		c.Teams = []Team{{Name: "plain"}, {Name: "far", Priority: &far}, {Name: "first", Priority: &first}}
