--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -406,6 +406,9 @@
 	Limits []UpstreamLimit `msgpack:"m,omitempty"`
 	// Capacities are the sender's own estimates of what upstreams take, of those that changed since the last message; at most 16.
 	Capacities []UpstreamCapacity `msgpack:"s,omitempty"`
+	// Waiting has an element for each service of which requests waited for a place or a team surged at the sender since the last message that was
+	// not partial.
+	Waiting []ServiceWaiting `msgpack:"w,omitempty"`
 }
 
 // UpstreamCapacity is a gateway's estimate of what an upstream takes, from the answers that it got itself.
@@ -422,6 +425,16 @@
 	AgeMS uint32 `msgpack:"a"`
 }
 
+// ServiceWaiting reports how many requests of a service waited at once for a place, and whose.
+type ServiceWaiting struct {
+	// Service is a hash of the service's name.
+	Service uint64 `msgpack:"s"`
+	// Counts holds the numbers of requests by priority, from 0 on. Priorities beyond its end have none.
+	Counts []uint16 `msgpack:"c,omitempty"`
+	// Surging are hashes of the teams that send many times their usual to the sender.
+	Surging []uint64 `msgpack:"g,omitempty"`
+}
+
 // UpstreamLimit reports the rate of requests that an upstream takes from all gateways together.
 type UpstreamLimit struct {
 	// Upstream is a hash of the upstream's name.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -84,6 +84,9 @@
 	usage *usageDuty
 	// scale is nil if the number of upstreams is not ordered.
 	scale *scaleDuty
+	// places are the requests that wait for places at upstreams. placesWaiting wakes dispatchPlaces when there are any.
+	places        *placeQueues
+	placesWaiting chan struct{}
 
 	// view is the latest published view, nil before the first configuration.
 	view atomic.Pointer[view]
@@ -156,8 +159,11 @@
 		registerNow:   make(chan struct{}, 1),
 		configured:    make(chan struct{}),
 		startedAt:     time.Now(),
+		placesWaiting: make(chan struct{}, 1),
 	}
-	g.metrics = newMetrics(g.buffers, g.balancer)
+	g.places = newPlaceQueues(g.balancer, func() int { return int(g.gatewayCount.Load()) }, g.wakeDispatch)
+	g.places.setEnabled(o.Settings.Fleet.QueueRequests)
+	g.metrics = newMetrics(g.buffers, g.balancer, g.places)
 	g.fleet.Store(&o.Settings.Fleet)
 	g.peers = newPeers(g)
 	g.crashes = newCrashTracker(g.peers.isAssigned)
@@ -191,6 +197,7 @@
 	g.startWorker(g.register)
 	g.startWorker(g.saveQuarantines)
 	g.startWorker(g.peers.run)
+	g.startWorker(g.dispatchPlaces)
 	g.startWorker(g.fetchHeldPrompts)
 	event.Log(event.ProcessStarted, "role", "gateway", "data_centre", g.settings.DataCentre, "callers", g.settings.CallersAddress)
 	return nil
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/event"
+	"github.com/jayridge/jayridge/process/queueing"
 	"github.com/jayridge/jayridge/request/result"
 )
 
@@ -44,6 +45,7 @@
 	loadsMalformed atomic.Int64
 	buffers        *bufferbudget.Budget
 	balancer       *balancer.Balancer
+	places         *placeQueues
 
 	mu sync.Mutex
 	// guards are those of the listeners.
@@ -51,11 +53,13 @@
 	// latency is the time to the complete response of requests without streams, firstEvent the time to the first event of streams, both in
 	// microseconds.
 	latency, firstEvent *hdrhistogram.Histogram
+	// waited is the time for which requests waited for a place, in microseconds.
+	waited *hdrhistogram.Histogram
 }
 
-func newMetrics(buffers *bufferbudget.Budget, b *balancer.Balancer) *metrics {
+func newMetrics(buffers *bufferbudget.Budget, b *balancer.Balancer, places *placeQueues) *metrics {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits) }
-	return &metrics{buffers: buffers, balancer: b, latency: histogram(), firstEvent: histogram()}
+	return &metrics{buffers: buffers, balancer: b, places: places, latency: histogram(), firstEvent: histogram(), waited: histogram()}
 }
 
 func (m *metrics) addGuard(g *callerGuard) {
@@ -97,6 +101,13 @@
 	line("jayridge_buffer_refusals_total", buffers.Refusals)
 	line("jayridge_buffer_evictions_total", buffers.Evictions)
 	m.writeCapacities(line)
+	for _, q := range m.places.all() {
+		line("jayridge_waiting_requests{service=\""+q.service+"\"}", q.waiting.Load())
+	}
+	line("jayridge_places_after_wait_total", m.places.waited.Load())
+	for _, r := range queueing.Reasons() {
+		line("jayridge_place_refusals_total{reason=\""+r.String()+"\"}", m.places.refusals[r].Load())
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range m.guards {
@@ -107,7 +118,7 @@
 			}
 		}
 	}
-	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent} {
+	for name, h := range map[string]*hdrhistogram.Histogram{"answer": m.latency, "first_event": m.firstEvent, "wait": m.waited} {
 		for _, q := range []float64{50, 95, 99, 100} {
 			line(fmt.Sprintf("jayridge_%s_microseconds{quantile=\"%g\"}", name, q/100), h.ValueAtQuantile(q))
 		}
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -16,6 +16,7 @@
 	g.budgets.setFleet(fleet)
 	g.balancer.SetLoadFactor(loadFactorShare * fleet.LoadFactor)
 	g.balancer.SetLearnCapacity(fleet.LearnCapacity)
+	g.places.setEnabled(fleet.QueueRequests)
 	event.Log(event.SettingsReloaded, "needs_restart", needsRestart, "revoke_ms", fleet.RevokeMS, "retry_ratio", fleet.RetryRatio,
-		"load_factor", fleet.LoadFactor, "learn_capacity", fleet.LearnCapacity)
+		"load_factor", fleet.LoadFactor, "learn_capacity", fleet.LearnCapacity, "queue_requests", fleet.QueueRequests)
 }
--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -109,6 +109,9 @@
 	LearnCapacity bool `json:"learn_capacity"`
 	// PromptReuseS is how long after its last use a prompt prefix is worth keeping in a cache, in seconds. Default 10.
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
+	// QueueRequests makes requests wait a short time for a place in the order of their priorities while upstreams have none, instead of refusing
+	// them at once. Upstreams are then told the priorities. Default true.
+	QueueRequests bool `json:"queue_requests"`
 }
 
 // Duties holds the settings of the fleet-wide duties.
@@ -166,7 +169,8 @@
 		MaxResponseMB: 4, BufferShare: 0.25, CallerStallMS: 5000, LateCallerStallMS: 1500, UpstreamStallMS: 5000,
 		Store: Store{TimeoutMS: 1000, LeaseMS: 6000, ReadsPerSecond: 2000, WritesPerSecond: 400},
 		Fleet: Fleet{
-			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, LearnCapacity: true, PromptReuseS: 10,
+			ShutdownS: 8, ConfigMS: 2000, RevokeMS: 5000, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 50, LoadFactor: 2, LearnCapacity: true,
+			PromptReuseS: 10, QueueRequests: true,
 		},
 		Duties: Duties{CallsPerSecond: 50, LeaseMS: 3000, UsageWindowS: 5, UsageTolerance: 0.05, UsageDueS: 10},
 	}
