usage: calls of the API that hang are given up in time

A call that hangs was waited for 2.5 s, so that a holder cut off from the API gave up after 5.3 s and the next one was late for the window. The first call ends after 1.4 s now; the calls after a failed or slow one after 2.5 s. The tests' fake API decides on calls under its lock (-race).

--- a/process/gateway/dutyfleet_test.go
+++ b/process/gateway/dutyfleet_test.go
@@ -285,7 +285,7 @@
 	violations []string
 	refused    int
 	total      int
-	// answer, if set, decides on a call: it returns the error that the caller gets and whether the call is executed, and when.
+	// answer, if set, decides on a call. It is called with mu locked.
 	answer func(by duty.Holder, window int64) apiAnswer
 }
 
@@ -368,12 +368,11 @@
 		time.Sleep(d)
 	}
 	v.api.mu.Lock()
-	answer := v.api.answer
-	v.api.mu.Unlock()
-	if answer == nil {
-		return v.api.execute(by, window, counts)
+	a := apiAnswer{executed: true}
+	if v.api.answer != nil {
+		a = v.api.answer(by, window)
 	}
-	a := answer(by, window)
+	v.api.mu.Unlock()
 	switch {
 	case a.executed && a.err != nil:
 		time.AfterFunc(a.after, func() { _ = v.api.execute(by, window, counts) })
--- a/process/gateway/usage_test.go
+++ b/process/gateway/usage_test.go
@@ -60,6 +60,8 @@
 	d.inTime, d.exact = f.checkWindows(from, from+windows-1)
 	d.reported, d.truth = f.totals(from, from+windows-1)
 	d.worst = f.worstError(from, from+windows-1)
+	f.api.mu.Lock()
+	defer f.api.mu.Unlock()
 	f.t.Logf("%d windows, %d in time, %d exact, worst error %.3f, %d requests reported of %d, %d calls, %d refused",
 		windows, d.inTime, d.exact, d.worst, d.reported, d.truth, f.api.total, f.api.refused)
 	return d
@@ -221,6 +223,8 @@
 		f.api.setAnswer(func(duty.Holder, int64) apiAnswer { return apiAnswer{nil, true, 400 * time.Millisecond} })
 	})
 	must.EqOp(t, 6, d.inTime)
+	f.api.mu.Lock()
+	defer f.api.mu.Unlock()
 	must.EqOp(t, 0, f.api.refused)
 }
 
--- a/process/gateway/usagereports.go
+++ b/process/gateway/usagereports.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// usageCallTimeout limits a call of the platform's API. A slow call ends within it; two that time out make the holder give up.
-	usageCallTimeout = 2500 * time.Millisecond
+	// usageCallTimeout limits a call of the platform's API. A call whose response was lost is repeated in time, and a holder that cannot reach the API
+	// gives up after two calls, so that the next one can still report the window.
+	usageCallTimeout = 1400 * time.Millisecond
+	// slowUsageCallTimeout limits the calls after one that failed or took longer than slowUsageCall: the API may be slow, which more calls do not cure.
+	slowUsageCallTimeout = 2500 * time.Millisecond
+	slowUsageCall        = 700 * time.Millisecond
 	// usageStoreTimeout limits a call of the store for the record.
 	usageStoreTimeout = time.Second
 	// usageStoreRetry is the pause after a failed call of the store for the record.
@@ -33,6 +37,8 @@
 	token uint64
 	// revision is the latest known revision of the record.
 	revision services.Revision
+	// slow means that the latest call failed or was slow.
+	slow bool
 	// completeUntil is the time until which nobody else can have reported since this gateway was the holder: the end of its latest lease at the store.
 	completeUntil time.Time
 }
@@ -247,10 +253,15 @@
 	}
 	started := bootclock.Now()
 	r.tenure.CallStarted(started)
-	ctx, cancel := context.WithTimeout(u.g.ctx, usageCallTimeout)
+	timeout := usageCallTimeout
+	if r.slow {
+		timeout = slowUsageCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(u.g.ctx, timeout)
 	err := r.api.ReportUsage(ctx, duty.Holder{Instance: u.g.settings.Instance, Token: token}, closed.Window, closed.Counts)
 	cancel()
 	ended := bootclock.Now()
+	r.slow = err != nil || ended.Sub(started) > slowUsageCall
 	giveUp := r.tenure.CallEnded(ended, token, err)
 	lateness := now.Add(ended.Sub(started)).Sub(u.config.End(closed.Window))
 	switch {
