--- a/process/gateway/scaling.go
+++ b/process/gateway/scaling.go
@@ -24,8 +24,8 @@
 const (
 	// scaleTick is the interval of decisions. Loads are told between gateways every 200 ms or more.
 	scaleTick = 250 * time.Millisecond
-	// scaleCallTimeout limits a call of the platform's API, as for usage reports.
-	scaleCallTimeout = usageCallTimeout
+	// scaleCallTimeout limits a call of the platform's API. An order that is a second late does less harm than a repeated call to a slow API.
+	scaleCallTimeout = slowUsageCallTimeout
 	// maxRegisteredAge is the age from which what the control goroutine has published is not used: it is published every controlTick.
 	maxRegisteredAge = 2 * time.Second
 )
