--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"math"
 	"os"
 	"reflect"
@@ -93,23 +94,24 @@
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
 }
 
-// Duties holds the settings of the fleet-wide duties.
+// Duties holds the settings of the fleet-wide duties. A number that is zero has its default value: deploy files may have no value for a duty that they
+// do not name.
 type Duties struct {
 	// Address is the IP address and port of the platform's API. If empty, there are no duties.
 	Address string `json:"address" validate:"omitempty,tcp_addr"`
 	// CallsPerSecond is the number of calls that the API accepts from all gateways together. Default 50.
-	CallsPerSecond float64 `json:"calls_per_second" validate:"gt=0"`
+	CallsPerSecond float64 `json:"calls_per_second" validate:"omitempty,gt=0"`
 	// Names lists the duties: "usage" or "usage_report" for usage reports, "scale" or "autoscale" for the number of upstreams.
 	Names []DutyName `json:"names" validate:"dive,oneof=usage scale"`
 	// LeaseMS is the time within which two gateways must not act alternately, in milliseconds. A new holder of a duty makes no call for this time.
 	// Default 3000.
-	LeaseMS float64 `json:"lease_ms" validate:"min=200,max=600000"`
+	LeaseMS float64 `json:"lease_ms" validate:"omitempty,min=200,max=600000"`
 	// UsageWindowS is the length of the windows for which usage is counted, in seconds. Default 5.
-	UsageWindowS float64 `json:"usage_window_s" validate:"min=0.1,max=86400"`
+	UsageWindowS float64 `json:"usage_window_s" validate:"omitempty,min=0.1,max=86400"`
 	// UsageTolerance is the permitted error of a reported count, as a fraction. Default 0.05.
 	UsageTolerance float64 `json:"usage_tolerance" validate:"min=0,max=1"`
 	// UsageDueS is the time from the end of a window until its report is due, in seconds. Default 10.
-	UsageDueS float64 `json:"usage_due_s" validate:"min=0.2,max=86400"`
+	UsageDueS float64 `json:"usage_due_s" validate:"omitempty,min=0.2,max=86400"`
 }
 
 // Has reports whether the duties include one. There are none without an address.
@@ -167,9 +169,18 @@
 	if err := decode(name, text, &g, func(scan *scanner) Faults { return g.crossChecks(scan) }); err != nil {
 		return nil, err
 	}
+	g.Duties.setDefaults(GatewayDefaults().Duties)
 	return &g, nil
 }
 
+// setDefaults replaces numbers that are zero.
+func (d *Duties) setDefaults(defaults Duties) {
+	d.CallsPerSecond = cmp.Or(d.CallsPerSecond, defaults.CallsPerSecond)
+	d.LeaseMS = cmp.Or(d.LeaseMS, defaults.LeaseMS)
+	d.UsageWindowS = cmp.Or(d.UsageWindowS, defaults.UsageWindowS)
+	d.UsageDueS = cmp.Or(d.UsageDueS, defaults.UsageDueS)
+}
+
 // crossChecks requires data_centre to be one of data_centres.
 func (g *Gateway) crossChecks(scan *scanner) Faults {
 	for _, d := range g.DataCentres {
