--- a/process/settings/gateway.go
+++ b/process/settings/gateway.go
@@ -94,8 +94,8 @@
 	PromptReuseS float64 `json:"prompt_reuse_s" validate:"min=0,max=86400"`
 }
 
-// Duties holds the settings of the fleet-wide duties. A number that is zero has its default value: deploy files may have no value for a duty that they
-// do not name.
+// Duties holds the settings of the fleet-wide duties. A number that is zero has its default value: deploy files may have no value for a duty that
+// they do not name.
 type Duties struct {
 	// Address is the IP address and port of the platform's API. If empty, there are no duties.
 	Address string `json:"address" validate:"omitempty,tcp_addr"`
