balancer: use the queues of plain upstreams that have some

Cause: gateways kept 1.1 requests a slot at upstreams. Requests come unevenly, and a place that one gateway does not use is known to the others 0.2 s later, so upstreams that can queue were idle while gateways refused.

Change: 2 places a slot; a refusal by an upstream lowers the number to 1.1 at least, answers raise it again slowly.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -545,8 +545,12 @@
 	}
 	c.backend.inFlight--
 	b.creditOf(c.Service).ended()
-	if c.plain && o == health.Answered {
+	switch {
+	case !c.plain:
+	case o == health.Answered:
 		b.paceOf(c.Service).answered(now.Sub(c.chosenAt))
+	case o == health.Rejected:
+		b.paceOf(c.Service).refused()
 	}
 	return c.backend.monitor.Record(now, o)
 }
--- a/process/balancer/pace.go
+++ b/process/balancer/pace.go
@@ -10,9 +10,14 @@
 // such a rate that its requests take its share of the places on average, by the time that its own requests take. This time grows with the
 // requests that wait at the upstreams, which lowers the rates of all entries before upstreams refuse.
 const (
-	// placesPerSlot is the number of requests that upstreams of a plain service should hold for each slot. More than one keeps slots from being idle
-	// when requests come unevenly.
-	placesPerSlot = 1.1
+	// maxPlacesPerSlot is the number of requests that upstreams of a plain service should hold for each slot if their queues take them. Entries get
+	// requests unevenly, and what an entry does not use another one learns too late: with 1.1, a tenth of what upstreams could have run was refused.
+	maxPlacesPerSlot = 2.0
+	// minPlacesPerSlot is that number if upstreams refuse more. More than one keeps slots from being idle.
+	minPlacesPerSlot = 1.1
+	// refusedPlaces is how much a refusal by an upstream lowers that number, answeredPlaces how much an answer raises it. They balance when one request
+	// in a thousand is refused; a short queue is found out with few refusals.
+	refusedPlaces, answeredPlaces = 0.5, 0.0005
 	// latencyGain is the weight of a new response time in the mean.
 	latencyGain = 0.2
 	// minLatency is the lowest mean response time, about a round trip. A mean of zero would never grow.
@@ -34,14 +39,22 @@
 	updatedAt time.Time
 	// latency is the mean response time in seconds, zero if it is not known.
 	latency float64
+	// placesPerSlot is the number of requests that upstreams should hold for each slot.
+	placesPerSlot float64
 	// perSecond is the rate of places.
 	perSecond float64
 	// wait is the time until the latest request that got no place would have got one.
 	wait time.Duration
 }
 
+func newPace() *pace { return &pace{placesPerSlot: maxPlacesPerSlot} }
+
+// refused records that an upstream did not take a request.
+func (p *pace) refused() { p.placesPerSlot = max(minPlacesPerSlot, p.placesPerSlot-refusedPlaces) }
+
 // answered records the response time of a request.
 func (p *pace) answered(d time.Duration) {
+	p.placesPerSlot = min(maxPlacesPerSlot, p.placesPerSlot+answeredPlaces)
 	if p.latency == 0 {
 		p.latency = d.Seconds()
 	}
@@ -78,7 +91,7 @@
 func (b *Balancer) paceOf(service string) *pace {
 	p := b.paces[service]
 	if p == nil {
-		p = &pace{}
+		p = newPace()
 		b.paces[service] = p
 	}
 	return p
@@ -146,10 +159,11 @@
 
 // takePlainPlace is takePlace for a request of a plain service. It makes the loads in b.scratch equal but for this entry's own requests.
 func (b *Balancer) takePlainPlace(now time.Time, q *Query, share, reserve func(float64) float64) bool {
+	p := b.paceOf(q.Service)
 	places, load, remote, n := 0.0, 0.0, 0.0, 0.0
 	for i := range b.scratch {
 		if u := &b.scratch[i]; !u.Excluded {
-			places += placesPerSlot * float64(u.Slots)
+			places += p.placesPerSlot * float64(u.Slots)
 			load += u.Load
 			remote += u.Load - float64(b.services[q.Service][i].inFlight)
 			n++
@@ -165,7 +179,6 @@
 		// The entries see the same loads and would all choose the same upstream until they learn of each other's requests.
 		u.Load = float64(b.services[q.Service][i].inFlight) + remote/n
 	}
-	p := b.paceOf(q.Service)
 	// What the entries with fewer requests leave is divided among the others.
 	p.advance(now, places/float64(b.entries)+share(max(0, places-load)))
 	return p.take(reserve(p.perSecond))
--- a/process/balancer/pace_test.go
+++ b/process/balancer/pace_test.go
@@ -15,7 +15,7 @@
 func TestPace_ShareOfEntries(t *testing.T) {
 	var p pace
 	const entries, slots = 28, 12
-	window := placesPerSlot * slots / float64(entries)
+	window := minPlacesPerSlot * slots / float64(entries)
 	sent := 0
 	for ms := range 10_000 {
 		if p.advance(at(1+ms), window); p.take(0) {
@@ -23,7 +23,7 @@
 			p.answered(50 * time.Millisecond)
 		}
 	}
-	must.InDelta(t, 10*placesPerSlot*slots/0.05/entries, float64(sent), 3)
+	must.InDelta(t, 10*minPlacesPerSlot*slots/0.05/entries, float64(sent), 3)
 }
 
 // An entry must send less when its requests take longer, as they do when upstreams have more than they can run, and must know when it has a place.
@@ -96,3 +96,20 @@
 		must.False(t, c.Scarce)
 	}
 }
+
+// An entry must use the queues of upstreams that have some, and find out at the cost of few refusals that they have none.
+func TestPace_PlacesPerSlot(t *testing.T) {
+	p := newPace()
+	must.EqOp(t, maxPlacesPerSlot, p.placesPerSlot)
+	p.refused()
+	p.refused()
+	must.EqOp(t, minPlacesPerSlot, p.placesPerSlot)
+	for range 100 {
+		p.answered(50 * time.Millisecond)
+	}
+	must.Between(t, minPlacesPerSlot, p.placesPerSlot, minPlacesPerSlot+0.1)
+	for range 10_000 {
+		p.answered(50 * time.Millisecond)
+	}
+	must.EqOp(t, maxPlacesPerSlot, p.placesPerSlot)
+}
