gateway: requests with bodies at the small listeners do not keep their goroutines

net/http keeps the goroutine of a request whose body was not read for half a second, and new connections wait while there are too many. A body that is longer than 4 KB or later than 10 ms is no longer read there: the response is written and the connection closed at once.

--- a/process/gateway/callerguard.go
+++ b/process/gateway/callerguard.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -297,17 +299,56 @@
 	return tcp.AddrPort().Addr().Unmap()
 }
 
-// smallHandler serves the requests of a listener with few connections. Bodies are not read.
+const (
+	// smallBody is the size up to which a body of a request to a small listener is read, smallBodyTimeout how long that may take.
+	smallBody        = 4 << 10
+	smallBodyTimeout = 10 * time.Millisecond
+)
+
+// smallHandler serves the requests of a listener with few connections, which do not use bodies. The connection of a request whose body is long or late
+// is closed with the response: net/http would keep its goroutine for half a second more, so that a crowd of them would delay readiness checks by as
+// much.
 func smallHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := callerConnOf(r); c != nil {
-			c.head.complete(r.ContentLength)
-			c.progress.Store(bootclock.Now().UnixNano())
+		c := callerConnOf(r)
+		if c == nil || r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.head.complete(r.ContentLength)
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(smallBodyTimeout)) // always supported by the net/http server's writer
+		if _, err := io.CopyN(io.Discard, r.Body, smallBody+1); errors.Is(err, io.EOF) {
+			_ = control.SetReadDeadline(time.Time{}) // always supported by the net/http server's writer
+			next.ServeHTTP(w, r)
+			return
 		}
-		if r.ContentLength != 0 {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout)) // always supported by the net/http server's writer
-			w.Header().Set("Connection", "close")
+		conn, _, err := control.Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler) // the connection is closed
 		}
-		next.ServeHTTP(w, r)
+		defer c.ended()
+		defer conn.Close() //nolint:errcheck // an error does not keep it open
+		response := bareResponse{header: make(http.Header), status: http.StatusOK}
+		next.ServeHTTP(&response, r)
+		_ = conn.SetWriteDeadline(time.Now().Add(refuseTimeout)) // fails only if the connection is closed
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+			response.status, http.StatusText(response.status), response.body.Len(), response.body.Bytes()) // fails only if the caller is gone
 	})
 }
+
+// bareResponse is a response that is held in memory.
+type bareResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (r *bareResponse) Header() http.Header { return r.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *bareResponse) WriteHeader(status int) { r.status = status }
+
+// Write implements http.ResponseWriter.
+func (r *bareResponse) Write(p []byte) (int, error) { return r.body.Write(p) }
--- a/process/gateway/callerguard_test.go
+++ b/process/gateway/callerguard_test.go
@@ -295,3 +295,35 @@
 	must.LessEq(t, guard.maxServing, most)
 	f.eventually("ended", func() bool { return guard.serving.Load() == 0 && guard.connections() == 0 })
 }
+
+// A readiness check with a body must be answered, also if the body does not end, and its connection must not be kept: net/http would keep its goroutine
+// for half a second, and a crowd of such requests would delay other checks.
+func TestGuard_ReadyWithBody(t *testing.T) {
+	f := newFixture(t, newUpstream(t, "a", succeed))
+	guard := f.gateway.metrics.guards[0]
+	must.EqOp(t, "ready", guard.name)
+	for name, c := range map[string]struct {
+		announced, sent int
+		kept            bool
+	}{
+		"complete": {100, 100, true}, "unfinished": {100, 99, false}, "long": {1 << 20, 1000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", f.gateway.settings.ReadyAddress)
+			must.NoError(t, err)
+			_, err = fmt.Fprintf(conn, "POST /readyz HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", c.announced, strings.Repeat("x", c.sent))
+			must.NoError(t, err)
+			must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			reader := bufio.NewReader(conn)
+			got, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			must.EqOp(t, http.StatusOK, got.StatusCode)
+			text, err := io.ReadAll(got.Body)
+			must.NoError(t, err)
+			must.EqOp(t, "ready\n", string(text))
+			must.EqOp(t, c.kept, !got.Close)
+			must.NoError(t, conn.Close())
+			f.eventually("ended", func() bool { return guard.serving.Load() == 0 && guard.connections() == 0 })
+		})
+	}
+}
