--- a/process/gateway/callerguard.go
+++ b/process/gateway/callerguard.go
@@ -305,9 +305,9 @@
 	smallBodyTimeout = 10 * time.Millisecond
 )
 
-// smallHandler serves the requests of a listener with few connections, which do not use bodies. The connection of a request whose body is long or late
-// is closed with the response: net/http would keep its goroutine for half a second more, so that a crowd of them would delay readiness checks by as
-// much.
+// smallHandler serves the requests of a listener with few connections, which do not use bodies. The connection of a request whose body is long or
+// late is closed with the response: net/http would keep its goroutine for half a second more, so that a crowd of them would delay readiness checks
+// by as much.
 func smallHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := callerConnOf(r)
--- a/process/gateway/callerguard_test.go
+++ b/process/gateway/callerguard_test.go
@@ -296,8 +296,8 @@
 	f.eventually("ended", func() bool { return guard.serving.Load() == 0 && guard.connections() == 0 })
 }
 
-// A readiness check with a body must be answered, also if the body does not end, and its connection must not be kept: net/http would keep its goroutine
-// for half a second, and a crowd of such requests would delay other checks.
+// A readiness check with a body must be answered, also if the body does not end, and its connection must not be kept: net/http would keep its
+// goroutine for half a second, and a crowd of such requests would delay other checks.
 func TestGuard_ReadyWithBody(t *testing.T) {
 	f := newFixture(t, newUpstream(t, "a", succeed))
 	guard := f.gateway.metrics.guards[0]
