gateway: the time to stop follows the settings in force

Cause: the stop used the settings with which the process had started. Change: it uses those in force when the signal comes.

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -79,7 +79,7 @@
 	defer stopWatching()
 	go watchSettings(watchCtx, path, g.Reload)
 	<-signals
-	shutdownTime := time.Duration(s.Fleet.ShutdownS * float64(time.Second))
+	shutdownTime := g.ShutdownTime()
 	abortAt := time.Now().Add(shutdownTime - stopReserve)
 	ctx, cancel := context.WithDeadline(context.Background(), abortAt)
 	defer cancel()
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/settings"
 )
@@ -20,3 +22,8 @@
 	event.Log(event.SettingsReloaded, "needs_restart", needsRestart, "revoke_ms", fleet.RevokeMS, "retry_ratio", fleet.RetryRatio,
 		"load_factor", fleet.LoadFactor, "learn_capacity", fleet.LearnCapacity, "queue_requests", fleet.QueueRequests)
 }
+
+// ShutdownTime returns the time from a stop signal until the process is killed, by the settings in force.
+func (g *Gateway) ShutdownTime() time.Duration {
+	return time.Duration(g.fleet.Load().ShutdownS * float64(time.Second))
+}
