gateway: a crash is dated by one clock reading

Cause, by its log: the start of an attempt was computed as the time of its end, read before, less the time since its start, read after. The process was paused for 7 ms in between, so the request seemed to have been sent before the crash before it, which would mean that it was in flight at both upstreams. Callers could see one more upstream crash than the three allowed.

Change: the attempt keeps its start by the clock that dates crashes.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -79,7 +79,7 @@
 
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
-	a := &attempt{call: c, choice: choice, plan: plan, ctx: ctx, started: time.Now()}
+	a := &attempt{call: c, choice: choice, plan: plan, ctx: ctx, started: time.Now(), sentAt: bootclock.Now()}
 	a.cancel = cancel
 	a.startTimeout(c.responseTimeout(choice))
 	defer a.stopTimeout()
@@ -167,6 +167,8 @@
 	// outcome is the outcome of the attempt for the health check of the upstream.
 	outcome health.Outcome
 	started time.Time
+	// sentAt is the time of the start by bootclock, by which crashes are dated.
+	sentAt time.Time
 	// headLatency is the time until the response headers arrived in nanoseconds, zero if there was no response.
 	headLatency atomic.Int64
 	pace        streamPace
--- a/process/gateway/crashes.go
+++ b/process/gateway/crashes.go
@@ -74,7 +74,7 @@
 // recordBroken records an attempt that ended without a complete answer. Its prompt parts are not suspected if the answer had gone on for long.
 func (s *crashTracker) recordBroken(now time.Time, a *attempt) {
 	crash := quarantine.Crash{
-		Fingerprint: a.call.fingerprint(), Upstream: processHash(&a.choice.Upstream), Started: now.Add(-time.Since(a.started)),
+		Fingerprint: a.call.fingerprint(), Upstream: processHash(&a.choice.Upstream), Started: a.sentAt,
 		Service: a.call.serviceHash(),
 	}
 	crash.Abandoned = a.inconclusive || a.outcome == health.Unanswered
--- a/process/gateway/crashes_test.go
+++ b/process/gateway/crashes_test.go
@@ -6,9 +6,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/connection/wire"
+	"github.com/jayridge/jayridge/process/balancer"
+	"github.com/jayridge/jayridge/process/bootclock"
+	"github.com/jayridge/jayridge/process/directory"
+	"github.com/jayridge/jayridge/process/health"
 	"github.com/jayridge/jayridge/process/quarantine"
 )
 
@@ -64,3 +70,21 @@
 	defer g.crashes.mu.Unlock()
 	return g.crashes.requests.Count(quarantine.FingerprintOf("drivers", "/book/crash", []byte("hello")))
 }
+
+// A crash was not counted if the process was paused between the two clock readings from which the start of the attempt was computed: the request then
+// seemed to have been in flight at the crash before.
+func TestRecordBroken_ProcessPaused(t *testing.T) {
+	tracker := newCrashTracker(func(uint64) bool { return false })
+	f := quarantine.FingerprintOf("drivers", "/book/crash", nil)
+	known := bootclock.Now()
+	tracker.recordFromPeer(known, []wire.RequestCrash{{Fingerprint: uint64(f), Upstream: 1}})
+	sent := known.Add(time.Millisecond)
+	a := &attempt{
+		call:   &call{team: "drivers", request: &http.Request{RequestURI: "/book/crash"}},
+		choice: &balancer.Choice{Upstream: directory.Upstream{Entry: directory.Entry{ID: "u"}}}, outcome: health.Broken,
+		started: time.Now().Add(-20 * time.Millisecond), sentAt: sent,
+	}
+	tracker.recordBroken(sent.Add(time.Millisecond), a)
+	tracker.recordDown(sent.Add(2*time.Millisecond), &a.choice.Upstream)
+	must.EqOp(t, 2, tracker.requests.Count(f))
+}
