--- a/connection/wire/usage_test.go
+++ b/connection/wire/usage_test.go
@@ -11,7 +11,7 @@
 func TestUsageCounts_Size(t *testing.T) {
 	size := func(teams int) int {
 		m := &UsageCounts{
-			Gateway: "vunilagi-gateway-17", Origin: "3w5e11264sgsf", Window: 359310031, Sequence: 25, Final: true, Counts: make(map[string]uint64),
+			Gateway: "instance-gateway-17", Origin: "3w5e11264sgsf", Window: 359310031, Sequence: 25, Final: true, Counts: make(map[string]uint64),
 			Recorded: 359310030,
 		}
 		for i := range teams {
