review: two signals in a row cut the streams that are under way

A gateway that gets SIGTERM twice, one second apart, aborts what is in progress, with 5 s of its grace time left. In case 7 the store is away for 5 s and the operator writes 1 s after its return.

--- a/review/lab2/gateway.go
+++ b/review/lab2/gateway.go
@@ -112,6 +112,8 @@
 	return response.StatusCode == http.StatusOK
 }
 
+func (g *gatewayProcess) signal(s os.Signal) { _ = g.cmd.Process.Signal(s) } // fails only if it has ended
+
 func (g *gatewayProcess) kill() {
 	_ = g.cmd.Process.Kill()
 	<-g.ended
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -44,6 +44,7 @@
 	"late-view":   lateView,
 	"long-path":   longPath,
 	"revoked-key": revokedKey,
+	"two-signals": twoSignals,
 }
 
 func main() {
--- a/review/lab2/revokedkey.go
+++ b/review/lab2/revokedkey.go
@@ -9,8 +9,8 @@
 	// copyAge is the age of the copy when the store goes away, awayTime how long it is away, rewriteTime the time from its return until the operator
 	// has written again what it lacks.
 	copyAge     = time.Second
-	awayTime    = 4 * time.Second
-	rewriteTime = 2 * time.Second
+	awayTime    = 5 * time.Second
+	rewriteTime = time.Second
 	// pressTime is how long clients use the revoked key after the acknowledgement.
 	pressTime = 10 * time.Second
 )
--- a/review/lab2/runner.go
+++ b/review/lab2/runner.go
@@ -68,8 +68,12 @@
 	}
 	_, _ = io.Copy(io.Discard, q.Body)
 	r.record.ran(id, r.id)
-	time.Sleep(r.work)
 	w.Header().Set("Response-Signature", "s-"+id)
+	if strings.HasPrefix(q.URL.Path, "/chat/") {
+		r.serveStream(w)
+		return
+	}
+	time.Sleep(r.work)
 	_, _ = io.WriteString(w, answerOf(id))
 }
 
