--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -38,8 +38,8 @@
 		return a
 	}
 	hr.Host = host
-	hr.Header.Set("Request-Id", a.id)
-	hr.Header.Set("Deadline-Ms", strconv.FormatInt(q.deadline.Milliseconds(), 10))
+	hr.Header.Set(headerRequestID, a.id)
+	hr.Header.Set(headerDeadline, strconv.FormatInt(q.deadline.Milliseconds(), 10))
 	hr.Header.Set("Authorization", "Bearer "+q.key)
 	a.sentAt = time.Now()
 	r.line("sent %s %s key %s to %s", a.id, q.path, q.key, address)
--- a/review/lab2/lateview.go
+++ b/review/lab2/lateview.go
@@ -19,7 +19,7 @@
 // lateView takes a key away while the store turns the gateway away for longer than revokeTime, in a version that also has other routes. No request
 // that is sent with the key later than revokeTime after the acknowledgement may run, also not when the store serves the gateway again.
 func lateView(l *lab) (verdict, error) {
-	l.store.put("op/config", lateViewConfig(0))
+	l.store.put(keyConfig, lateViewConfig(0))
 	if err := l.addRunners("basket-app", 3, 6, 30*time.Millisecond); err != nil {
 		return verdict{}, err
 	}
@@ -36,7 +36,7 @@
 			l.record.line("the store turns the gateway away")
 		}
 		acknowledged := time.Now()
-		l.store.put("op/config", lateViewConfig(n+1))
+		l.store.put(keyConfig, lateViewConfig(n+1))
 		l.record.line("a version without key-%d is acknowledged", n)
 		time.Sleep(turnedAwayTime)
 		l.store.turnAway(false)
--- a/review/lab2/longpath.go
+++ b/review/lab2/longpath.go
@@ -29,7 +29,7 @@
 // beside it. Without trouble, the paths are as long and have one segment.
 func longPath(l *lab) (verdict, error) {
 	l.oneCore = true
-	l.store.put("op/config", config(1, []tenant{{"north", []string{"key-a"}}}))
+	l.store.put(keyConfig, config(1, []tenant{{"north", []string{"key-a"}}}))
 	if err := l.addRunners("basket-app", 3, 6, 30*time.Millisecond); err != nil {
 		return verdict{}, err
 	}
--- a/review/lab2/revokedkey.go
+++ b/review/lab2/revokedkey.go
@@ -18,7 +18,7 @@
 // revokedKey takes a key away just before the store is restored from a copy of before. No request that is sent with the key later than revokeTime
 // after the acknowledgement may run.
 func revokedKey(l *lab) (verdict, error) {
-	l.store.put("op/config", config(1, []tenant{{"north", []string{"key-a", "key-b"}}}))
+	l.store.put(keyConfig, config(1, []tenant{{"north", []string{"key-a", "key-b"}}}))
 	after := config(2, []tenant{{"north", []string{"key-a"}}})
 	if err := l.addRunners("basket-app", 3, 6, 30*time.Millisecond); err != nil {
 		return verdict{}, err
@@ -36,7 +36,7 @@
 	saved := l.store.backup()
 	time.Sleep(copyAge)
 	acknowledged := time.Now()
-	l.store.put("op/config", after)
+	l.store.put(keyConfig, after)
 	if l.trouble {
 		l.store.leave()
 	}
@@ -47,7 +47,7 @@
 		l.store.restore(saved)
 		l.record.line("the store is back from the copy")
 		time.Sleep(rewriteTime)
-		l.store.put("op/config", after)
+		l.store.put(keyConfig, after)
 		l.record.line("the operator has written version 2 again")
 	}
 	time.Sleep(time.Until(acknowledged.Add(pressTime)))
--- a/review/lab2/runner.go
+++ b/review/lab2/runner.go
@@ -47,7 +47,7 @@
 // register writes the registration now and then, until the program ends.
 func (r *runner) register(s *store) {
 	for {
-		s.put("servers/"+r.id, r.entry())
+		s.put(keyServers+r.id, r.entry())
 		time.Sleep(heartbeat)
 	}
 }
@@ -55,20 +55,20 @@
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	load := r.running.Add(1)
 	defer r.running.Add(-1)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", load, r.slots))
+	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", load, r.slots))
 	if q.URL.Path == healthPath {
 		w.Header().Set("Instance-Id", r.id)
 		return
 	}
-	id := q.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if expected := q.Header.Get("Expect-Instance"); expected != "" && expected != r.id {
+	id := q.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
+	if expected := q.Header.Get(headerInstance); expected != "" && expected != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	_, _ = io.Copy(io.Discard, q.Body)
 	r.record.ran(id, r.id)
-	w.Header().Set("Response-Signature", "s-"+id)
+	w.Header().Set(headerSignature, "s-"+id)
 	if strings.HasPrefix(q.URL.Path, "/chat/") {
 		r.serveStream(w)
 		return
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -64,13 +64,13 @@
 	}
 	s.address = listener.Addr().String()
 	routes := http.NewServeMux()
-	routes.HandleFunc("GET /kv-key", s.serveKey)
-	routes.HandleFunc("GET /kv-range", s.serveRange)
-	routes.HandleFunc("GET /kv-watch", s.serveWatch)
-	routes.HandleFunc("POST /kv-txn", s.serveWrite)
-	routes.HandleFunc("POST /kv-lease", s.serveGrant)
-	routes.HandleFunc("POST /kv-keep/{id}", s.serveRenew)
-	routes.HandleFunc("DELETE /kv-lease-end/{id}", s.serveEnd)
+	routes.HandleFunc("GET "+pathKey, s.serveKey)
+	routes.HandleFunc("GET "+pathRange, s.serveRange)
+	routes.HandleFunc("GET "+pathWatch, s.serveWatch)
+	routes.HandleFunc("POST "+pathTxn, s.serveWrite)
+	routes.HandleFunc("POST "+pathLease, s.serveGrant)
+	routes.HandleFunc("POST "+pathKeep+"{id}", s.serveRenew)
+	routes.HandleFunc("DELETE "+pathLeaseEnd+"{id}", s.serveEnd)
 	server := &http.Server{Handler: s.guard(routes), ConnState: s.track}
 	go func() { _ = server.Serve(listener) }()
 	go s.expireLeases()
@@ -101,7 +101,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+		w.Header().Set(headerEra, strconv.FormatUint(era, 10))
 		next.ServeHTTP(w, r)
 	})
 }
@@ -245,7 +245,7 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("StartAfter"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	era := w.Header().Get("Store-Era")
+	era := w.Header().Get(headerEra)
 	for {
 		s.mu.Lock()
 		if s.away || strconv.FormatUint(s.era, 10) != era {
--- a/review/lab2/twosignals.go
+++ b/review/lab2/twosignals.go
@@ -43,7 +43,7 @@
 	chat := route("chat", "/chat/", "streaming")
 	chat["TimeoutMs"], chat["MaxAttempts"], chat["GapAimMs"] = streamDeadline.Milliseconds(), 1, 250
 	c["Routes"] = append(c["Routes"].([]map[string]any), chat)
-	l.store.put("op/config", c)
+	l.store.put(keyConfig, c)
 	if err := l.addRunners("basket-app", 3, 64, 30*time.Millisecond); err != nil {
 		return verdict{}, err
 	}
@@ -86,8 +86,8 @@
 		return false
 	}
 	q.Host = host
-	q.Header.Set("Request-Id", id)
-	q.Header.Set("Deadline-Ms", strconv.FormatInt(streamDeadline.Milliseconds(), 10))
+	q.Header.Set(headerRequestID, id)
+	q.Header.Set(headerDeadline, strconv.FormatInt(streamDeadline.Milliseconds(), 10))
 	q.Header.Set("Authorization", "Bearer key-a")
 	c := newClient()
 	defer c.CloseIdleConnections()
