gateway: a configuration is judged by the time at which it was itself confirmed

Cause: a confirmation and what it confirms were published in two steps. state.apply stored the time of the store's answer before the new configuration was decoded and its view published. In between the former view counted as confirmed just now. The same window denied keys and routes that the new version adds (401, 404 in place of 503), and the gateway called itself ready.

Change: each view has the time of its own confirmation, which publish sets once all changes of the confirmed copy are in it. A request reads the view once and is judged by the age of that view, so no order of steps lets a confirmation count for older content. The age of the local copy remains for the question whether neighbours are asked. No limit has changed, and a view is confirmed as often as before. config_age_ms in the log is now the age that decided.

--- a/process/gateway/admit.go
+++ b/process/gateway/admit.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/jayridge/jayridge/process/bootclock"
 	"github.com/jayridge/jayridge/process/bufferbudget"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/buffer"
@@ -30,16 +29,14 @@
 	defaultBodyBytes = 4 << 20
 )
 
-// configAge returns the time since the configuration was last known to be current, by a clock that counts suspended time.
-func (g *Gateway) configAge() time.Duration {
-	return bootclock.Now().Sub(time.Unix(0, g.configConfirmedAt.Load()))
-}
+// configAge returns the time since the configuration in force was last known to be current, by a clock that counts suspended time.
+func (g *Gateway) configAge() time.Duration { return g.view.Load().age() }
 
-// keysCurrent reports whether the configuration is recent enough to accept keys: any revocation that the gateway does not know of yet is
-// still within the time limit.
-func (g *Gateway) keysCurrent() bool {
+// acceptsKeys reports whether a configuration of the given age is recent enough to accept keys: any revocation that the gateway does not know of yet
+// is still within the time limit.
+func (g *Gateway) acceptsKeys(configAge time.Duration) bool {
 	fleet := g.fleet.Load()
-	return !fleet.StrictRevoke || g.configAge() < settings.FractionalMilliseconds(maxKeyAgeShare*fleet.RevokeMS)
+	return !fleet.StrictRevoke || configAge < settings.FractionalMilliseconds(maxKeyAgeShare*fleet.RevokeMS)
 }
 
 // call is a caller's request and its state.
@@ -53,12 +50,14 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	view     *view
-	route    *routing.Route
-	service  string
-	team     string
-	keyed    bool
-	id       string
-	body     buffer.Buffer
+	// configAge is the age of the configuration at the latest decision that depended on it.
+	configAge time.Duration
+	route     *routing.Route
+	service   string
+	team      string
+	keyed     bool
+	id        string
+	body      buffer.Buffer
 	// bodyRead means that the body was read to its end.
 	bodyRead bool
 	// ahead is the number of requests in a row that the caller has sent before it had the answer to the one before.
@@ -81,6 +80,7 @@
 // admit reads and validates a request. It returns result.OK if the request may be sent.
 func (c *call) admit() result.Code {
 	c.view = c.currentView()
+	c.configAge = c.view.age()
 	if c.view == nil {
 		return result.NoConfiguration
 	}
@@ -114,9 +114,9 @@
 	return result.OK
 }
 
-// denyCode returns the given code if the configuration is recent enough to deny a request, else result.StaleConfig.
+// denyCode returns the given code if configAge permits to deny a request, else result.StaleConfig.
 func (c *call) denyCode(code result.Code) result.Code {
-	if c.g.configAge() > maxDenyAge {
+	if c.configAge > maxDenyAge {
 		return result.StaleConfig
 	}
 	return code
@@ -133,7 +133,7 @@
 	}
 	c.team = team.Name
 	c.keyed = true
-	if !c.g.keysCurrent() {
+	if !c.g.acceptsKeys(c.configAge) {
 		return result.StaleConfig
 	}
 	return result.OK
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -57,7 +57,8 @@
 
 // attempt sends the request to one upstream. accepted reports whether it may have run there.
 func (c *call) attempt() (code result.Code, accepted bool) {
-	if c.keyed && !c.g.keysCurrent() {
+	c.configAge = c.g.configAge()
+	if c.keyed && !c.g.acceptsKeys(c.configAge) {
 		return result.StaleConfig, false
 	}
 	if time.Until(c.deadline) < time.Millisecond {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/jayridge/jayridge/process/bootclock"
@@ -35,11 +36,23 @@
 	applied chan<- struct{}
 }
 
-// view is the published state that request goroutines read. It is immutable.
+// view is the published state that request goroutines read. All of it but confirmedAt is immutable.
 type view struct {
 	table     *routing.Table
 	upstreams []directory.Upstream
 	revision  uint64
+	// confirmedAt is the latest time at which the view was known to match the store, in bootclock nanoseconds. A confirmation counts for the view that
+	// holds all changes of the confirmed copy, and not for the one before, which requests may still use.
+	confirmedAt atomic.Int64
+}
+
+// age returns the time since the view was last known to match the store; the time since boot if there is no view.
+func (v *view) age() time.Duration {
+	confirmed := time.Unix(0, 0)
+	if v != nil {
+		confirmed = time.Unix(0, v.confirmedAt.Load())
+	}
+	return bootclock.Now().Sub(confirmed)
 }
 
 // state is the state owned by the control goroutine.
@@ -112,7 +125,7 @@
 	}
 	s.recordContact(s.mirror.ContactAt(), r.source)
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
-		s.g.configConfirmedAt.Store(asOf.UnixNano())
+		s.g.copyConfirmedAt.Store(asOf.UnixNano())
 	}
 	s.g.revision.Store(s.mirror.Revision())
 	s.g.storeCopyBytes.Store(int64(s.mirror.Bytes()))
@@ -293,13 +306,20 @@
 	}
 }
 
-// publish builds a new view if the state has changed, and makes it visible to request goroutines.
+// publish builds a new view if the state has changed, and makes it visible to request goroutines. The view in force is confirmed as of the copy of the
+// store, whose changes have all been applied.
 func (s *state) publish() {
-	if !s.viewStale || s.table == nil {
+	if s.table == nil {
+		return
+	}
+	asOf := s.mirror.AsOf().UnixNano()
+	if !s.viewStale {
+		s.g.view.Load().confirmedAt.Store(asOf)
 		return
 	}
 	s.viewStale = false
 	v := &view{table: s.table, revision: s.mirror.Revision()}
+	v.confirmedAt.Store(asOf)
 	leaving := s.directory.Leaving(bootclock.Now())
 	s.leavingCount = len(leaving)
 	for _, u := range s.directory.Usable() {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -93,8 +93,9 @@
 	// configured is closed when the first view is published. startedAt is the time of New.
 	configured chan struct{}
 	startedAt  time.Time
-	// configConfirmedAt is the latest time at which the configuration was known to be current, in bootclock nanoseconds.
-	configConfirmedAt atomic.Int64
+	// copyConfirmedAt is the latest time at which the local copy of the store was known to be current, in bootclock nanoseconds. The published view
+	// follows later and has a time of its own.
+	copyConfirmedAt atomic.Int64
 	// storeProgressAt is the latest time at which bytes of a response to the watcher arrived, in bootclock nanoseconds.
 	storeProgressAt atomic.Int64
 	// storeFailing means that the watcher's latest call of the store failed.
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -481,14 +481,14 @@
 // Changed limits must take effect with the next decision.
 func TestReload(t *testing.T) {
 	f := newFixture(t, newUpstream(t, "a", succeed))
-	must.True(t, f.gateway.keysCurrent())
+	must.True(t, f.gateway.acceptsKeys(f.gateway.configAge()))
 	changed := *f.gateway.settings
 	changed.Fleet.RevokeMS = 0.001
 	f.gateway.Reload(&changed)
-	must.False(t, f.gateway.keysCurrent())
+	must.False(t, f.gateway.acceptsKeys(f.gateway.configAge()))
 	changed.Fleet.StrictRevoke = false
 	f.gateway.Reload(&changed)
-	must.True(t, f.gateway.keysCurrent())
+	must.True(t, f.gateway.acceptsKeys(f.gateway.configAge()))
 }
 
 // A gateway that restarts while the store is down knows of no other gateway. The others must connect and send it their copies of the store,
--- a/process/gateway/listen.go
+++ b/process/gateway/listen.go
@@ -97,7 +97,7 @@
 		return "leaving"
 	case g.view.Load() == nil:
 		return "no configuration"
-	case !g.keysCurrent():
+	case !g.acceptsKeys(g.configAge()):
 		return "configuration out of date"
 	default:
 		return ""
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -118,7 +118,7 @@
 		id = event.RequestFailed
 	}
 	fields := []any{
-		"request", c.id, "result", code.String(), "ms", milliseconds(time.Since(c.started)), "config_age_ms", c.g.configAge().Milliseconds(),
+		"request", c.id, "result", code.String(), "ms", milliseconds(time.Since(c.started)), "config_age_ms", c.configAge.Milliseconds(),
 	}
 	if c.view != nil {
 		fields = append(fields, "config", c.view.table.Version(), "revision", c.view.revision)
--- a/process/gateway/storepull.go
+++ b/process/gateway/storepull.go
@@ -31,7 +31,7 @@
 // sendPulls asks the neighbours for the changes in their copies of the store since this gateway's revision, if the store turns this gateway away or
 // has not confirmed the own copy for a while.
 func (p *peers) sendPulls() {
-	if p.g.configAge() <= pullAge && !p.g.storeFailing.Load() {
+	if p.g.copyAge() <= pullAge && !p.g.storeFailing.Load() {
 		return
 	}
 	conns := make(map[string]*link.Conn)
@@ -52,6 +52,11 @@
 	}
 }
 
+// copyAge returns the time since the local copy of the store was last known to be current.
+func (g *Gateway) copyAge() time.Duration {
+	return bootclock.Now().Sub(time.Unix(0, g.copyConfirmedAt.Load()))
+}
+
 // queryMirror runs a function on the control goroutine with the copy of the store. It does nothing if the queue is full; neighbours ask again.
 func (p *peers) queryMirror(query func(m *mirror.Mirror)) {
 	select {
--- a/process/gateway/storepull_test.go
+++ b/process/gateway/storepull_test.go
@@ -33,7 +33,7 @@
 	f.eventually("call failed", func() bool { return g.metrics.storeFailures.Load() > 0 })
 	f.store.remove("upstream/a")
 	f.eventually("upstream gone", func() bool {
-		g.configConfirmedAt.Store(bootclock.Now().UnixNano()) // the copy stays young
+		g.copyConfirmedAt.Store(bootclock.Now().UnixNano()) // the copy stays young
 		return len(g.view.Load().upstreams) == 0
 	})
 }
--- a/process/gateway/waiting.go
+++ b/process/gateway/waiting.go
@@ -151,10 +151,11 @@
 	if c.mayBeCut() {
 		return result.Leaving
 	}
-	if c.keyed && !c.g.keysCurrent() {
+	v := c.g.view.Load()
+	c.configAge = v.age()
+	if c.keyed && !c.g.acceptsKeys(c.configAge) {
 		return result.StaleConfig
 	}
-	v := c.g.view.Load()
 	if v.table == c.view.table {
 		return result.OK
 	}
