upstream: a reset that a write has met is not the end of an answer

Callers got the first part of an answer as a complete one: an upstream answers a long request with a 200 without length while the request is being written, and resets the connection.

Cause: Linux reports a reset to the first system call that meets it, and to no other. If that is the write of the request, the read of the answer returns io.EOF, which completes an answer that ends with its connection. It is a race between the goroutines that read and write, the same in connection/upstream and in the clients of net/http that sidecars use.

Change: connection/orderly wraps the connections to upstreams of gateways and sidecars. At the end of the data a read ends a write in progress and asks how writes have ended; a failure of the connection takes the place of io.EOF.

--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -82,7 +82,7 @@
 		if ctx.Err() != nil {
 			return nil, trace.Wrap(context.Cause(ctx))
 		}
-		return nil, trace.ConnectionProblem(err, "no response from %s", c.pool.address)
+		return nil, trace.ConnectionProblem(err, "no response from %s: %v", c.pool.address, err)
 	}
 	answer.requestWritten = written
 	answer.stopAbort = stop
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -17,6 +17,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"github.com/jayridge/jayridge/connection/orderly"
 )
 
 // Config holds the settings of a Pool's connections.
@@ -160,10 +162,11 @@
 		p.release()
 		return nil, trace.ConnectionProblem(err, "dial %s", p.address)
 	}
-	limited := newLimitedReader(nc)
+	conn := orderly.New(nc)
+	limited := newLimitedReader(conn)
 	return &Conn{
 		pool:      p,
-		nc:        nc,
+		nc:        conn,
 		limited:   limited,
 		reader:    bufio.NewReaderSize(limited, p.config.BufferBytes),
 		keepAlive: p.config.MaxIdle,
--- a/internal/standin/httpengine/httpengine.go
+++ b/internal/standin/httpengine/httpengine.go
@@ -20,6 +20,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/jayridge/jayridge/connection/orderly"
 	"github.com/jayridge/jayridge/process/services"
 )
 
@@ -53,7 +54,14 @@
 		cfg.MaxAnswerBytes = 16 << 20
 	}
 	dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return orderly.New(conn), nil
+	}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
 	return &Client{cfg: cfg, client: &http.Client{Transport: transport, CheckRedirect: returnRedirect}}
 }
 
--- a/internal/standin/httpengine/httpengine_test.go
+++ b/internal/standin/httpengine/httpengine_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/internal/standin/earlyserver"
 	"github.com/jayridge/jayridge/internal/standin/engine"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
 	"github.com/jayridge/jayridge/internal/standin/service"
@@ -79,6 +82,39 @@
 	}
 }
 
+// Guards against a response without a length passing as complete although its connection was reset while the request was being written. Which of a
+// read and a write meets the reset is a matter of chance, hence the number of calls.
+func TestCall_ResetDuringUpload(t *testing.T) {
+	const calls = 64
+	body := make([]byte, 8<<20) // does not fit into the buffers of the sockets
+	for name, c := range map[string]struct {
+		end      func(*net.TCPConn)
+		complete int32
+	}{
+		"reset": {earlyserver.Reset, 0}, "closed with unread bytes": {earlyserver.CloseUnread, 0}, "orderly end": {earlyserver.EndThenReset, calls},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := earlyserver.Start(func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nthe first part" }, c.end)
+			must.NoError(t, err)
+			defer server.Listener().Close() //nolint:errcheck // ends with the test
+			client := New(Config{URL: "http://" + server.Listener().Addr().String()})
+			var complete atomic.Int32
+			var callers sync.WaitGroup
+			for range 4 {
+				callers.Go(func() {
+					for range calls / 4 {
+						if _, err := client.Call(t.Context(), services.CallRequest{Method: http.MethodPost, Path: "/bookings", Body: body}); err == nil {
+							complete.Add(1)
+						}
+					}
+				})
+			}
+			callers.Wait()
+			must.EqOp(t, c.complete, complete.Load())
+		})
+	}
+}
+
 // A truncated generation must not be reported as complete, and a generation that the engine does not know must not be resumed.
 func TestGenerate_EndsOnlyWhenDone(t *testing.T) {
 	standin := engine.New(engine.Config{})
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -57,6 +57,7 @@
 
 // attempt sends the request to one upstream. accepted reports whether it may have run there.
 func (c *call) attempt() (code result.Code, accepted bool) {
+	c.progress.brokenBy = nil
 	c.configAge = c.g.configAge()
 	if c.keyed && !c.g.acceptsKeys(c.configAge) {
 		return result.StaleConfig, false
@@ -369,12 +370,13 @@
 		a.outcome = health.Broken
 		return result.BadAnswer, true
 	default:
-		return a.interrupted(), true
+		return a.interrupted(err), true
 	}
 }
 
-// interrupted returns the result of an exchange that ended early after the request was sent.
-func (a *attempt) interrupted() result.Code {
+// interrupted returns the result of an exchange that ended early, with err, after the request was sent.
+func (a *attempt) interrupted(err error) result.Code {
+	a.call.progress.brokenBy = err
 	cause := context.Cause(a.ctx)
 	switch {
 	case a.call.request.Context().Err() != nil:
@@ -437,7 +439,7 @@
 		a.outcome = health.Failed
 		return result.UpstreamBroken
 	case err != nil:
-		return a.interrupted()
+		return a.interrupted(err)
 	}
 	response.MarkBodyRead()
 	if response.Status >= http.StatusInternalServerError {
@@ -497,7 +499,7 @@
 			a.mayBeTruncated = response.IsCloseDelimited()
 			return result.OK
 		case readErr != nil:
-			return a.interrupted()
+			return a.interrupted(readErr)
 		}
 	}
 	a.inconclusive = true
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -48,6 +48,8 @@
 	// answer in which it had told its load.
 	loadLimit float64
 	totalAge  time.Duration
+	// brokenBy is for the log: the error that ended the latest attempt early, nil if there was none.
+	brokenBy error
 	// answering is how long the latest upstream had been answering when the attempt ended, zero if it sent no response headers.
 	answering time.Duration
 	// fetched is the number of prompt tokens whose cache entries the upstream copies from another upstream.
@@ -83,9 +85,15 @@
 		p := &c.progress
 		p.attempts = append(p.attempts, retry.Attempt{Code: code, Accepted: accepted})
 		decision := c.decide()
-		event.LogSampled(event.AttemptFailed, "request", c.id, "attempt", len(p.attempts), "result", code.String(), "sent", accepted,
+		fields := []any{
+			"request", c.id, "attempt", len(p.attempts), "result", code.String(), "sent", accepted,
 			"upstream", p.upstream, "load", p.load, "next", decision.Action.String(), "left_ms", time.Until(c.deadline).Milliseconds(),
-			"fingerprint", uint64(c.fingerprint()), "parts", c.sharedPartIDs(), "answering_ms", p.answering.Milliseconds())
+			"fingerprint", uint64(c.fingerprint()), "parts", c.sharedPartIDs(), "answering_ms", p.answering.Milliseconds(),
+		}
+		if p.brokenBy != nil {
+			fields = append(fields, "error", p.brokenBy)
+		}
+		event.LogSampled(event.AttemptFailed, fields...)
 		if decision.Action == retry.GiveUp {
 			return c.giveUp(decision.Code)
 		}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -37,7 +37,7 @@
 			return a.streamEnded(response, held)
 		}
 		if err != nil {
-			return a.interrupted()
+			return a.interrupted(err)
 		}
 		id, hasID := eventstream.LastID(chunk)
 		progresses := hasID || !c.progress.resumable && eventstream.HasData(chunk)
