upstream: a response with a status that is none of HTTP ends the attempt at once

Callers of a gateway waited for their whole deadline and got 504 when an upstream answered with status 000, 099 or 101, and got 600 and 999 with their bodies. Callers of a plain service behind entry and sidecar got 200 and the body for 000, 099 and 101, with the outcome "run".

Cause: the parser of net/http takes any three digits, and no path checked the range. A gateway took everything below 200 for an interim response and waited for the next one; a sidecar took everything below 500 for the result of the call; an entry raised what is below 200 to 200.

Change: an exchange ends with 200 to 599; 100 to 199 without 101 are interim, since no request asks for a switch of protocols. Anything else is ErrInvalidStatus: the request may have run, the connection is closed, and the answer counts against the upstream's health. 502 at once, or another upstream where the route allows it. The client of sidecars returns the same error, and an entry checks what a sidecar names, since earlier builds pass it on and stored results of claims keep it.

--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,6 +31,8 @@
 	ErrNotSent = errors.New("request not sent")
 	// ErrMismatchedResponse means that the connection carries responses to other requests.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrInvalidStatus means that a response has a status that no response to the request can have, so that nothing of it can be relied on.
+	ErrInvalidStatus = errors.New("invalid status of a response")
 )
 
 // Request is a request to an upstream.
@@ -154,9 +157,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterimStatus(response.StatusCode) {
 			continue // an interim response has no body
 		}
+		if !IsFinalStatus(response.StatusCode) {
+			return nil, fmt.Errorf("%w: %03d", ErrInvalidStatus, response.StatusCode)
+		}
 		id := response.Header.Get(r.IDHeader)
 		if id == r.ID || id == "" && !c.reused {
 			return &Response{
@@ -176,6 +182,14 @@
 	return nil, ErrMismatchedResponse
 }
 
+// IsFinalStatus reports whether a response with this status can end an exchange: from 200 to 599 (RFC 9110, section 15).
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+
+// isInterimStatus reports whether another response follows one with this status. None follows a switch of protocols, which no request asks for.
+func isInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // Length returns the length of the body, negative if it is not known.
 func (a *Response) Length() int { return int(a.response.ContentLength) }
 
--- a/internal/standin/httpengine/httpengine.go
+++ b/internal/standin/httpengine/httpengine.go
@@ -21,6 +21,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jayridge/jayridge/connection/orderly"
+	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/process/services"
 )
 
@@ -71,7 +72,8 @@
 	return http.ErrUseLastResponse
 }
 
-// do sends one request. The error wraps services.ErrUnavailable only if no connection was established.
+// do sends one request. The error wraps services.ErrUnavailable only if no connection was established, and upstream.ErrInvalidStatus if the status is
+// none of HTTP.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
 	// net/http retries a request that carries an Idempotency-Key on a new connection if the request has no body or has GetBody set.
 	// A body without GetBody, even an empty one, prevents the retry.
@@ -91,7 +93,14 @@
 	if err != nil && dialFailed(err) {
 		return nil, trace.Wrap(fmt.Errorf("%w: %w", services.ErrUnavailable, err))
 	}
-	return resp, trace.Wrap(err)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !upstream.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close() // nothing of the response is used
+		return nil, trace.Wrap(fmt.Errorf("%w: %03d", upstream.ErrInvalidStatus, resp.StatusCode))
+	}
+	return resp, nil
 }
 
 // withSendHook returns a context in which hook is called once the request has a connection, before its first byte is written.
--- a/internal/standin/httpengine/httpengine_test.go
+++ b/internal/standin/httpengine/httpengine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/internal/standin/earlyserver"
 	"github.com/jayridge/jayridge/internal/standin/engine"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
@@ -115,6 +116,25 @@
 	}
 }
 
+// Guards against a response whose status is none of HTTP passing as an answer.
+func TestCall_InvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			server, err := earlyserver.Start(func(*http.Request) string { return "HTTP/1.1 " + status + " X\r\nContent-Length: 6\r\n\r\nbroken" }, earlyserver.Reset)
+			must.NoError(t, err)
+			defer server.Listener().Close() //nolint:errcheck // ends with the test
+			client := New(Config{URL: "http://" + server.Listener().Addr().String()})
+			var sent bool
+			_, err = client.Call(t.Context(), services.CallRequest{Method: http.MethodPost, Path: "/bookings", OnSend: func() { sent = true }})
+			must.ErrorIs(t, err, upstream.ErrInvalidStatus)
+			must.False(t, errors.Is(err, services.ErrUnavailable))
+			must.True(t, sent)
+			_, err = client.Generate(t.Context(), services.GenerateRequest{ID: "g"})
+			must.ErrorIs(t, err, upstream.ErrInvalidStatus)
+		})
+	}
+}
+
 // A truncated generation must not be reported as complete, and a generation that the engine does not know must not be resumed.
 func TestGenerate_EndsOnlyWhenDone(t *testing.T) {
 	standin := engine.New(engine.Config{})
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
 	"github.com/jayridge/jayridge/connection/link"
+	"github.com/jayridge/jayridge/connection/upstream"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/load"
 	"github.com/jayridge/jayridge/process/services"
@@ -240,5 +242,10 @@
 		o.code = result.BadAnswer
 		o.reason = err.Error()
 	}
+	if o.code == result.OK && !upstream.IsFinalStatus(o.status) {
+		// Sidecars of earlier builds pass such a status on, and their claims keep it.
+		o.code = result.BadAnswer
+		o.reason = fmt.Sprintf("%v: %03d", upstream.ErrInvalidStatus, o.status)
+	}
 	return o
 }
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -257,6 +257,11 @@
 	end := func(open *wire.Open, chunks uint32, checksum uint64) wire.Message {
 		return &wire.End{Identity: open.Identity, Status: 200, Chunks: chunks, Checksum: checksum}
 	}
+	withStatus := func(status uint16) func(*wire.Open) []wire.Message {
+		return func(open *wire.Open) []wire.Message {
+			return []wire.Message{chunk(open, 0, "the whole answer"), &wire.End{Identity: open.Identity, Status: status, Chunks: 1, Checksum: sum}}
+		}
+	}
 	otherRequest := func(open *wire.Open) *wire.Open {
 		copied := *open
 		copied.Request[0]++
@@ -283,6 +288,10 @@
 		"chunk of another attempt": {func(o *wire.Open) []wire.Message {
 			return []wire.Message{chunk(otherAttempt(o), 0, "old "), chunk(o, 0, "the whole "), chunk(o, 1, "answer"), end(o, 2, sum)}
 		}, true},
+		"status 0":           {withStatus(0), false},
+		"status 99":          {withStatus(99), false},
+		"status 101":         {withStatus(101), false},
+		"status 600":         {withStatus(600), false},
 		"last chunk missing": {func(o *wire.Open) []wire.Message { return []wire.Message{chunk(o, 0, "the whole "), end(o, 2, sum)} }, false},
 		"checksum mismatch": {func(o *wire.Open) []wire.Message {
 			return []wire.Message{chunk(o, 0, "the false "), chunk(o, 1, "answer"), end(o, 2, sum)}
--- a/process/entry/response.go
+++ b/process/entry/response.go
@@ -108,7 +108,7 @@
 		b.w.Header().Set("Location", o.location)
 	}
 	b.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	b.w.WriteHeader(max(o.status, http.StatusOK))
+	b.w.WriteHeader(o.status)
 	_, _ = b.w.Write(b.body)
 }
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -366,7 +366,8 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		a.inconclusive = true
 		return result.DeadlineBeforeRun, false
-	case errors.Is(err, upstream.ErrHeadTooLong), errors.Is(err, bufferbudget.ErrNoRoom):
+	case errors.Is(err, upstream.ErrHeadTooLong), errors.Is(err, upstream.ErrInvalidStatus), errors.Is(err, bufferbudget.ErrNoRoom):
+		a.call.progress.brokenBy = err
 		a.outcome = health.Broken
 		return result.BadAnswer, true
 	default:
