gateway: a stream that breaks off is reset for callers without chunks

A caller with HTTP/1.0 took the part of a stream that broke off for the whole of it.

Cause: a response without a length has no chunks in HTTP/1.0 and ends with its connection. The gateway aborted the response, which closes the connection in an orderly way.

Change: the gateway resets such a connection.

--- a/process/gateway/earlyanswer_test.go
+++ b/process/gateway/earlyanswer_test.go
@@ -19,12 +19,12 @@
 const earlyBodyBytes = 3_900_000
 
 // newEarlyUpstream returns an upstream that answers when it has the head of a request, and calls end with the body unread.
-func newEarlyUpstream(t *testing.T, id, answer string, end func(*net.TCPConn)) *fakeUpstream {
+func newEarlyUpstream(t *testing.T, id, protocol, answer string, end func(*net.TCPConn)) *fakeUpstream {
 	server, err := earlyserver.Start(func(r *http.Request) string {
 		if r.URL.Path == "/health" {
 			return fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Upstream-Id: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", id)
 		}
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\nConnection: close\r\n%s", r.Header.Get("Test-Id"), answer)
+		return fmt.Sprintf("%s 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\nConnection: close\r\n%s", protocol, r.Header.Get("Test-Id"), answer)
 	}, end)
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = server.Listener().Close() })
@@ -76,10 +76,12 @@
 		"reset": earlyserver.Reset, "closed with unread bytes": earlyserver.CloseUnread,
 	} {
 		for path, answer := range answers {
-			t.Run(name+path, func(t *testing.T) {
-				f := newFixture(t, newEarlyUpstream(t, "a", answer, end))
-				must.EqOp(t, 0, f.sendLong(path, requests))
-			})
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				t.Run(name+path+protocol, func(t *testing.T) {
+					f := newFixture(t, newEarlyUpstream(t, "a", protocol, answer, end))
+					must.EqOp(t, 0, f.sendLong(path, requests))
+				})
+			}
 		}
 	}
 }
@@ -96,8 +98,29 @@
 		"end of the connection": {"\r\nwhole", earlyserver.EndThenReset},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, newEarlyUpstream(t, "a", c.answer, c.end))
+			f := newFixture(t, newEarlyUpstream(t, "a", "HTTP/1.1", c.answer, c.end))
 			must.EqOp(t, requests, f.sendLong("/book/", requests))
 		})
 	}
 }
+
+// Guards against a stream that breaks off looking complete to a caller with HTTP/1.0, which has no chunks: only a reset shows it.
+func TestStream_BrokenForCallerWithoutChunks(t *testing.T) {
+	for name, complete := range map[string]bool{"broken": false, "complete": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newUpstream(t, "a", func(conn net.Conn, r *http.Request, _ string) bool {
+				return writeEventStream(conn, r, "data: a\n\n", complete)
+			}))
+			conn, err := net.Dial("tcp", f.gateway.settings.CallersAddress)
+			must.NoError(t, err)
+			defer conn.Close() //nolint:errcheck // ends with the test
+			_, err = io.WriteString(conn, "GET /talk/1 HTTP/1.0\r\nHost: a.test\r\nTest-Id: 1\r\nAuthorization: Bearer key\r\n\r\n")
+			must.NoError(t, err)
+			text, err := io.ReadAll(conn)
+			must.EqOp(t, complete, err == nil)
+			if complete {
+				must.StrHasSuffix(t, "\r\n\r\ndata: a\n\n", string(text))
+			}
+		})
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -40,14 +40,22 @@
 	c.logOutcome(code)
 	if c.progress.answered {
 		if c.progress.broken {
-			// Aborts the connection, so that the caller does not take a truncated response for a complete one.
-			panic(http.ErrAbortHandler)
+			c.abortResponse()
 		}
 		return
 	}
 	c.writeError(code)
 }
 
+// abortResponse ends the connection, so that the caller does not take a truncated response for a complete one. It does not return.
+func (c *call) abortResponse() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		// A response without a length has no chunks in HTTP/1.0: it ends with the connection, unless that is reset.
+		_ = c.conn.SetLinger(0) // fails only if the connection is closed
+	}
+	panic(http.ErrAbortHandler)
+}
+
 const (
 	// notRunRetryAfter is the Retry-After of a request that did not run; the retry may reach another gateway.
 	notRunRetryAfter = 50 * time.Millisecond
