gateway: a restored store confirms the configuration only once it is written again

Cause: the first answer of the new epoch confirmed the version in it, although a new epoch says that the store may have lost what it acknowledged. Removals were held back for the 2 s in which the operators write again; a version that is missing leaves nothing to hold back.

Change: from the first answer of a new epoch on, the configuration keeps its former confirmation until it is written again, which shows in a higher revision, or until those 2 s have passed. No key is refused in a short outage; those that were refused already stay refused for up to 2 s.

Before, TestStoreRestored_RevokedKey (both cases):

restore_test.go:227: expected equality via == - 503, + 200,

A gateway that starts after the restoration remains: it has no former confirmation.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -113,11 +113,11 @@
 
 // apply applies a batch to the copy of the store and its changed items to the state.
 func (s *state) apply(r sourcedBatch) {
-	epoch, revision := s.mirror.Epoch(), s.mirror.Revision()
+	epoch, revision, confirmedAt := s.mirror.Epoch(), s.mirror.Revision(), s.mirror.AsOf()
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
 	if revision > 0 && s.mirror.Epoch() != epoch {
-		items = s.restored.begin(now, items)
+		items = s.restored.begin(now, items, s.mirror.Revision(), confirmedAt)
 		s.directory.RecordRestore(now)
 		s.g.writeAgain()
 		event.Log(event.StoreRestored, "epoch", s.mirror.Epoch(), "revision", s.mirror.Revision(), "last_epoch", epoch, "last_revision", revision,
@@ -176,6 +176,7 @@
 	}
 	switch decoded.Kind {
 	case ItemConfig:
+		s.restored.configWritten(item.Revision)
 		s.applyConfig(decoded, err, item.Revision, source)
 	case ItemUpstream:
 		s.applyUpstream(now, decoded, err, item.Revision, source)
@@ -307,19 +308,19 @@
 }
 
 // publish builds a new view if the state has changed, and makes it visible to request goroutines. The view in force is confirmed as of the copy of the
-// store, whose changes have all been applied.
+// store, whose changes have all been applied, unless the store has been restored and may lack a newer configuration.
 func (s *state) publish() {
 	if s.table == nil {
 		return
 	}
-	asOf := s.mirror.AsOf().UnixNano()
+	confirmedAt := s.restored.confirmation(bootclock.Now(), s.mirror.AsOf()).UnixNano()
 	if !s.viewStale {
-		s.g.view.Load().confirmedAt.Store(asOf)
+		s.g.view.Load().confirmedAt.Store(confirmedAt)
 		return
 	}
 	s.viewStale = false
 	v := &view{table: s.table, revision: s.mirror.Revision()}
-	v.confirmedAt.Store(asOf)
+	v.confirmedAt.Store(confirmedAt)
 	leaving := s.directory.Leaving(bootclock.Now())
 	s.leavingCount = len(leaving)
 	for _, u := range s.directory.Usable() {
--- a/process/gateway/restore_test.go
+++ b/process/gateway/restore_test.go
@@ -16,6 +16,7 @@
 	"github.com/jayridge/jayridge/process/mirror"
 	"github.com/jayridge/jayridge/process/quarantine"
 	"github.com/jayridge/jayridge/process/services"
+	"github.com/jayridge/jayridge/version/routing"
 )
 
 // restoredStore is a store that can be restored from an older copy. It forgets its leases then.
@@ -200,3 +201,42 @@
 		must.True(t, time.Now().Before(end))
 	}
 }
+
+// Guards against taking a configuration that a restored store brings back for the newest one: the store may have lost a version that took a key away.
+func TestStoreRestored_RevokedKey(t *testing.T) {
+	for name, again := range map[string]bool{"written again": true, "not written again": false} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, "a", succeed)
+			f := newFixture(t, u)
+			store := &restoredStore{fakeStore: newFakeStore()} // not shared, so that the fixture's gateway is no neighbour
+			store.put("config", f.config)
+			store.put("upstream/a", u.entry())
+			g := f.startWith("two", store)
+			f.waitReady(g)
+			status := func(path string) int { return f.send(g, http.MethodPost, path, nil).status }
+			older := maps.Clone(store.items)
+			next := f.config
+			next.Version, next.Teams = 2, []routing.Team{{Name: "drivers", Keys: []string{"new"}}}
+
+			store.setDown(true) // the version is acknowledged and lost before a gateway has read it
+			f.eventually("keys are refused", func() bool { return status("/book/1") == http.StatusServiceUnavailable })
+			store.restore(older)
+			store.setDown(false)
+			f.eventually("restored copy is known", func() bool { return services.Revision(g.revision.Load()).Epoch() == 1 })
+			known := time.Now()
+			must.EqOp(t, http.StatusServiceUnavailable, status("/book/2"))
+			if again {
+				store.put("config", next)
+				f.eventually("the key is denied", func() bool {
+					got := status("/book/3")
+					must.NotEq(t, http.StatusOK, got)
+					return got == http.StatusUnauthorized
+				})
+				must.Less(t, rewriteWithin, time.Since(known))
+				return
+			}
+			f.eventually("keys are accepted", func() bool { return status("/book/4") == http.StatusOK })
+			must.Greater(t, rewriteWithin-time.Second/2, time.Since(known))
+		})
+	}
+}
