shutdown: a repeated SIGTERM does not cut what is in progress

Cause: a second signal of either kind ended the shutdown at once, as Ctrl-C does in a terminal. A supervisor may repeat SIGTERM, and has SIGKILL for the end of the time that it grants. Gateways did so in the first 2.8 s, entries and sidecars all the while.

Change: after the first signal only SIGINT ends a process at once; a repeated SIGTERM is logged (108). All roles use shutdownContext.

Before, TestShutdown_RepeatedSignal, 8 of 8 streams:

shutdown_test.go:88: stream-0-0 was passed on and cut: status 200, complete false, <nil>

--- a/cmd/jayridge/gateway.go
+++ b/cmd/jayridge/gateway.go
@@ -81,13 +81,12 @@
 	<-signals
 	shutdownTime := g.ShutdownTime()
 	abortAt := time.Now().Add(shutdownTime - stopReserve)
-	ctx, cancel := context.WithDeadline(context.Background(), abortAt)
+	ctx, cancel := shutdownContext(abortAt, signals)
 	defer cancel()
 	g.Leave(abortAt)
 	select {
 	case <-time.After(min(time.Duration(leaveShare*float64(shutdownTime)), maxLeaveTime)):
-	case <-signals:
-		cancel()
+	case <-ctx.Done():
 	}
 	if err := g.Drain(ctx); err != nil {
 		event.Log(event.ShutdownTimedOut, "error", err)
--- a/cmd/jayridge/role.go
+++ b/cmd/jayridge/role.go
@@ -68,19 +68,14 @@
 // finalWriteTimeout bounds the writes after the last request has ended.
 const finalWriteTimeout = 5 * time.Second
 
-// runRole runs a process until SIGTERM or SIGINT and then shuts it down gracefully. A second signal or the shutdown timeout cuts this
-// short.
+// runRole runs a process until SIGTERM or SIGINT and then shuts it down gracefully. A further SIGINT or the shutdown timeout cuts this short.
 func runRole(r role, s *settings.Settings, leaveDelay time.Duration) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	r.Start()
 	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), settings.Milliseconds(s.ShutdownTimeoutMS))
+	ctx, cancel := shutdownContext(time.Now().Add(settings.Milliseconds(s.ShutdownTimeoutMS)), signals)
 	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
 	r.Leave()
 	// The load balancer needs time to notice that the process is not ready; until then its callers are served.
 	select {
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -25,6 +25,7 @@
 	SettingsReloaded ID = 105
 	SettingsRejected ID = 106
 	HTTPServerError  ID = 107
+	StopRepeated     ID = 108
 
 	ConfigAdopted     ID = 200
 	ConfigInvalid     ID = 202
@@ -141,6 +142,7 @@
 	{SettingsReloaded, "changed settings in force", Info, ""},
 	{HTTPServerError, "the HTTP server reports a fault", Warning, "a panic names the line to report; anything else is about one connection"},
 	{SettingsRejected, "changed settings refused, the old ones stay", Error, "correct the settings file"},
+	{StopRepeated, "told to stop once more", Info, "nothing; an interrupt (SIGINT) ends the process at once"},
 
 	{ConfigAdopted, "configuration version adopted", Info, ""},
 	{ConfigInvalid, "configuration from a peer or the platform is invalid", Error, "run jayridge check on the rules file; replace instances of another version"},
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -134,6 +134,8 @@
 guard no-teams platform/decode.go 's/w\.Tenants == nil/len(w.Tenants) == 0/' ./platform TestDecode_EmptyListOfTenants
 guard empty-key version/routing/table.go 's/if key == ""/if false/' ./version/routing TestTable_EmptyKey
 guard view-confirmed process/gateway/control.go 's/s\.g\.copyConfirmedAt\.Store\(asOf\.UnixNano\(\)\)/$&\n\t\tif v := s.g.view.Load(); v != nil { v.confirmedAt.Store(asOf.UnixNano()) }/' ./process/gateway TestServe_ConfigurationBeingAdopted
+guard long-path version/routing/table.go 's/min\(len\(path\), h\.longest\)/len(path)/' ./version/routing TestTable_PathOfManySegments
+guard repeated-stop cmd/jayridge/shutdown.go 's/if s == syscall\.SIGINT/if s != syscall.SIGHUP/' ./cmd/jayridge TestShutdownContext_RepeatedSignals
 guard restored-config process/gateway/restore.go 's/r\.revision > 0 && now\.Before\(r\.until\)/false/' ./process/gateway TestStoreRestored_RevokedKey
 guard reset-in-write connection/orderly/orderly.go 's/failure := c\.writeFailure\(\); failure != nil/failure := c.writeFailure(); false/' ./connection/orderly TestRead_ResetDuringWrite
 guard valid-status connection/upstream/exchange.go 's/if !IsFinalStatus\(response\.StatusCode\)/if false/' ./process/gateway TestServe_InvalidStatus
