routing: a path costs no more lookups than the longest prefix has segments

Cause: the table of routes looked up each prefix of whole segments, and made a new string of the host and the prefix for each: 7,700 strings of up to 15,500 bytes a request, before the key was looked at.

Change: the routes of each host are apart, with the size of the longest prefix; longer prefixes of a path are not looked up, and no string is made.

--- FAIL: TestTable_PathOfManySegments/no_route (0.07s) expected 7690 <= 4 --- FAIL: TestTable_PathOfManySegments/only_slashes expected 15378 <= 4

--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"iter"
 	"net"
 	"slices"
 	"strings"
@@ -11,8 +12,8 @@
 // Table looks up the route and the team of a request.
 type Table struct {
 	config *Config
-	// routes is keyed by the lower-case host followed by the path prefix. The key is unambiguous because a prefix begins with a slash.
-	routes   map[string]*Route
+	// hosts maps a host in lower case to its routes.
+	hosts    map[string]*hostRoutes
 	services map[string]*Service
 	// teams maps a key to its team.
 	teams map[string]*Team
@@ -21,6 +22,18 @@
 	clamped []string
 }
 
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// longest is the size of the longest prefix in bytes. Callers choose the length of a path, and the operators that of a prefix.
+	longest int
+}
+
+func (h *hostRoutes) add(r *Route) {
+	h.byPrefix[r.PathPrefix] = r
+	h.longest = max(h.longest, len(r.PathPrefix))
+}
+
 // MaxPriority is the least urgent priority; 0 is the most urgent one.
 const MaxPriority = 9
 
@@ -33,13 +46,17 @@
 	}
 	t := &Table{
 		config:   c,
-		routes:   make(map[string]*Route, len(c.Routes)),
+		hosts:    make(map[string]*hostRoutes),
 		services: make(map[string]*Service, len(c.Services)),
 		teams:    make(map[string]*Team),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		t.routes[strings.ToLower(r.Host)+r.PathPrefix] = r
+		host := strings.ToLower(r.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = &hostRoutes{byPrefix: make(map[string]*Route)}
+		}
+		t.hosts[host].add(r)
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -134,30 +151,41 @@
 // port.
 func (t *Table) Route(host, path string) *Route {
 	host = strings.ToLower(host)
-	if r := t.longestPrefix(host, path); r != nil {
+	if r := t.hosts[host].longestPrefix(path); r != nil {
 		return r
 	}
 	if name, _, err := net.SplitHostPort(host); err == nil {
-		return t.longestPrefix(name, path)
+		return t.hosts[name].longestPrefix(path)
 	}
 	return nil
 }
 
-// longestPrefix returns the route of a host with the longest prefix of path, or nil.
-func (t *Table) longestPrefix(host, path string) *Route {
-	for end := len(path); end > 0; {
-		slash := strings.LastIndexByte(path[:end], '/')
-		if slash < 0 {
-			return nil
-		}
-		if r := t.routes[host+path[:slash+1]]; r != nil {
+// longestPrefix returns the route with the longest prefix of path, or nil. h may be nil.
+func (h *hostRoutes) longestPrefix(path string) *Route {
+	if h == nil {
+		return nil
+	}
+	for prefix := range h.candidates(path) {
+		if r := h.byPrefix[prefix]; r != nil {
 			return r
 		}
-		end = slash
 	}
 	return nil
 }
 
+// candidates returns the prefixes of whole segments of path that may have a route, from the longest one on.
+func (h *hostRoutes) candidates(path string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for end := min(len(path), h.longest); end > 0; {
+			slash := strings.LastIndexByte(path[:end], '/')
+			if slash < 0 || !yield(path[:slash+1]) {
+				return
+			}
+			end = slash
+		}
+	}
+}
+
 // Uses reports whether the route's requests may go to a service.
 func (r *Route) Uses(service string) bool {
 	return slices.ContainsFunc(r.TrafficSplit, func(s Share) bool { return s.Service == service && s.Weight > 0 })
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -130,3 +132,29 @@
 	must.NoError(t, err)
 	must.True(t, table.HasPriorities("a"))
 }
+
+// Guards against a crowd with paths of very many segments keeping the processor from ordinary requests: each segment took a string of the path's size.
+func TestTable_PathOfManySegments(t *testing.T) {
+	table, err := NewTable(testConfig())
+	must.NoError(t, err)
+	for name, c := range map[string]struct{ host, path, want string }{
+		"no route":     {"a.example", "/" + strings.Repeat("a/", 7700), ""},
+		"route":        {"a.example", "/x/" + strings.Repeat("a/", 7700), "short"},
+		"other host":   {"c.example", "/x/" + strings.Repeat("a/", 7700), ""},
+		"only slashes": {"a.example", strings.Repeat("/", 15_400), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got *Route
+			allocations := testing.AllocsPerRun(10, func() { got = table.Route(c.host, c.path) })
+			if c.want == "" {
+				must.Nil(t, got)
+			} else {
+				must.EqOp(t, c.want, got.Name)
+			}
+			must.LessEq(t, 4, allocations)
+			if h := table.hosts[c.host]; h != nil {
+				must.LessEq(t, h.longest, len(slices.Collect(h.candidates(c.path))))
+			}
+		})
+	}
+}
