gateway: tests copy the store's items under its lock, and set a separate store up in one place

TestStoreRestored_RevokedKey and TestServe_ConfigurationBeingAdopted read the map of the fake store without its lock, in the first case beside a gateway that may be registering. The copy that other tests of the file make under the lock is a method now, and the store that both tests set up in the same way is a function. The assertions are the same.

go test -race of the four tests passes.

--- a/process/gateway/adoption_test.go
+++ b/process/gateway/adoption_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -41,7 +40,7 @@
 		},
 		"restored store": func(_ *Gateway, store *restoredStore, config routing.Config) {
 			store.put("config", config)
-			store.restore(maps.Clone(store.items))
+			store.restore(store.content())
 			store.setDown(false)
 		},
 		"neighbour's copy": func(g *Gateway, _ *restoredStore, config routing.Config) {
@@ -57,9 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, "a", succeed)
 			f := newFixture(t, u)
-			store := &restoredStore{fakeStore: newFakeStore()} // not shared, so that the fixture's gateway is no neighbour
-			store.put("config", f.config)
-			store.put("upstream/a", u.entry())
+			store := f.separateStore(u)
 			decoder := &heldDecoder{begun: make(chan struct{}), release: make(chan struct{})}
 			g, err := New(Options{Settings: f.settings("two"), Store: store, Decoder: decoder, Headers: testHeaders, Prompts: fakePrompts{}})
 			must.NoError(t, err)
--- a/process/gateway/restore_test.go
+++ b/process/gateway/restore_test.go
@@ -60,6 +60,22 @@
 	return s.fakeStore.Changes(ctx, w)
 }
 
+// content returns a copy of the store's items.
+func (s *restoredStore) content() map[string]mirror.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.items)
+}
+
+// separateStore returns a store with the fixture's configuration and an upstream. The fixture's gateway does not use it, and so is no neighbour of one
+// that does.
+func (f *fixture) separateStore(u *fakeUpstream) *restoredStore {
+	store := &restoredStore{fakeStore: newFakeStore()}
+	store.put("config", f.config)
+	store.put("upstream/"+u.id, u.entry())
+	return store
+}
+
 func (s *restoredStore) has(key string) bool {
 	_, err := s.Get(context.Background(), key)
 	return err == nil
@@ -71,9 +87,7 @@
 	store := &restoredStore{fakeStore: f.store}
 	g := f.startWith("two", store)
 	f.waitReady(g)
-	store.mu.Lock()
-	older := maps.Clone(store.items)
-	store.mu.Unlock()
+	older := store.content()
 	f.store.put("evacuate/here", struct{}{})
 	f.eventually("evacuated", func() bool { return len(g.view.Load().upstreams) == 0 })
 	store.restore(older)
@@ -208,13 +222,11 @@
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, "a", succeed)
 			f := newFixture(t, u)
-			store := &restoredStore{fakeStore: newFakeStore()} // not shared, so that the fixture's gateway is no neighbour
-			store.put("config", f.config)
-			store.put("upstream/a", u.entry())
+			store := f.separateStore(u)
 			g := f.startWith("two", store)
 			f.waitReady(g)
 			status := func(path string) int { return f.send(g, http.MethodPost, path, nil).status }
-			older := maps.Clone(store.items)
+			older := store.content()
 			next := f.config
 			next.Version, next.Teams = 2, []routing.Team{{Name: "drivers", Keys: []string{"new"}}}
 
