upstream: one check of a status for gateways, sidecars and entries

The range of a final status was tested and its error worded in three places; CheckStatus does both. Behaviour is the same but for the reason that an entry logs, which has the same text.

--- a/connection/upstream/exchange.go
+++ b/connection/upstream/exchange.go
@@ -160,8 +160,8 @@
 		if isInterimStatus(response.StatusCode) {
 			continue // an interim response has no body
 		}
-		if !IsFinalStatus(response.StatusCode) {
-			return nil, fmt.Errorf("%w: %03d", ErrInvalidStatus, response.StatusCode)
+		if err := CheckStatus(response.StatusCode); err != nil {
+			return nil, err
 		}
 		id := response.Header.Get(r.IDHeader)
 		if id == r.ID || id == "" && !c.reused {
@@ -182,8 +182,13 @@
 	return nil, ErrMismatchedResponse
 }
 
-// IsFinalStatus reports whether a response with this status can end an exchange: from 200 to 599 (RFC 9110, section 15).
-func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+// CheckStatus returns an error that wraps ErrInvalidStatus unless a response with this status can end an exchange: from 200 to 599 (RFC 9110, section 15).
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > 599 {
+		return fmt.Errorf("%w: %03d", ErrInvalidStatus, status)
+	}
+	return nil
+}
 
 // isInterimStatus reports whether another response follows one with this status. None follows a switch of protocols, which no request asks for.
 func isInterimStatus(status int) bool {
--- a/internal/standin/httpengine/httpengine.go
+++ b/internal/standin/httpengine/httpengine.go
@@ -96,9 +96,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if !upstream.IsFinalStatus(resp.StatusCode) {
+	if err := upstream.CheckStatus(resp.StatusCode); err != nil {
 		_ = resp.Body.Close() // nothing of the response is used
-		return nil, trace.Wrap(fmt.Errorf("%w: %03d", upstream.ErrInvalidStatus, resp.StatusCode))
+		return nil, trace.Wrap(err)
 	}
 	return resp, nil
 }
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -242,10 +241,10 @@
 		o.code = result.BadAnswer
 		o.reason = err.Error()
 	}
-	if o.code == result.OK && !upstream.IsFinalStatus(o.status) {
+	if err := upstream.CheckStatus(o.status); err != nil && o.code == result.OK {
 		// Sidecars of earlier builds pass such a status on, and their claims keep it.
 		o.code = result.BadAnswer
-		o.reason = fmt.Sprintf("%v: %03d", upstream.ErrInvalidStatus, o.status)
+		o.reason = err.Error()
 	}
 	return o
 }
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -138,5 +138,5 @@
 guard repeated-stop cmd/jayridge/shutdown.go 's/if s == syscall\.SIGINT/if s != syscall.SIGHUP/' ./cmd/jayridge TestShutdownContext_RepeatedSignals
 guard restored-config process/gateway/restore.go 's/r\.revision > 0 && now\.Before\(r\.until\)/false/' ./process/gateway TestStoreRestored_RevokedKey
 guard reset-in-write connection/orderly/orderly.go 's/failure := c\.writeFailure\(\); failure != nil/failure := c.writeFailure(); false/' ./connection/orderly TestRead_ResetDuringWrite
-guard valid-status connection/upstream/exchange.go 's/if !IsFinalStatus\(response\.StatusCode\)/if false/' ./process/gateway TestServe_InvalidStatus
+guard valid-status connection/upstream/exchange.go 's/err := CheckStatus\(response\.StatusCode\); err != nil/err := CheckStatus(response.StatusCode); false/' ./process/gateway TestServe_InvalidStatus
 exit $missed
