entry: pass a quarantine on to the entries that missed it

It had to wait for the gossip to one random peer a second: entry-1 did not pass on what it knew, and the rejection by press-3 did not say that the content is quarantined for all, so that entry-2 sent it to press-1 and press-2. In a large fleet a sidecar is connected to few of the entries. Gateways are not affected: they pass on crashes and quarantined parts as they happen, and tell new neighbours.

Change: an entry that learns of a quarantine tells the entries that it is connected to, once; a sidecar that rejects such a request sends the entry of its list as a control frame, which is ahead of the rejection. Each hop subtracts the margin for delays, so that no quarantine is prolonged.

Before (the tests with entry.go, crash.go and serve.go as they were):

--- FAIL: TestHandleGossip_PassesQuarantineOnToEntries (10.01s) entry_test.go:411: the entry was not told of the quarantine --- FAIL: TestServe_RejectionTellsEntryOfQuarantine (0.01s) sidecar_test.go:172: expected slice to be different length len(slice): 0, expected: 1

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -174,10 +174,19 @@
 // HandleGossip implements node.Role.
 func (e *Entry) HandleGossip(g *wire.Gossip) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	now := time.Now()
 	e.loads.MergeSummaries(now, g.Loads)
-	e.quarantined.Merge(now, g.Quarantine)
+	var learned []wire.QuarantineEntry
+	for _, f := range e.quarantined.Merge(now, g.Quarantine) {
+		if entry, ok := e.quarantined.Entry(now, f); ok {
+			learned = append(learned, entry)
+		}
+	}
+	e.mu.Unlock()
+	if len(learned) > 0 {
+		// A sidecar is connected to some of the entries only.
+		e.node.BroadcastToEntries(&wire.Gossip{ConfigVersion: e.node.Snapshot().Version(), Quarantine: learned})
+	}
 	if len(g.Stops)+len(g.Rollouts) > 0 {
 		e.node.Post(func() { e.shifts.HandleGossip(time.Now(), g) })
 	}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -21,7 +21,9 @@
 	"github.com/jayridge/jayridge/internal/standin/httplist"
 	"github.com/jayridge/jayridge/internal/standin/instances"
 	"github.com/jayridge/jayridge/internal/standin/kv"
+	"github.com/jayridge/jayridge/internal/standin/loopback"
 	"github.com/jayridge/jayridge/process/node"
+	"github.com/jayridge/jayridge/process/quarantine"
 	"github.com/jayridge/jayridge/process/services"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
@@ -70,8 +72,14 @@
 // maxTestAttempts exceeds the number of attempts that an entry makes for one request.
 const maxTestAttempts = 32
 
-// newTestEntry starts an entry with fake sidecars. If raw is not nil, its frames are used in place of fake responses.
+// newTestEntry starts an entry with fake sidecars and returns its URL. If raw is not nil, its frames are used in place of fake responses.
 func newTestEntry(t *testing.T, raw *rawSidecar) (*fakeSidecars, string) {
+	fakes, e := startTestEntry(t, raw)
+	return fakes, "http://" + e.ln.Addr().String()
+}
+
+// startTestEntry is like newTestEntry but returns the entry. Its gossip interval is longer than any test.
+func startTestEntry(t *testing.T, raw *rawSidecar) (*fakeSidecars, *Entry) {
 	fakes := &fakeSidecars{responses: make(chan fakeResponse, maxTestAttempts), attempts: make(chan *wire.Open, maxTestAttempts)}
 	list := instances.New(nil)
 	for _, service := range []string{"press-model", "basket-app"} {
@@ -94,7 +102,8 @@
 
 	s := settings.Defaults()
 	s.Instance, s.Role, s.DataCentre = "entry-1", settings.RoleEntry, "suva"
-	s.PeerAddress, s.AdminAddress, s.HTTPAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.PeerAddress, s.AdminAddress, s.HTTPAddress = loopback.UnusedAddress(), "127.0.0.1:0", "127.0.0.1:0"
+	s.GossipIntervalMS = 60000
 	e, err := New(Options{Settings: &s, KV: client, List: httplist.New(listServer.URL, time.Second)})
 	must.NoError(t, err)
 	e.Start()
@@ -102,7 +111,7 @@
 	for e.Node().Snapshot().Config == nil || len(e.Node().Snapshot().Sidecars) < 4 {
 		time.Sleep(time.Millisecond)
 	}
-	return fakes, "http://" + e.ln.Addr().String()
+	return fakes, e
 }
 
 func serveFake(t *testing.T, fakes *fakeSidecars, raw *rawSidecar, sidecar services.Instance) string {
@@ -358,6 +367,54 @@
 	}
 }
 
+// fakeNeighbour is another entry that keeps the quarantine entries that it is told of.
+type fakeNeighbour struct{ told chan wire.QuarantineEntry }
+
+func (n fakeNeighbour) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
+
+func (n fakeNeighbour) HandleControl(_ *link.Conn, m wire.Message) {
+	if g, ok := m.(*wire.Gossip); ok {
+		for _, q := range g.Quarantine {
+			n.told <- q
+		}
+	}
+}
+
+func (n fakeNeighbour) HandleClose(*link.Conn, error) {}
+
+// A sidecar tells the entries that are connected to it of a quarantine. They must tell the other entries at once and only once: until these
+// know, they send the request to upstreams that it crashes.
+func TestHandleGossip_PassesQuarantineOnToEntries(t *testing.T) {
+	_, e := startTestEntry(t, nil)
+	neighbours := make([]fakeNeighbour, 2)
+	for i := range neighbours {
+		neighbours[i] = fakeNeighbour{told: make(chan wire.QuarantineEntry, 8)}
+		hello := func() wire.Hello {
+			return wire.Hello{Major: wire.MajorVersion, Instance: fmt.Sprintf("entry-%d", i+2), Role: settings.RoleEntry, DataCentre: "nadi"}
+		}
+		conn, err := link.Dial(t.Context(), e.opts.Settings.PeerAddress, link.DefaultConfig(), hello, neighbours[i])
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	body := `{"prompt":"poison"}`
+	known := quarantine.FingerprintOf("press-model", "/chat", []byte(body))
+	for _, f := range []quarantine.Fingerprint{known, known, known + 1} {
+		e.HandleGossip(&wire.Gossip{Quarantine: []wire.QuarantineEntry{{Fingerprint: uint64(f), RemainingMS: 60000}}})
+	}
+	must.True(t, e.isQuarantined("press-model", "/chat", []byte(body)))
+	for _, n := range neighbours {
+		for _, want := range []quarantine.Fingerprint{known, known + 1} {
+			select {
+			case q := <-n.told:
+				must.Eq(t, uint64(want), q.Fingerprint)
+				must.Between(t, 57_000, q.RemainingMS, 58_000)
+			case <-time.After(10 * time.Second):
+				t.Fatal("the entry was not told of the quarantine")
+			}
+		}
+	}
+}
+
 // Upstreams of other regions are used only if the entry's own region has none for the service version. If all upstreams of a version in the
 // region are drained, it must keep those of other regions.
 func TestReachable_PrefersTheRegion(t *testing.T) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -198,6 +198,18 @@
 	n.pool.announce(leaving, notified)
 }
 
+// BroadcastToEntries sends a gossip message to every connected entry, once to each.
+func (n *Node) BroadcastToEntries(g *wire.Gossip) {
+	notified := map[string]bool{}
+	for _, conn := range n.server.Conns() {
+		if remote := conn.Remote(); remote.Role == settings.RoleEntry && !notified[remote.Instance] {
+			notified[remote.Instance] = true
+			_ = conn.Send(g)
+		}
+	}
+	n.pool.announce(g, notified)
+}
+
 // Broadcast sends a gossip message to every connected peer. Use it only for rare updates that cannot wait for gossip.
 func (n *Node) Broadcast(g *wire.Gossip) {
 	n.server.Broadcast(g)
--- a/process/quarantine/list.go
+++ b/process/quarantine/list.go
@@ -32,14 +32,23 @@
 	l.upsert(now, f, now.Add(l.config.QuarantineFor))
 }
 
-// Merge adds the entries of a peer's gossip. Remaining times are capped at QuarantineFor.
-func (l *List) Merge(now time.Time, entries []wire.QuarantineEntry) {
+// Merge adds the entries of a peer's gossip and returns the fingerprints that were not quarantined here. Remaining times are capped at
+// QuarantineFor.
+func (l *List) Merge(now time.Time, entries []wire.QuarantineEntry) []Fingerprint {
+	var learned []Fingerprint
 	for _, e := range entries {
 		remaining := min(time.Duration(e.RemainingMS)*time.Millisecond, l.config.QuarantineFor)
-		if remaining > 0 {
-			l.upsert(now, Fingerprint(e.Fingerprint), now.Add(remaining))
+		if remaining <= 0 {
+			continue
+		}
+		f := Fingerprint(e.Fingerprint)
+		known := l.Contains(now, f)
+		l.upsert(now, f, now.Add(remaining))
+		if !known && l.Contains(now, f) {
+			learned = append(learned, f)
 		}
 	}
+	return learned
 }
 
 // upsert adds an entry or extends it. An extension by up to GossipMargin is ignored: it is a delayed copy of the same entry.
@@ -108,13 +117,22 @@
 }
 
 func (l *List) appendTo(digest []wire.QuarantineEntry, now time.Time, f Fingerprint) []wire.QuarantineEntry {
+	l.entries[f].sent++
+	if e, ok := l.Entry(now, f); ok {
+		digest = append(digest, e)
+	}
+	return digest
+}
+
+// Entry returns the entry of a fingerprint for a message to a peer, and false if the fingerprint is not quarantined for longer than
+// GossipMargin.
+func (l *List) Entry(now time.Time, f Fingerprint) (wire.QuarantineEntry, bool) {
 	e := l.entries[f]
-	e.sent++
-	remaining := e.until.Sub(now) - l.config.GossipMargin
-	if remaining < time.Millisecond {
-		return digest
+	if e == nil {
+		return wire.QuarantineEntry{}, false
 	}
-	return append(digest, wire.QuarantineEntry{Fingerprint: uint64(f), RemainingMS: uint32(remaining.Milliseconds())})
+	remaining := e.until.Sub(now) - l.config.GossipMargin
+	return wire.QuarantineEntry{Fingerprint: uint64(f), RemainingMS: uint32(remaining.Milliseconds())}, remaining >= time.Millisecond
 }
 
 // recentlyLearned returns the entries that were sent in fewer than FreshRounds digests, the least sent first.
--- a/process/sidecar/crash.go
+++ b/process/sidecar/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jayridge/jayridge/connection/link"
 	"github.com/jayridge/jayridge/connection/wire"
 	"github.com/jayridge/jayridge/process/event"
 	"github.com/jayridge/jayridge/process/quarantine"
@@ -56,6 +57,17 @@
 	return f, result.OK
 }
 
+// reportQuarantine tells a peer that a fingerprint is quarantined. The peer has sent a request with it, so that it has missed the
+// broadcast of handleCrash. Control frames overtake responses: the peer knows before the rejection arrives.
+func (s *Sidecar) reportQuarantine(conn *link.Conn, f quarantine.Fingerprint) {
+	s.mu.Lock()
+	entry, ok := s.crashes.list.Entry(time.Now(), f)
+	s.mu.Unlock()
+	if ok {
+		_ = conn.Send(&wire.Gossip{ConfigVersion: s.node.Snapshot().Version(), Quarantine: []wire.QuarantineEntry{entry}})
+	}
+}
+
 // trackEnd unregisters a request that has ended. Requests that were in flight during a crash were already handled by handleCrash.
 func (s *Sidecar) trackEnd(f trackedRequest, code result.Code) {
 	s.mu.Lock()
--- a/process/sidecar/serve.go
+++ b/process/sidecar/serve.go
@@ -62,14 +62,17 @@
 		return refuse(refusal, "")
 	}
 	x.ticket = ticket
-	end := x.runTracked(ctx, route)
+	end := x.runTracked(ctx, conn, route)
 	x.recordCompletion(result.Code(end.Result))
 	return end
 }
 
 // runTracked runs an admitted request unless the crash tracker rejects it.
-func (x *exchange) runTracked(ctx context.Context, route rules.Route) wire.End {
+func (x *exchange) runTracked(ctx context.Context, conn *link.Conn, route rules.Route) wire.End {
 	f, code := x.s.trackStart(x.open)
+	if code == result.Quarantined {
+		x.s.reportQuarantine(conn, f.fingerprint)
+	}
 	if code != result.OK {
 		return wire.End{Result: uint8(code)}
 	}
--- a/process/sidecar/sidecar_test.go
+++ b/process/sidecar/sidecar_test.go
@@ -17,6 +17,7 @@
 	"github.com/jayridge/jayridge/internal/standin/httpkv"
 	"github.com/jayridge/jayridge/internal/standin/kv"
 	"github.com/jayridge/jayridge/internal/standin/loopback"
+	"github.com/jayridge/jayridge/process/quarantine"
 	"github.com/jayridge/jayridge/process/settings"
 	"github.com/jayridge/jayridge/request/result"
 	"github.com/jayridge/jayridge/version/config"
@@ -28,11 +29,12 @@
 route /chat service=press-model deadline=20s # losana: chats
 `
 
-// fakeEntry responds to configuration pulls unless silent is set.
+// fakeEntry responds to configuration pulls unless silent is set, and keeps the quarantine entries that it is told of.
 type fakeEntry struct {
-	mu     sync.Mutex
-	config *config.State
-	silent bool
+	mu          sync.Mutex
+	config      *config.State
+	silent      bool
+	quarantined []wire.QuarantineEntry
 }
 
 func (e *fakeEntry) HandleOpen(context.Context, *link.Conn, *wire.Open, *link.Responder) {}
@@ -41,6 +43,9 @@
 	pull, ok := m.(*wire.ConfigPull)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if g, ok := m.(*wire.Gossip); ok {
+		e.quarantined = append(e.quarantined, g.Quarantine...)
+	}
 	if !ok || e.silent {
 		return
 	}
@@ -152,6 +157,23 @@
 	must.Eq(t, 1, f.engine.Counters().Received)
 }
 
+// An entry that was not connected when a request was quarantined sends it to a sidecar that rejects it. The rejection must tell the entry, which
+// would otherwise send the request to sidecars that do not know of the quarantine yet.
+func TestServe_RejectionTellsEntryOfQuarantine(t *testing.T) {
+	f := newFixture(t, false, testRules)
+	must.Eq(t, result.OK, f.open(1, time.Minute))
+	fingerprint := quarantine.FingerprintOf("press-model", "/chat", []byte("{}"))
+	f.sidecar.mu.Lock()
+	f.sidecar.crashes.list.Add(time.Now(), fingerprint)
+	f.sidecar.mu.Unlock()
+	must.Eq(t, result.Quarantined, f.open(1, time.Minute))
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	must.Len(t, 1, f.entry.quarantined)
+	must.Eq(t, uint64(fingerprint), f.entry.quarantined[0].Fingerprint)
+	must.Between(t, 3_500_000, f.entry.quarantined[0].RemainingMS, 3_600_000)
+}
+
 // Requests that were already in transit when the sidecar announced its departure must be refused.
 func TestServe_Leaving(t *testing.T) {
 	f := newFixture(t, false, testRules)
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -139,4 +139,6 @@
 guard restored-config process/gateway/restore.go 's/r\.revision > 0 && now\.Before\(r\.until\)/false/' ./process/gateway TestStoreRestored_RevokedKey
 guard reset-in-write connection/orderly/orderly.go 's/failure := c\.writeFailure\(\); failure != nil/failure := c.writeFailure(); false/' ./connection/orderly TestRead_ResetDuringWrite
 guard valid-status connection/upstream/exchange.go 's/err := CheckStatus\(response\.StatusCode\); err != nil/err := CheckStatus(response.StatusCode); false/' ./process/gateway TestServe_InvalidStatus
+guard quarantine-relay process/entry/entry.go 's/if len\(learned\) > 0/if false/' ./process/entry TestHandleGossip_PassesQuarantineOnToEntries
+guard quarantine-rejection process/sidecar/serve.go 's/if code == result\.Quarantined/if false/' ./process/sidecar TestServe_RejectionTellsEntryOfQuarantine
 exit $missed
