gateway: one that starts after a restoration of the store learns of it from its neighbours

Cause: a gateway sees a restoration by the change of the epoch. One that has started since reads the older copy as its first one and takes the configuration in it for confirmed, while its neighbours wait for the operators to write it again.

Change: a gateway whose configuration is not confirmed since a restoration tells each new neighbour, with the revision of the restored copy and the time that is left. The neighbour believes it only if it could not see the restoration itself and if its configuration is not newer than that copy; it then refuses keys (503, line 209) until the configuration is written again or the time has passed, as the others do. The control goroutine owns the state, which moves from its local variable to the gateway.

The test's store ends a watch that waits while it is restored as the real one does: without that its watchers never read the second restored copy.

Left: the milliseconds before a neighbour has connected, and a gateway that starts alone.

--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -42,7 +42,7 @@
 	&Claims{2, "basket-app", 1, []byte{9}}, &ClaimsDone{2, true, false, 1 << 40, []bool{true, false}},
 	&FleetState{[]UpstreamLoad{{1 << 31, 2, 3, 4, 5}}, []PromptHolder{{"press-7", []PromptPart{{1 << 60, 700}}}}, true, []RequestCrash{{1 << 63, 8, 900}}, &PartReport{
 		[]PartCrash{{1 << 62, 9, 100, 50, []uint64{1 << 61}}}, []PartAnswer{{10, 11, 12}}, []QuarantinedPart{{13, 14, 3, 1, 15}},
-	}, []UpstreamLimit{{1 << 60, 2.5, 16}}, []UpstreamCapacity{{1 << 59, 40, 17, 5, 18}}, []ServiceWaiting{{1 << 59, []uint16{0, 17}, []uint64{1 << 58}}}},
+	}, []UpstreamLimit{{1 << 60, 2.5, 16}}, []UpstreamCapacity{{1 << 59, 40, 17, 5, 18}}, []ServiceWaiting{{1 << 59, []uint16{0, 17}, []uint64{1 << 58}}}, &RestoredStore{1 << 40, 19}},
 	&StorePull{3, 1 << 40, 5},
 	&StorePush{3, 4, 5, true, 6, []StoreItem{{"key", []byte("value"), 5, true}}, 7, []LargeValue{{"key", 8, 9}}},
 	&StoreFetch{3, "key", 4, 5, 6},
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -409,6 +409,16 @@
 	// Waiting has an element for each service of which requests waited for a place or a team surged at the sender since the last message that was
 	// not partial.
 	Waiting []ServiceWaiting `msgpack:"w,omitempty"`
+	// Restored is sent to a new neighbour while the sender's configuration has not been confirmed since the store was restored, else nil.
+	Restored *RestoredStore `msgpack:"r,omitempty"`
+}
+
+// RestoredStore reports that the store came back from an older copy, which may lack a configuration.
+type RestoredStore struct {
+	// Revision is that of the restored copy as the sender read it first.
+	Revision uint64 `msgpack:"v"`
+	// LeftMS is the time in milliseconds that the operators have left to write the configuration again.
+	LeftMS uint32 `msgpack:"l"`
 }
 
 // UpstreamCapacity is a gateway's estimate of what an upstream takes, from the answers that it got itself.
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -34,6 +34,7 @@
 	StoreHistoryLost  ID = 206
 	StoreRestored     ID = 207
 	PriorityClamped   ID = 208
+	ConfigUnconfirmed ID = 209
 
 	PeerConnected           ID = 300
 	PeerLost                ID = 301
@@ -151,6 +152,7 @@
 	{StoreRestored, "the store was restored from an older copy, its content is read again", Warning, "check that all changes since last_revision are written again"},
 	{StoreHistoryLost, "the store's history is gone or larger than its content, everything is read again", Info, ""},
 	{PriorityClamped, "priorities of the configuration are out of range and taken as the nearest in 0 to 9", Warning, "correct the routes and teams"},
+	{ConfigUnconfirmed, "started after a restoration of the store, keys are refused until the configuration is confirmed", Info, "nothing; see line 207 of the peer"},
 
 	{PeerConnected, "peer connected", Info, ""},
 	{PeerLost, "peer connection lost", Info, ""},
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -71,8 +71,6 @@
 	trimmedAt time.Time
 	// leavingCount is the number of leaving upstreams at the latest publish.
 	leavingCount int
-	// restored holds what a restored store lacks until it may have been written again.
-	restored restoration
 	// ordersChanged is set when rollout orders changed and the driver has not been updated.
 	ordersChanged bool
 	// viewStale is set when the published view is out of date.
@@ -117,11 +115,11 @@
 	items := s.mirror.Apply(r.after, r.batch)
 	now := bootclock.Now()
 	if revision > 0 && s.mirror.Epoch() != epoch {
-		items = s.restored.begin(now, items, s.mirror.Revision(), confirmedAt)
+		items = s.g.restored.begin(now, items, s.mirror.Revision(), confirmedAt)
 		s.directory.RecordRestore(now)
 		s.g.writeAgain()
 		event.Log(event.StoreRestored, "epoch", s.mirror.Epoch(), "revision", s.mirror.Revision(), "last_epoch", epoch, "last_revision", revision,
-			"changed", len(items), "kept", len(s.restored.removals), "source", r.source)
+			"changed", len(items), "kept", len(s.g.restored.removals), "source", r.source)
 	}
 	s.recordContact(s.mirror.ContactAt(), r.source)
 	if asOf := s.mirror.AsOf(); !asOf.IsZero() {
@@ -176,7 +174,7 @@
 	}
 	switch decoded.Kind {
 	case ItemConfig:
-		s.restored.configWritten(item.Revision)
+		s.g.restored.configWritten(item.Revision)
 		s.applyConfig(decoded, err, item.Revision, source)
 	case ItemUpstream:
 		s.applyUpstream(now, decoded, err, item.Revision, source)
@@ -292,7 +290,7 @@
 	if at := s.g.storeProgressAt.Load(); at > 0 {
 		s.recordContact(time.Unix(0, at), sourceStore)
 	}
-	s.applyItems(bootclock.Now(), s.restored.due(bootclock.Now(), s.mirror), sourceStore)
+	s.applyItems(bootclock.Now(), s.g.restored.due(bootclock.Now(), s.mirror), sourceStore)
 	for _, change := range s.directory.Tick(bootclock.Now()) {
 		s.viewStale = true
 		event.Log(event.UpstreamChanged, "upstream", change.ID, "from", change.From.String(), "to", change.To.String(), "source", "time")
@@ -313,7 +311,7 @@
 	if s.table == nil {
 		return
 	}
-	confirmedAt := s.restored.confirmation(bootclock.Now(), s.mirror.AsOf()).UnixNano()
+	confirmedAt := s.g.restored.confirmation(bootclock.Now(), s.mirror.AsOf()).UnixNano()
 	if !s.viewStale {
 		s.g.view.Load().confirmedAt.Store(confirmedAt)
 		return
--- a/process/gateway/fleetstate.go
+++ b/process/gateway/fleetstate.go
@@ -64,6 +64,9 @@
 			event.LogSampled(event.UpstreamLimitChanged, "upstream", id, "per_second", l.PerSecond, "source", "peer", "peer", name)
 		}
 	}
+	if m.Restored != nil {
+		p.g.enqueueTask(func() { p.g.applyRestored(name, m.Restored) })
+	}
 }
 
 // applyBalancerState applies a neighbour's loads and cached prompts.
@@ -211,3 +214,16 @@
 		_ = c.Send(m) // if the connection is lost, the next one sends it again
 	}
 }
+
+// sendRestored tells a new neighbour that the store was restored and that the configuration has not been confirmed since. A gateway that has started
+// after that cannot know it. If the queue of tasks is full, the neighbour is not told.
+func (p *peers) sendRestored(c *link.Conn) {
+	select {
+	case p.g.tasks <- func() {
+		if revision, left := p.g.restored.unconfirmed(bootclock.Now()); revision > 0 {
+			_ = c.Send(&wire.FleetState{Partial: true, Restored: &wire.RestoredStore{Revision: revision, LeftMS: uint32(left.Milliseconds())}})
+		}
+	}:
+	default:
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -111,6 +111,8 @@
 	batches        chan sourcedBatch
 	// mirrorQueries are functions to run on the control goroutine with the copy of the store. They must not block.
 	mirrorQueries chan func(*mirror.Mirror)
+	// restored holds what a restored store lacks until it may have been written again. It belongs to the control goroutine.
+	restored restoration
 	// registerNow wakes the registration, which a restored store may lack.
 	registerNow chan struct{}
 	// tasks are functions to run on the control goroutine.
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -336,6 +336,7 @@
 		p.sendKnownPrompts(l.conn)
 	}
 	p.sendKnownFaults(l.conn)
+	p.sendRestored(l.conn)
 	p.sendKnownCapacities(l.conn)
 }
 
--- a/process/gateway/restore_test.go
+++ b/process/gateway/restore_test.go
@@ -54,10 +54,15 @@
 }
 
 func (s *restoredStore) Changes(ctx context.Context, w mirror.Watch) (mirror.Batch, error) {
-	if services.Revision(w.After).Epoch() != s.epoch.Load() {
+	otherEpoch := func() bool { return services.Revision(w.After).Epoch() != s.epoch.Load() }
+	if otherEpoch() {
 		return mirror.Batch{}, mirror.ErrCompacted
 	}
-	return s.fakeStore.Changes(ctx, w)
+	batch, err := s.fakeStore.Changes(ctx, w)
+	if otherEpoch() {
+		return mirror.Batch{}, mirror.ErrCompacted // restored while the watch waited
+	}
+	return batch, err
 }
 
 // content returns a copy of the store's items.
@@ -252,3 +257,81 @@
 		})
 	}
 }
+
+// Guards against taking a restored copy for the newest one where it is the first that a gateway reads: a gateway that starts after the restoration
+// cannot know of it but from its neighbours.
+func TestStoreRestored_RevokedKeyAtStart(t *testing.T) {
+	u := newUpstream(t, "a", succeed)
+	f := newFixture(t, u)
+	store := f.separateStore(u)
+	old := f.startWith("old", store)
+	f.eventually("registered", func() bool { return store.has(memberKeyPrefix + "old") })
+	older := store.content()
+	next := f.config
+	next.Version, next.Teams = 2, []routing.Team{{Name: "drivers", Keys: []string{"new"}}}
+
+	var started *Gateway
+	for epoch := uint64(1); started == nil; epoch++ {
+		must.LessEq(t, 5, epoch, must.Sprint("gateways that started after a restoration accept keys"))
+		store.restore(older) // a version has been acknowledged since
+		f.eventually("restored copy is known", func() bool { return services.Revision(old.revision.Load()).Epoch() == epoch })
+		until := time.Now().Add(rewriteWithin / 2)
+		g := f.startWith(fmt.Sprintf("new-%d", epoch), store)
+		f.eventually("keys are refused, or it is too late for that", func() bool {
+			if time.Now().Before(until) && g.view.Load() != nil && !g.acceptsKeys(g.configAge()) {
+				started = g
+			}
+			return started != nil || time.Now().After(until)
+		})
+	}
+	status := func(path string) int { return f.send(started, http.MethodPost, path, nil).status }
+	must.EqOp(t, http.StatusServiceUnavailable, status("/book/1"))
+	store.put("config", next)
+	f.eventually("the key is denied", func() bool {
+		got := status("/book/2")
+		must.NotEq(t, http.StatusOK, got)
+		return got == http.StatusUnauthorized
+	})
+	must.EqOp(t, http.StatusUnauthorized, f.send(old, http.MethodPost, "/book/3", nil).status)
+}
+
+// A gateway must believe a neighbour only if it could not see the restoration itself, and if its configuration is not newer than the restored copy.
+func TestRestoration_Learn(t *testing.T) {
+	at := func(epoch, number uint64) uint64 {
+		r, err := services.NewRevision(epoch, number)
+		must.NoError(t, err)
+		return uint64(r)
+	}
+	now := time.Unix(1000, 0)
+	asOf := now.Add(-time.Second)
+	for name, c := range map[string]struct {
+		copied, config uint64
+		sawEpoch       uint64
+		learned        bool
+	}{
+		"started after the restoration":   {copied: at(2, 9), config: at(2, 5), learned: true},
+		"has no copy yet":                 {learned: true},
+		"configuration was written again": {copied: at(2, 9), config: at(2, 8)},
+		"saw the restoration":             {copied: at(2, 9), config: at(2, 5), sawEpoch: 2},
+		"has not seen the new epoch yet":  {copied: at(1, 9), config: at(1, 5)},
+		"has seen the next restoration":   {copied: at(3, 9), config: at(3, 5), sawEpoch: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := restoration{epoch: c.sawEpoch}
+			r.configWritten(c.config)
+			must.EqOp(t, c.learned, r.learn(now, c.copied, at(2, 7), time.Hour))
+			must.False(t, r.learn(now, c.copied, at(2, 7), time.Hour)) // another neighbour
+			if !c.learned {
+				must.EqOp(t, asOf, r.confirmation(now, asOf))
+				return
+			}
+			must.EqOp(t, time.Unix(0, 0), r.confirmation(now.Add(rewriteWithin-1), asOf))
+			r.configWritten(at(2, 7))
+			must.EqOp(t, time.Unix(0, 0), r.confirmation(now.Add(rewriteWithin-1), asOf))
+			written := r
+			written.configWritten(at(2, 10))
+			must.EqOp(t, asOf, written.confirmation(now, asOf))
+			must.EqOp(t, asOf, r.confirmation(now.Add(rewriteWithin), asOf))
+		})
+	}
+}
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -141,4 +141,5 @@
 guard valid-status connection/upstream/exchange.go 's/err := CheckStatus\(response\.StatusCode\); err != nil/err := CheckStatus(response.StatusCode); false/' ./process/gateway TestServe_InvalidStatus
 guard quarantine-relay process/entry/entry.go 's/if len\(learned\) > 0/if false/' ./process/entry TestHandleGossip_PassesQuarantineOnToEntries
 guard quarantine-rejection process/sidecar/serve.go 's/if code == result\.Quarantined/if false/' ./process/sidecar TestServe_RejectionTellsEntryOfQuarantine
+guard restored-start process/gateway/restore.go 's/r\.confirmedAt = time\.Unix\(0, 0\)/r.confirmedAt = now/' ./process/gateway TestStoreRestored_RevokedKeyAtStart
 exit $missed
