--- a/review/driver-3/lab.go
+++ b/review/driver-3/lab.go
@@ -23,8 +23,9 @@
 	store   *store
 	runs    runs
 	runners []*runner
-	// onRequest is given to the runners.
+	// onRequest and answer are given to the runners.
 	onRequest func(u *runner, r *http.Request)
+	answer    func(u *runner, w http.ResponseWriter, r *http.Request, id string)
 	gateways  []*gateway
 
 	mu      sync.Mutex
@@ -78,7 +79,7 @@
 }
 
 func (l *lab) addRunner(id, service, zone string, slots int, work time.Duration) error {
-	u, err := newRunner(id, service, zone, slots, work, l.store, &l.runs, l.onRequest)
+	u, err := l.startRunner(id, service, zone, slots, work)
 	if err != nil {
 		return err
 	}
@@ -132,16 +133,16 @@
 
 // gateway is one gateway and its settings, across the starts of its process.
 type gateway struct {
-	lab                  *lab
-	name, settings       string
-	front, ready         string
-	mu                   sync.Mutex
-	process              *exec.Cmd
-	exited               chan struct{}
-	log                  *os.File
-	answersReadiness     atomic.Bool
-	stopReadinessChecks  chan struct{}
-	readinessChecksEnded sync.Once
+	lab            *lab
+	name, settings string
+	front, ready   string
+	log            *os.File
+	// answersReadiness is the result of the latest readiness check.
+	answersReadiness atomic.Bool
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
 }
 
 func freeAddress() (string, error) {
@@ -186,7 +187,6 @@
 	if g.log, err = os.Create(filepath.Join(l.dir, name+".log")); err != nil {
 		return nil, err
 	}
-	g.stopReadinessChecks = make(chan struct{})
 	go g.checkReadiness()
 	l.gateways = append(l.gateways, g)
 	return g, g.start()
@@ -265,6 +265,7 @@
 	method, path, key string
 	deadline          time.Duration
 	body              []byte
+	header            map[string]string
 }
 
 // answer is what a client got.
@@ -293,6 +294,9 @@
 	r.Header.Set("Request-Id", a.id)
 	r.Header.Set("deadline-ms", fmt.Sprint(q.deadline.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+q.key)
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	response, err := transport.RoundTrip(r)
 	if err == nil {
@@ -301,7 +305,7 @@
 	}
 	a.answered = time.Now()
 	if a.err = err; err == nil {
-		a.status, a.header, a.signature = response.StatusCode, response.Header, response.Header.Get("response-signature")
+		a.status, a.header, a.signature = response.StatusCode, response.Header, response.Header.Get(signatureHeader)
 	}
 	l.note("%s sent to %s with key %s: %s", a.id, g.name, q.key, a.outcome())
 	return a
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(l *lab, trouble bool) (code int, err error){
 	"revoked-key-after-restore": revokedKeyAfterRestore,
+	"crashing-part":             crashingPartRefusesSoundRequests,
 	"crashing-request":          crashingRequest,
 }
 
--- a/review/driver-3/runner.go
+++ b/review/driver-3/runner.go
@@ -64,20 +64,23 @@
 	running                    atomic.Int64
 	// onRequest is called before the work on a request, nil for nothing.
 	onRequest func(u *runner, r *http.Request)
+	// answer writes the answer to a request that has run, nil for a short body with its length.
+	answer func(u *runner, w http.ResponseWriter, r *http.Request, id string)
 	// leaving is set once the runner leaves: it says so in all its answers.
 	leaving atomic.Bool
 	stopped chan struct{}
 	once    sync.Once
 }
 
-func newRunner(id, service, zone string, slots int, work time.Duration, s *store, l *runs, onRequest func(*runner, *http.Request)) (*runner, error) {
+// startRunner starts a runner, which registers itself.
+func (l *lab) startRunner(id, service, zone string, slots int, work time.Duration) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	u := &runner{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, work: work, store: s, runs: l,
-		born: time.Now().UnixMilli(), listener: listener, stopped: make(chan struct{}), onRequest: onRequest,
+		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, work: work, store: l.store, runs: &l.runs,
+		born: time.Now().UnixMilli(), listener: listener, stopped: make(chan struct{}), onRequest: l.onRequest, answer: l.answer,
 	}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(listener) }()
@@ -171,8 +174,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	u.runs.end(began)
+	if u.answer != nil {
+		u.answer(u, w, r, id)
+		return
+	}
 	text := "answer to " + id
-	h.Set("response-signature", "s-"+id+"-"+u.id)
+	h.Set(signatureHeader, "s-"+id+"-"+u.id)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
 }
