--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -20,6 +20,7 @@
 	"revoked-key-after-restore": revokedKeyAfterRestore,
 	"crashing-part":             crashingPartRefusesSoundRequests,
 	"grace-raised":              graceRaised,
+	"crashing-query":            crashingQuery,
 	"crashing-request":          crashingRequest,
 }
 
--- a/review/driver-3/poison.go
+++ b/review/driver-3/poison.go
@@ -29,10 +29,20 @@
 	c.reached = append(c.reached, at)
 }
 
-// crashingRequest sends one request, which crashes each runner that begins to run it, again and again with the same path, caller and body, at
-// gateways by turns. The interval is longer than the time for which a crash is remembered.
+// crashingRequest sends one request, which crashes each runner that begins to run it, again and again with the same path, caller and body. The interval
+// is longer than the time for which a crash is remembered.
 func crashingRequest(l *lab, trouble bool) (int, error) {
-	const service, key, interval, times = "basket", "key-one-0123456789ab", 21 * time.Second, 5
+	return sendCrashing(l, trouble, 21*time.Second, 5, func(int) string { return poisonPath })
+}
+
+// crashingQuery does the same at short intervals. Only the query differs each time.
+func crashingQuery(l *lab, trouble bool) (int, error) {
+	return sendCrashing(l, trouble, 2*time.Second, 12, func(n int) string { return fmt.Sprintf("%s?try=%d", poisonPath, n) })
+}
+
+// sendCrashing sends the crashing request some times, at gateways by turns, beside charges of other callers.
+func sendCrashing(l *lab, trouble bool, interval time.Duration, times int, target func(n int) string) (int, error) {
+	const service, key = "basket", "key-one-0123456789ab"
 	var c crashes
 	l.onRequest = func(u *runner, r *http.Request) {
 		if r.URL.Path != poisonPath {
@@ -81,7 +91,7 @@
 		if i > 0 {
 			time.Sleep(interval)
 		}
-		a := l.send(l.gateways[i%2], request{method: "GET", path: poisonPath, key: key, deadline: 1500 * time.Millisecond})
+		a := l.send(l.gateways[i%2], request{method: "GET", path: target(i), key: key, deadline: 1500 * time.Millisecond})
 		l.note("the request is sent for the %d. time: %s", i+1, a.outcome())
 	}
 	time.Sleep(stableWindow)
