--- a/review/driver-3/parts.go
+++ b/review/driver-3/parts.go
@@ -16,6 +16,8 @@
 	crashingPart = "91bd3f06"
 	// confirmEvents is the number of events of an answer to booking-confirm.
 	confirmEvents = 4
+	// crashingRequests is the number of requests with the crashing part, one every 1.5 s.
+	crashingRequests = 32
 	// minCompared is the number of requests that the rule needs on both sides.
 	minCompared = 20
 )
@@ -123,7 +125,7 @@
 	time.Sleep(10 * time.Second)
 	from := time.Now()
 	l.note("requests with the crashing part begin")
-	for n := range 24 {
+	for n := range crashingRequests {
 		send(0, n, fmt.Sprintf("%s:2041,%s:410,%08x:250", firstPart, crashingPart, 0x7000000+n))
 		time.Sleep(1500 * time.Millisecond)
 	}
